The whole path, thin, as separate processes

Change: one binary with entry, bundle, status, owner, timeline, load and standin. The log's fold (reducer) holds bundle, roster, fronts and owners; one pure control decider (controller) per instance; one entry fronts each backend server, the others pass requests on; a grant's time to live counts from a nonce that the server issued, so a grant left in a frozen server's buffer has run out when it is read.

Ruled out before: every entry sending to every server (ten senders overfill three slots and every handover needs all ten), a leader with a term (an election and a term record for nothing that ranked proposers lack), lease renewal by appends (the log's read is the renewal: no appends in steady state).

Found on the way: the forwarder compared the front with the run's id instead of the roster's; every request ended as not run with reason "moved".

Not run yet: make demo, the fault matrix, the measurements.

--- /dev/null
+++ b/cmd/bundle_check.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"math"
+
+	"github.com/wasabibank/wasabibank/pkg/bundler"
+	"github.com/wasabibank/wasabibank/pkg/reporter"
+)
+
+func runBundleCheck(args []string, stdout, stderr io.Writer) ExitCode {
+	flags := bundleFlags("check", "[-parent FILE] FILE...",
+		"Checks each bundle whole and prints every finding of all files. Exit code 1 when there are findings.", stderr)
+	parentPath := flags.String("parent", "", "the bundle in force, which each FILE must be able to follow")
+	if code, ok := parseBundleFlags(flags, args, 1, math.MaxInt); !ok {
+		return code
+	}
+	parent, err := readParent(*parentPath)
+	if err != nil {
+		return failBundle(stderr, err)
+	}
+	var findings reporter.Findings
+	failed := false
+	for _, path := range flags.Args() {
+		bundle, err := checkBundle(path, parent)
+		switch {
+		case err == nil:
+			fmt.Fprintf(stdout, "%s: %s version %d, digest %s\n", path, bundle.Name(), bundle.Version(), bundle.Digest())
+		case !findings.AddErr(err):
+			failed = true
+			failBundle(stderr, err)
+		}
+	}
+	if findings.Len() > 0 {
+		fmt.Fprintf(stdout, "%s\n%d findings\n", findings.String(), findings.Len())
+		failed = true
+	}
+	if failed {
+		return ExitFailure
+	}
+	return ExitDone
+}
+
+// readParent returns nil for an empty path.
+func readParent(path string) (*bundler.Bundle, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return readBundle(path)
+}
+
+func checkBundle(path string, parent *bundler.Bundle) (*bundler.Bundle, error) {
+	bundle, err := readBundle(path)
+	if err != nil {
+		return nil, err
+	}
+	if parent == nil {
+		return bundle, nil
+	}
+	return bundle, bundler.CheckSuccessor(parent, bundle)
+}
--- /dev/null
+++ b/cmd/bundle_sign.go
@@ -0,0 +1,108 @@
+package cmd
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabibank/wasabibank/pkg/bundler"
+	"github.com/wasabibank/wasabibank/pkg/reporter/parser"
+)
+
+func runBundleSign(args []string, stdout, stderr io.Writer) ExitCode {
+	flags := bundleFlags("sign", "-signer NAME -key KEY_FILE FILE",
+		"Checks the bundle FILE and adds one signature to FILE.sign_off. Author and approver both sign.", stderr)
+	signer := flags.String("signer", "", "the name of the signer: the bundle's author or approver")
+	keyPath := flags.String("key", "", "the signer's private key, as keygen writes it")
+	if code, ok := parseBundleFlags(flags, args, 1, 1); !ok {
+		return code
+	}
+	if *signer == "" || *keyPath == "" {
+		flags.Usage()
+		return ExitUsage
+	}
+	if err := signBundle(stdout, flags.Arg(0), *signer, *keyPath); err != nil {
+		return failBundle(stderr, err)
+	}
+	return ExitDone
+}
+
+func signBundle(stdout io.Writer, path, signer, keyPath string) error {
+	bundle, err := readBundle(path)
+	if err != nil {
+		return err
+	}
+	if signer != bundle.Author() && signer != bundle.Approver() {
+		return errors.Errorf("%s is neither the author %s nor the approver %s of %s",
+			signer, bundle.Author(), bundle.Approver(), path)
+	}
+	key, err := readPrivateKey(keyPath)
+	if err != nil {
+		return err
+	}
+	if !holdsKey(bundle, signer, key) {
+		fmt.Fprintf(stdout, "note: %s has another key in this bundle; the version before must hold the key used\n", signer)
+	}
+	return addSignOff(stdout, path, bundle, bundler.Sign(bundle.Raw(), signer, key))
+}
+
+func holdsKey(bundle *bundler.Bundle, signer string, key ed25519.PrivateKey) bool {
+	for _, known := range bundle.Signers() {
+		if known.Name() == signer {
+			return known.PublicKey().Equal(key.Public())
+		}
+	}
+	return false
+}
+
+func addSignOff(stdout io.Writer, path string, bundle *bundler.Bundle, signOff bundler.SignOff) error {
+	before, err := readSignOffs(signOffPath(path))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if before.Digest() != "" && before.Digest() != bundle.Digest() {
+		fmt.Fprintln(stdout, "note: the earlier sign-offs are for another text and are dropped")
+	}
+	after := before.Add(bundle.Raw(), signOff)
+	if err := replaceFile(signOffPath(path), after.Encode()); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "%s: version %d, digest %s, signed by", signOffPath(path), bundle.Version(), bundle.Digest())
+	for _, signed := range after.SignOffs() {
+		fmt.Fprintf(stdout, " %s", signed.Signer)
+	}
+	fmt.Fprintln(stdout)
+	return nil
+}
+
+func readSignOffs(path string) (bundler.SignOffFile, error) {
+	raw, err := parser.ReadFile(path)
+	if err != nil {
+		return bundler.SignOffFile{}, err
+	}
+	return bundler.DecodeSignOffFile(path, raw)
+}
+
+// replaceFile writes path whole or not at all.
+func replaceFile(path string, data []byte) error {
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer os.Remove(file.Name())
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Chmod(publicFileMode)
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.Rename(file.Name(), path))
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,74 @@
+// Package cmd holds the subcommands of wasabibank, one file each.
+package cmd
+
+import (
+	"fmt"
+	"io"
+)
+
+// ExitCode is the exit status of the process.
+type ExitCode int
+
+// The exit codes of every subcommand.
+const (
+	ExitDone    ExitCode = 0
+	ExitFailure ExitCode = 1
+	ExitUsage   ExitCode = 2
+)
+
+// command is one subcommand of the binary.
+type command struct {
+	name    string
+	summary string
+	run     func(args []string, stdout, stderr io.Writer) ExitCode
+}
+
+// commands returns the subcommands in the order in which help lists them.
+func commands() []command {
+	return []command{
+		entryCommand(),
+		bundleCommand(),
+		statusCommand(),
+		ownerCommand(),
+		timelineCommand(),
+		loadCommand(),
+		standinCommand(),
+	}
+}
+
+// Run runs the subcommand that args name and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) ExitCode {
+	return dispatch("wasabibank", commands(), args, stdout, stderr)
+}
+
+// dispatch runs the one of cmds that args[0] names; program is the words that led to it.
+func dispatch(program string, cmds []command, args []string, stdout, stderr io.Writer) ExitCode {
+	if len(args) == 0 {
+		printCommands(program, cmds, stderr)
+		return ExitUsage
+	}
+	if isHelp(args[0]) {
+		printCommands(program, cmds, stdout)
+		return ExitDone
+	}
+	for _, c := range cmds {
+		if c.name == args[0] {
+			return c.run(args[1:], stdout, stderr)
+		}
+	}
+	fmt.Fprintf(stderr, "%s: unknown command %q\n", program, args[0])
+	printCommands(program, cmds, stderr)
+	return ExitUsage
+}
+
+func isHelp(arg string) bool {
+	return arg == "help" || arg == "-h" || arg == "-help" || arg == "--help"
+}
+
+func printCommands(program string, cmds []command, w io.Writer) {
+	fmt.Fprintf(w, "usage: %s COMMAND [flags]\n\ncommands:\n", program)
+	for _, c := range cmds {
+		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
+	}
+	fmt.Fprintf(w, "\n%s COMMAND -h explains a command.\nexit codes: 0 done, 1 findings or failure, 2 usage\n", program)
+}
--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,126 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/faker"
+)
+
+const (
+	standinStopTimeout   = 10 * time.Second
+	standinHeaderTimeout = 10 * time.Second
+)
+
+// standinCommand returns the subcommand that runs the project's own stand-ins.
+func standinCommand() command {
+	return command{name: "standin", summary: "run a stand-in: log, roster or server", run: runStandin}
+}
+
+func runStandin(args []string, stdout, stderr io.Writer) ExitCode {
+	cmds := []command{
+		{name: "log", summary: "the platform's append-only log", run: runStandinLog},
+		{name: "roster", summary: "the platform's instance list", run: runStandinRoster},
+		{name: "server", summary: "a backend server", run: runStandinServer},
+		{name: "collector", summary: "keeps the executions that stand-in servers post", run: runStandinCollector},
+	}
+	return dispatch("wasabibank standin", cmds, args, stdout, stderr)
+}
+
+// newStandinFlags returns the flags that each stand-in has.
+func newStandinFlags(name string, stderr io.Writer) (*flag.FlagSet, *string) {
+	flags := flag.NewFlagSet("wasabibank standin "+name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	listen := flags.String("listen", "127.0.0.1:0", "address to listen on; port 0 lets the system choose")
+	return flags, listen
+}
+
+// standin is one stand-in as it is served.
+type standin struct {
+	name    string
+	listen  string
+	handler http.Handler
+	// limit wraps the listener; nil leaves it.
+	limit func(net.Listener) net.Listener
+	// release ends requests that wait, at the start of a stop; nil is nothing.
+	release func()
+}
+
+// serve serves the stand-in until SIGTERM or an interrupt, and then stops it gracefully.
+func (s standin) serve(stdout, stderr io.Writer) ExitCode {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return s.serveUntil(ctx, stdout, stderr)
+}
+
+func (s standin) serveUntil(ctx context.Context, stdout, stderr io.Writer) ExitCode {
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		fmt.Fprintf(stderr, "wasabibank standin %s: %v\n", s.name, err)
+		return ExitFailure
+	}
+	fmt.Fprintf(stdout, "listening %s\n", listener.Addr())
+	if s.limit != nil {
+		listener = s.limit(listener)
+	}
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: standinHeaderTimeout}
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Serve(listener) }()
+	select {
+	case err = <-stopped:
+	case <-ctx.Done():
+		err = s.stop(server)
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "wasabibank standin %s: %v\n", s.name, err)
+		return ExitFailure
+	}
+	return ExitDone
+}
+
+func (s standin) stop(server *http.Server) error {
+	if s.release != nil {
+		s.release()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), standinStopTimeout)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+func runStandinLog(args []string, stdout, stderr io.Writer) ExitCode {
+	var settings faker.LogSettings
+	flags, listen := newStandinFlags("log", stderr)
+	flags.IntVar(&settings.RetainRecords, "retain-records", 0, "records that are kept; 0 is all")
+	flags.DurationVar(&settings.RetainAge, "retain-age", 0, "time for which a record is kept; 0 is for ever")
+	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
+		return code
+	}
+	log := faker.NewLog(settings)
+	return standin{name: "log", listen: *listen, handler: log, release: log.Close}.serve(stdout, stderr)
+}
+
+func runStandinRoster(args []string, stdout, stderr io.Writer) ExitCode {
+	var settings faker.RosterSettings
+	flags, listen := newStandinFlags("roster", stderr)
+	flags.DurationVar(&settings.Lag, "lag", 0, "how far the list that is shown stays behind")
+	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
+		return code
+	}
+	roster := faker.NewRoster(settings)
+	return standin{name: "roster", listen: *listen, handler: roster}.serve(stdout, stderr)
+}
+
+func runStandinCollector(args []string, stdout, stderr io.Writer) ExitCode {
+	flags, listen := newStandinFlags("collector", stderr)
+	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
+		return code
+	}
+	return standin{name: "collector", listen: *listen, handler: faker.NewCollector()}.serve(stdout, stderr)
+}
--- /dev/null
+++ b/cmd/timeline.go
@@ -0,0 +1,50 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/wasabibank/wasabibank/internal/presenter"
+	"github.com/wasabibank/wasabibank/internal/tracer"
+)
+
+// timelineCommand merges the time lines of instances into one.
+func timelineCommand() command {
+	return command{name: "timeline", summary: "show the events of all instances in one order", run: runTimeline}
+}
+
+func runTimeline(args []string, stdout, stderr io.Writer) ExitCode {
+	flags := newAdminFlags("timeline", "", formatText, formatJSON, formatHTML)
+	order := flags.set.String("order", string(tracer.OrderOffset), "order of events: offset (of the log, as each instance knew it) or clock (hybrid)")
+	addresses, code, ok := flags.parse(args, 0, stdout, stderr)
+	if !ok {
+		return code
+	}
+	if *order != string(tracer.OrderOffset) && *order != string(tracer.OrderClock) {
+		fmt.Fprintf(stderr, "timeline: -order is %q, want offset or clock\n", *order)
+		return ExitUsage
+	}
+	answers := askAll(addresses, flags.timeout, func(ctx context.Context, c *presenter.Client, address string) (tracer.Page, error) {
+		return c.GetTimeline(ctx, address)
+	})
+	pages := reportUnanswered(answers, stderr)
+	if err := writeTimeline(stdout, flags.format, tracer.Merge(tracer.Order(*order), pages...)); err != nil {
+		return exitFor(err, stderr)
+	}
+	if len(pages) < len(answers) {
+		return ExitFailure
+	}
+	return ExitDone
+}
+
+func writeTimeline(w io.Writer, format string, timeline tracer.Timeline) error {
+	switch format {
+	case formatJSON:
+		return timeline.WriteJSON(w)
+	case formatHTML:
+		return timeline.WriteHTML(w)
+	default:
+		return timeline.WriteText(w)
+	}
+}
--- /dev/null
+++ b/internal/controller/session.go
@@ -0,0 +1,334 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/commander"
+	"github.com/wasabibank/wasabibank/internal/leaser"
+	"github.com/wasabibank/wasabibank/internal/recorder"
+	"github.com/wasabibank/wasabibank/internal/reducer"
+	"github.com/wasabibank/wasabibank/internal/router"
+	"github.com/wasabibank/wasabibank/internal/tracer"
+	"github.com/wasabibank/wasabibank/pkg/identifier"
+)
+
+// owned is a set of partitions with the epochs of their ownership.
+type owned map[identifier.PartitionID]identifier.Epoch
+
+// session is this instance's dealing with one backend server that it fronts at one term.
+type session struct {
+	server  identifier.ServerName
+	address string
+	term    identifier.Term
+	// exclusive says that the server's keys have a single owner.
+	exclusive bool
+	checks    bool
+	nonceless bool
+	fenced    bool
+	down      bool
+	busy      bool
+	dirty     bool
+
+	lastAnswer time.Time
+	lastSent   time.Time
+	// openAt is when traffic may begin.
+	openAt time.Time
+	// lapse is when every grant that this instance or an earlier one has given has run out.
+	lapse time.Time
+	// uncertainUntil is when a grant whose answer was lost has run out.
+	uncertainUntil time.Time
+
+	nonce      string
+	nonceAsked time.Time
+	nonceHeard time.Time
+
+	sent       owned
+	sentTTL    time.Duration
+	granted    owned
+	grantUntil time.Time
+
+	closing map[identifier.PartitionID]*closing
+	handing identifier.InstanceID
+}
+
+// syncSessions begins and ends sessions as the fold says.
+func (c *Controller) syncSessions(now time.Time) {
+	for _, name := range c.state.ServerNames() {
+		known, _ := c.state.GetServerByName(name)
+		s, ok := c.sessions[name]
+		mine := known.Front.Holder == c.id && !c.expelled
+		if ok && (!mine || s.term != known.Front.Term) {
+			c.opts.Table.Gate(name).SetPermit(router.Permit{})
+			delete(c.sessions, name)
+			ok = false
+		}
+		if mine && !ok {
+			c.sessions[name] = c.newSession(now, name, known)
+		}
+		if mine {
+			c.refreshSession(c.sessions[name], known)
+		}
+	}
+}
+
+func (c *Controller) newSession(now time.Time, name identifier.ServerName, known reducer.ServerState) *session {
+	widest := c.state.Widest()
+	s := &session{
+		server:     name,
+		term:       known.Front.Term,
+		checks:     known.Met && known.Checks,
+		lastAnswer: now,
+		openAt:     now,
+		lapse:      now.Add(leaser.Stretch(widest.GrantTTL, widest.ClockDrift)),
+		closing:    map[identifier.PartitionID]*closing{},
+	}
+	c.refreshSession(s, known)
+	if s.exclusive && !s.checks && !known.Front.Clean {
+		s.openAt = now.Add(leaser.Stretch(widest.PauseBound, widest.ClockDrift))
+	}
+	return s
+}
+
+// refreshSession takes over what the fold says of the server.
+func (c *Controller) refreshSession(s *session, known reducer.ServerState) {
+	s.address = known.Address
+	s.exclusive = c.exclusive(s.server)
+	if known.Met && !known.Checks {
+		s.checks = false
+	}
+}
+
+// exclusive reports whether the server belongs to a keyed service, or to one that is no longer declared.
+func (c *Controller) exclusive(server identifier.ServerName) bool {
+	b := c.state.Bundle()
+	if b == nil {
+		return true
+	}
+	_, service, ok := b.GetServerByName(server)
+	if !ok {
+		return true
+	}
+	_, keyed := c.state.GetServiceByName(service)
+	return keyed
+}
+
+// sortedSessions returns the sessions in order of server name.
+func (c *Controller) sortedSessions() []*session {
+	all := make([]*session, 0, len(c.sessions))
+	for _, s := range c.sessions {
+		all = append(all, s)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].server < all[j].server })
+	return all
+}
+
+// advanceSessions notices lost servers and sends the grants that are due.
+func (c *Controller) advanceSessions(now time.Time) {
+	for _, s := range c.sortedSessions() {
+		c.noticeDown(now, s)
+		c.sendGrant(now, s)
+	}
+}
+
+func (c *Controller) noticeDown(now time.Time, s *session) {
+	if s.down || now.Sub(s.lastAnswer) <= c.timings().Detection {
+		return
+	}
+	s.down = true
+	c.note(tracer.KindServerSuspected, string(s.server), "")
+	c.opts.Table.Gate(s.server).Abort()
+}
+
+func (c *Controller) sendGrant(now time.Time, s *session) {
+	timings := c.timings()
+	if s.busy || !s.dirty && now.Sub(s.lastSent) < timings.Heartbeat {
+		return
+	}
+	ttl, echo, ok := c.grantTerms(now, s)
+	if !ok {
+		return
+	}
+	s.sent = c.grantSet(now, s, echo)
+	s.sentTTL = ttl
+	s.busy = true
+	s.dirty = false
+	s.lastSent = now
+	c.extendLapse(now, s, echo, ttl)
+	c.do(SendGrant{
+		Server:  s.server,
+		Address: s.address,
+		Timeout: timings.Detection / 2,
+		Grant: commander.Grant{
+			Issuer:     c.id,
+			Term:       s.term,
+			TTL:        ttl,
+			Echo:       echo,
+			Partitions: s.sent.list(),
+		},
+	})
+}
+
+// grantTerms returns the time to live of the next grant and the nonce that it echoes. A grant ends before the lease of
+// its issuer does; without a usable nonce it only asks for a fresh one.
+func (c *Controller) grantTerms(now time.Time, s *session) (time.Duration, string, bool) {
+	timings := c.timings()
+	lease := c.LeaseUntil()
+	if !now.Before(lease) {
+		return 0, "", false
+	}
+	from := now
+	if s.nonce != "" {
+		from = s.nonceHeard
+	}
+	ttl := min(timings.GrantTTL, leaser.Shrink(lease.Sub(from), timings.ClockDrift))
+	ttl = ttl.Truncate(time.Millisecond)
+	if s.nonce != "" && !now.Before(s.nonceAsked.Add(ttl)) {
+		return timings.GrantTTL, "", true
+	}
+	return ttl, s.nonce, ttl > 0
+}
+
+// grantSet returns the partitions of the next grant.
+func (c *Controller) grantSet(now time.Time, s *session, echo string) owned {
+	set := owned{}
+	if echo == "" && !s.nonceless || now.Before(s.openAt) {
+		return set
+	}
+	for partition, epoch := range c.ownedBy(s.server) {
+		if _, closing := s.closing[partition]; !closing {
+			set[partition] = epoch
+		}
+	}
+	return set
+}
+
+func (c *Controller) extendLapse(now time.Time, s *session, echo string, ttl time.Duration) {
+	if len(s.sent) == 0 {
+		return
+	}
+	widest := c.state.Widest()
+	ends := s.nonceHeard.Add(leaser.Stretch(ttl, widest.ClockDrift))
+	if echo == "" {
+		ends = now.Add(leaser.Stretch(ttl+widest.PauseBound, widest.ClockDrift))
+	}
+	if ends.After(s.lapse) {
+		s.lapse = ends
+	}
+}
+
+func (c *Controller) onGrantAnswered(now time.Time, e GrantAnswered) {
+	s, ok := c.sessions[e.Server]
+	if !ok || s.term != e.Term {
+		return
+	}
+	s.busy = false
+	s.lastAnswer = now
+	if s.down {
+		s.down = false
+		c.note(tracer.KindServerBack, string(s.server), "")
+	}
+	c.learnChecks(now, s, e.Answer.Checks)
+	if e.Answer.Term > s.term {
+		s.granted = nil
+		s.grantUntil = time.Time{}
+		return
+	}
+	s.fenced = e.Answer.Term == s.term
+	c.takeAnswer(now, s, e.Answer)
+}
+
+func (c *Controller) takeAnswer(now time.Time, s *session, answer commander.GrantAnswer) {
+	if answer.Accepted {
+		first := s.grantUntil.IsZero()
+		s.granted = s.sent
+		s.nonceless = answer.Nonce == ""
+		begin := s.nonceAsked
+		if s.nonce == "" {
+			begin = s.lastSent
+		}
+		s.grantUntil = begin.Add(leaser.Shrink(s.sentTTL, c.timings().ClockDrift))
+		if first {
+			c.note(tracer.KindGrantAccepted, string(s.server), "")
+		}
+	}
+	fresh := s.nonce == ""
+	s.nonce = answer.Nonce
+	s.nonceAsked = s.lastSent
+	s.nonceHeard = now
+	if fresh && s.nonce != "" {
+		s.dirty = true
+	}
+}
+
+func (c *Controller) onGrantFailed(e GrantFailed) {
+	s, ok := c.sessions[e.Server]
+	if !ok || s.term != e.Term {
+		return
+	}
+	s.busy = false
+	s.uncertainUntil = s.lapse
+}
+
+// learnChecks takes over at once that a server does not check its orders, and records either finding.
+func (c *Controller) learnChecks(now time.Time, s *session, checks bool) {
+	known, _ := c.state.GetServerByName(s.server)
+	if !checks {
+		s.checks = false
+	} else if known.Met && known.Checks {
+		s.checks = true
+	}
+	if known.Met && known.Checks == checks {
+		return
+	}
+	c.propose(now, "meet/"+string(s.server), recorder.MeetServer{Server: s.server, Version: known.Version, Checks: checks})
+}
+
+// closeAll ends every session and takes every permit back.
+func (c *Controller) closeAll() {
+	for name := range c.sessions {
+		c.opts.Table.Gate(name).SetPermit(router.Permit{})
+	}
+	c.sessions = map[identifier.ServerName]*session{}
+}
+
+// ownedBy returns the partitions that the fold gives to the server.
+func (c *Controller) ownedBy(server identifier.ServerName) owned {
+	set := owned{}
+	for _, name := range c.state.ServiceNames() {
+		service, _ := c.state.GetServiceByName(name)
+		for i, partition := range service.Partitions {
+			if partition.Owner == server {
+				set[identifier.PartitionID{Service: name, Index: identifier.PartitionIndex(i)}] = partition.Epoch
+			}
+		}
+	}
+	return set
+}
+
+// sorted returns the partitions in order of service and index.
+func (o owned) sorted() []identifier.PartitionID {
+	ids := make([]identifier.PartitionID, 0, len(o))
+	for id := range o {
+		ids = append(ids, id)
+	}
+	sortPartitions(ids)
+	return ids
+}
+
+func (o owned) list() []commander.PartitionGrant {
+	list := make([]commander.PartitionGrant, 0, len(o))
+	for _, id := range o.sorted() {
+		list = append(list, commander.PartitionGrant{ID: id, Epoch: o[id]})
+	}
+	return list
+}
+
+func sortPartitions(ids []identifier.PartitionID) {
+	sort.Slice(ids, func(i, j int) bool {
+		if ids[i].Service != ids[j].Service {
+			return ids[i].Service < ids[j].Service
+		}
+		return ids[i].Index < ids[j].Index
+	})
+}
--- /dev/null
+++ b/internal/loader/fetch.go
@@ -0,0 +1,56 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabibank/wasabibank/internal/faker"
+	"github.com/wasabibank/wasabibank/internal/requester"
+)
+
+const (
+	fetchTimeout  = 10 * time.Second
+	maxFetchBytes = 64 << 20
+)
+
+// ended returns when e had its effect; for one of a killed server that is not known, and the start stands for it.
+func ended(e faker.Execution) time.Time {
+	if e.End.IsZero() {
+		return e.Start
+	}
+	return e.End
+}
+
+// Fetch reads all executions from stand-in servers or collectors at addresses. One that several of them hold is
+// returned once.
+func Fetch(ctx context.Context, addresses []string) ([]faker.Execution, error) {
+	client := requester.NewClient(requester.Settings{Answer: fetchTimeout, MaxAnswerBytes: maxFetchBytes})
+	defer client.Close()
+	all := faker.NewCollector()
+	for _, address := range addresses {
+		if err := fetchOne(ctx, client, address, all); err != nil {
+			return nil, errors.Wrapf(err, "executions of %s", address)
+		}
+	}
+	return all.All(), nil
+}
+
+func fetchOne(ctx context.Context, client *requester.Client, address string, all *faker.Collector) error {
+	for from := 0; ; {
+		var page faker.ExecutionPage
+		url := fmt.Sprintf("http://%s/admin/executions?from=%d", address, from)
+		if err := client.Get(ctx, url, &page); err != nil {
+			return err
+		}
+		for _, e := range page.Executions {
+			all.Add(e)
+		}
+		if page.Next <= from {
+			return nil
+		}
+		from = page.Next
+	}
+}
--- /dev/null
+++ b/internal/loader/judge.go
@@ -0,0 +1,131 @@
+package loader
+
+import (
+	"slices"
+
+	"github.com/wasabibank/wasabibank/internal/faker"
+	"github.com/wasabibank/wasabibank/pkg/identifier"
+)
+
+// Verdict is what the servers' executions say of a Run. A pending execution, whose server was killed, counts as one
+// that had its effect.
+type Verdict struct {
+	// Executions are the effects that belong to the run.
+	Executions int `json:"executions"`
+	// Doubled are the requests of at-most-once classes that were executed more than once.
+	Doubled int `json:"doubled"`
+	// Repeated are the requests of idempotent classes that were executed more than once.
+	Repeated int `json:"repeated"`
+	// SecondOwners are the executions by a server that did not own the key.
+	SecondOwners int `json:"second_owners"`
+	// FalseNotRun are the requests that were told not_run and were executed.
+	FalseNotRun int `json:"false_not_run"`
+	// Unexecuted are the requests that were answered and not executed.
+	Unexecuted int `json:"unexecuted"`
+	// Servers are the effects by server, in the order of their names.
+	Servers []ServerCount `json:"servers"`
+}
+
+// ServerCount is how many effects one server had.
+type ServerCount struct {
+	Server  identifier.ServerName `json:"server"`
+	Effects int                   `json:"effects"`
+}
+
+// Judge compares what the callers were told with the executions of the servers.
+func (t *Tally) Judge(executions []faker.Execution) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	effects := t.effects(executions)
+	verdict := Verdict{Executions: len(effects), Servers: countServers(effects)}
+	byRequest := map[string]int{}
+	for _, e := range effects {
+		byRequest[e.RequestID]++
+	}
+	for id, s := range t.requests {
+		verdict.addRequest(s, byRequest[id])
+	}
+	verdict.SecondOwners = countSecondOwners(effects)
+	return verdict
+}
+
+// effects returns the executions of the run that had an effect or may have had one.
+func (t *Tally) effects(executions []faker.Execution) []faker.Execution {
+	var effects []faker.Execution
+	for _, e := range executions {
+		if _, ours := t.requests[e.RequestID]; ours && e.State != faker.StateWithdrawn {
+			effects = append(effects, e)
+		}
+	}
+	return effects
+}
+
+func (v *Verdict) addRequest(s sent, effects int) {
+	if effects > 1 && s.class.AtMostOnce {
+		v.Doubled++
+	}
+	if effects > 1 && !s.class.AtMostOnce {
+		v.Repeated++
+	}
+	if effects > 0 && s.outcome == OutcomeNotRun {
+		v.FalseNotRun++
+	}
+	if effects == 0 && s.outcome == OutcomeAnswered {
+		v.Unexecuted++
+	}
+}
+
+func countServers(effects []faker.Execution) []ServerCount {
+	counts := map[identifier.ServerName]int{}
+	for _, e := range effects {
+		counts[e.Server]++
+	}
+	servers := []ServerCount{}
+	for name, n := range counts {
+		servers = append(servers, ServerCount{Server: name, Effects: n})
+	}
+	slices.SortFunc(servers, func(a, b ServerCount) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return servers
+}
+
+// countSecondOwners counts the executions that show a second owner of their key: another server had a newer epoch of
+// the key before, or the same epoch, or was executing the key at the same time. Executions without an epoch belong to
+// services that are not keyed. The times are of one machine's clock.
+func countSecondOwners(effects []faker.Execution) int {
+	byKey := map[serviceKey][]faker.Execution{}
+	for _, e := range effects {
+		if e.Epoch > 0 {
+			k := serviceKey{service: e.Service, key: e.Key}
+			byKey[k] = append(byKey[k], e)
+		}
+	}
+	count := 0
+	for _, executions := range byKey {
+		slices.SortFunc(executions, func(a, b faker.Execution) int { return ended(a).Compare(ended(b)) })
+		for i := range executions {
+			if isSecondOwner(executions[:i], executions[i]) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// isSecondOwner reports whether e, which ended after those before, was by a server that did not own the key alone.
+func isSecondOwner(before []faker.Execution, e faker.Execution) bool {
+	for _, b := range before {
+		if b.Server == e.Server {
+			continue
+		}
+		overlap := ended(b).After(e.Start)
+		if overlap || b.Epoch >= e.Epoch {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,106 @@
+package meter
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestNamesAreUniqueSnakeCaseAndExplained(t *testing.T) {
+	is := is.New(t)
+	snake := regexp.MustCompile(`^[a-z]+(_[a-z]+)*$`)
+	seen := map[string]bool{}
+	for _, d := range Descriptions() {
+		is.True(snake.MatchString(d.Name))
+		is.True(strings.HasSuffix(d.Help, "."))
+		is.True(!seen[d.Name])
+		seen[d.Name] = true
+	}
+}
+
+func TestPageShowsWhatWasCounted(t *testing.T) {
+	tests := map[string]struct {
+		count func(*Meter)
+		name  string
+		want  float64
+	}{
+		"counter":              {func(m *Meter) { m.Count(RequestsAnswered) }, "requests_answered", 1},
+		"counter by n":         {func(m *Meter) { m.Add(RecordsFolded, 7) }, "records_folded", 7},
+		"gauge":                {func(m *Meter) { m.Set(LogOffset, 42) }, "log_offset", 42},
+		"refusal":              {func(m *Meter) { m.CountRefusal("moved") }, "refusals_moved", 1},
+		"unlisted refusal":     {func(m *Meter) { m.CountRefusal("nonsense") }, "refusals_other", 1},
+		"server refusal":       {func(m *Meter) { m.CountServerRefusal("shed") }, "server_refusals_shed", 1},
+		"record refusal":       {func(m *Meter) { m.CountRecordRefusal("stale") }, "record_refusals_stale", 1},
+		"duration in a bucket": {func(m *Meter) { m.ObserveRequest(3 * time.Millisecond) }, "request_time_le_5ms", 1},
+		"duration over bounds": {func(m *Meter) { m.ObserveRequest(time.Hour) }, "request_time_count", 1},
+		"timer":                {func(m *Meter) { m.Observe(AppendTime, 3*time.Millisecond) }, "append_time_max_ms", 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var m Meter
+			tc.count(&m)
+			got, ok := m.Page().GetValueByName(tc.name)
+			is.True(ok)
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+func TestServeHTTPWritesTextOrJSON(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Add(Appends, 3)
+	text := httptest.NewRecorder()
+	m.ServeHTTP(text, httptest.NewRequest("GET", "/metrics", nil))
+	is.True(bytes.Contains(text.Body.Bytes(), []byte("\nappends 3\n")))
+
+	request := httptest.NewRequest("GET", "/metrics", nil)
+	request.Header.Set("Accept", "application/json")
+	answer := httptest.NewRecorder()
+	m.ServeHTTP(answer, request)
+	var page Page
+	is.NoErr(json.Unmarshal(answer.Body.Bytes(), &page))
+	is.Equal(page, m.Page())
+}
+
+func TestCountsFromManyGoroutines(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 100 {
+				m.Count(RequestsReceived)
+				m.CountRefusal("moved")
+				m.Observe(FoldTime, time.Millisecond)
+				m.Page()
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(m.Get(RequestsReceived), int64(800))
+	is.Equal(m.GetRefusals("moved"), int64(800))
+}
+
+func BenchmarkCount(b *testing.B) {
+	m := New()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			m.Count(RequestsAnswered)
+			m.CountRefusal("moved")
+			m.ObserveRequest(3 * time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/meter/page.go
@@ -0,0 +1,116 @@
+package meter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// timerPercentiles are the percentiles that a page shows of each timer.
+var timerPercentiles = [...]float64{0.5, 0.99}
+
+// Sample is one named value of a Page.
+type Sample struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+}
+
+// Page holds all values of a Meter at one time, in a fixed order.
+type Page struct {
+	Samples []Sample `json:"samples"`
+}
+
+// GetValueByName returns the value of a sample, and false when the page has no such sample.
+func (p Page) GetValueByName(name string) (float64, bool) {
+	for _, s := range p.Samples {
+		if s.Name == name {
+			return s.Value, true
+		}
+	}
+	return 0, false
+}
+
+// WriteText writes one line "name value" for each sample.
+func (p Page) WriteText(w io.Writer) error {
+	for _, s := range p.Samples {
+		if _, err := fmt.Fprintf(w, "%s %s\n", s.Name, strconv.FormatFloat(s.Value, 'f', -1, 64)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Page returns all present values. Counters and gauges are listed also at 0, refusals by reason only above 0.
+func (m *Meter) Page() Page {
+	var page Page
+	for i := range m.counters {
+		page.add(Counter(i).String(), float64(m.counters[i].Count()))
+	}
+	for i := range m.gauges {
+		page.add(Gauge(i).String(), float64(m.gauges[i].Value()))
+	}
+	for i := range m.refusals {
+		page.addAboveZero("refusals_"+refusalReasons[i], m.refusals[i].Count())
+	}
+	for i := range m.serverRefusals {
+		page.addAboveZero("server_refusals_"+serverReasons[i], m.serverRefusals[i].Count())
+	}
+	for i := range m.recordRefusals {
+		page.addAboveZero("record_refusals_"+recordReasons[i], m.recordRefusals[i].Count())
+	}
+	m.addDurations(&page)
+	for i := range m.timers {
+		m.addTimer(&page, Timer(i))
+	}
+	return page
+}
+
+func (p *Page) add(name string, value float64) {
+	p.Samples = append(p.Samples, Sample{Name: name, Value: value})
+}
+
+func (p *Page) addAboveZero(name string, count int64) {
+	if count > 0 {
+		p.add(name, float64(count))
+	}
+}
+
+// addDurations adds the requests' durations as cumulative counts by upper bound.
+func (m *Meter) addDurations(page *Page) {
+	var sum int64
+	for i, bound := range requestBuckets {
+		sum += m.durations[i].Count()
+		page.add("request_time_le_"+bound.String(), float64(sum))
+	}
+	sum += m.durations[bucketCount-1].Count()
+	page.add("request_time_count", float64(sum))
+}
+
+func (m *Meter) addTimer(page *Page, t Timer) {
+	snapshot := m.timer(t).Snapshot()
+	page.add(t.String()+"_count", float64(snapshot.Count()))
+	if snapshot.Count() == 0 {
+		return
+	}
+	for i, value := range snapshot.Percentiles(timerPercentiles[:]) {
+		name := fmt.Sprintf("%s_p%g_ms", t, timerPercentiles[i]*100)
+		page.add(name, value/float64(time.Millisecond))
+	}
+	page.add(t.String()+"_max_ms", float64(snapshot.Max())/float64(time.Millisecond))
+}
+
+// ServeHTTP writes the page as text, or as JSON where the request accepts application/json.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	page := m.Page()
+	if strings.Contains(r.Header.Get("Accept"), "application/json") {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(page)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_ = page.WriteText(w)
+}
--- /dev/null
+++ b/pkg/bundler/decode_people.go
@@ -0,0 +1,79 @@
+package bundler
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"strconv"
+
+	"github.com/wasabibank/wasabibank/pkg/identifier"
+	"github.com/wasabibank/wasabibank/pkg/reporter/parser"
+)
+
+// The bounds of the list of signers: one person writes a bundle, another signs it off.
+const (
+	minSigners = 2
+	maxSigners = 256
+)
+
+// ReadSigners reads a list of signers, each with a name and a public_key in base64. Fewer than two, and two with the
+// same name or key, are findings.
+func ReadSigners(list parser.Value) []Signer {
+	var signers []Signer
+	names := unique[string]{code: "doubled_signer"}
+	keys := unique[string]{code: "doubled_public_key"}
+	for _, item := range list.Items(minSigners, maxSigners) {
+		m := item.Mapping("name", "public_key")
+		name, key := m.Required("name"), m.Required("public_key")
+		signer := Signer{name: name.Match(plainName, plainNameForm), publicKey: readPublicKey(key)}
+		newName := names.add(name, signer.name)
+		keys.add(key, base64.StdEncoding.EncodeToString(signer.publicKey))
+		if newName {
+			signers = append(signers, signer)
+		}
+	}
+	return signers
+}
+
+func readPublicKey(value parser.Value) ed25519.PublicKey {
+	text := value.Text()
+	if text == "" {
+		return nil
+	}
+	key, err := base64.StdEncoding.Strict().DecodeString(text)
+	if err != nil || len(key) != ed25519.PublicKeySize {
+		value.Report("wrong_form", "found "+strconv.Quote(text), "an Ed25519 public key, 32 bytes in base64")
+		return nil
+	}
+	return key
+}
+
+// The bounds of caller limits.
+const (
+	minCallerRate = 0.01
+	maxCallerRate = 1e6
+	maxRequests   = 1_000_000
+	// maxCallerLimits bounds how many callers have a limit of their own.
+	maxCallerLimits = 10_000
+)
+
+func (b *Bundle) readCallerLimits(list parser.Value) {
+	b.limitByCaller = map[identifier.CallerName]CallerLimit{}
+	seen := unique[identifier.CallerName]{code: "doubled_caller"}
+	for _, item := range list.Items(1, maxCallerLimits) {
+		m := item.Mapping("caller", "rate", "burst", "concurrent")
+		caller := m.Required("caller")
+		limit := CallerLimit{
+			caller:     identifier.CallerName(caller.Match(callerName, callerNameForm)),
+			rate:       m.Required("rate").Float(minCallerRate, maxCallerRate),
+			burst:      int(m.Required("burst").Int(1, maxRequests)),
+			concurrent: int(m.Optional("concurrent").Int(0, maxRequests)),
+		}
+		if seen.add(caller, limit.caller) {
+			b.callerLimits = append(b.callerLimits, limit)
+			b.limitByCaller[limit.caller] = limit
+		}
+	}
+	if _, ok := b.limitByCaller[defaultCaller]; list.Present() && !ok {
+		list.Report("missing_caller", "no limit for callers without one of their own", `an entry with caller: "*"`)
+	}
+}
--- /dev/null
+++ b/pkg/bundler/fuzz_test.go
@@ -0,0 +1,54 @@
+package bundler
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/wasabibank/wasabibank/pkg/reporter"
+)
+
+// FuzzDecode checks that each input gives a bundle that decodes again alike, or findings, and never a panic.
+func FuzzDecode(f *testing.F) {
+	for _, pattern := range []string{"*/bundle.yaml", "broken/*.yaml"} {
+		files, err := filepath.Glob(filepath.Join(examples, pattern))
+		if err != nil {
+			f.Fatal(err)
+		}
+		for _, file := range files {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(raw)
+		}
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		bundle, err := Decode("fuzz", raw)
+		if err != nil {
+			if bundle != nil || !reporter.IsErrFindings(err) || len(reporter.FindingsOf(err)) == 0 {
+				t.Fatalf("neither a bundle nor findings: %v", err)
+			}
+			return
+		}
+		if bundle.Author() == bundle.Approver() || len(bundle.Signers()) < minSigners {
+			t.Fatal("accepted without two persons")
+		}
+		for _, service := range bundle.Services() {
+			if service.Keyed() != (service.Partitions() > 0) || len(service.Servers()) == 0 {
+				t.Fatalf("service %s accepted", service.Name())
+			}
+		}
+	})
+}
+
+func FuzzDecodeSignOffFile(f *testing.F) {
+	raw := []byte("name: x")
+	f.Add(SignOffFile{}.Add(raw, Sign(raw, "salma", trialKey("salma"))).Encode())
+	f.Add([]byte("digest: x"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if _, err := DecodeSignOffFile("fuzz", raw); err != nil && !reporter.IsErrFindings(err) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/reporter/finding.go
@@ -0,0 +1,90 @@
+// Package reporter collects findings, each with its place in a file, so that all of them are reported together.
+package reporter
+
+import (
+	"cmp"
+	"strconv"
+	"strings"
+)
+
+// Code is the kind of a finding in snake case, such as unknown_key.
+type Code string
+
+// Place is a position in a file. The zero Place is nowhere; line and column count from 1, and 0 is unknown.
+type Place struct {
+	file   string
+	line   int
+	column int
+}
+
+// NewPlace returns the Place at line and column of file.
+func NewPlace(file string, line, column int) Place {
+	return Place{file: file, line: line, column: column}
+}
+
+// File returns the name of the file as its reader gave it.
+func (p Place) File() string { return p.file }
+
+// Line returns the line, counted from 1; 0 is unknown.
+func (p Place) Line() int { return p.line }
+
+// Column returns the column, counted from 1; 0 is unknown.
+func (p Place) Column() int { return p.column }
+
+// String returns the place as file:line:column.
+func (p Place) String() string {
+	return p.file + ":" + strconv.Itoa(p.line) + ":" + strconv.Itoa(p.column)
+}
+
+func (p Place) compare(q Place) int {
+	return cmp.Or(cmp.Compare(p.file, q.file), cmp.Compare(p.line, q.line), cmp.Compare(p.column, q.column))
+}
+
+// Finding is one fault in a document.
+type Finding struct {
+	place    Place
+	code     Code
+	message  string
+	expected string
+}
+
+// NewFinding returns a Finding. message says what was found, expected what would have been right; expected may be "".
+func NewFinding(place Place, code Code, message, expected string) Finding {
+	return Finding{place: place, code: code, message: message, expected: expected}
+}
+
+// Place returns where the fault is.
+func (f Finding) Place() Place { return f.place }
+
+// Code returns the kind of the fault.
+func (f Finding) Code() Code { return f.code }
+
+// Message returns what was found.
+func (f Finding) Message() string { return f.message }
+
+// Expected returns what would have been right, or "".
+func (f Finding) Expected() string { return f.expected }
+
+// String returns the finding as one line without its line end.
+func (f Finding) String() string {
+	var b strings.Builder
+	b.WriteString(f.place.String())
+	b.WriteString(": ")
+	b.WriteString(string(f.code))
+	b.WriteString(": ")
+	b.WriteString(f.message)
+	if f.expected != "" {
+		b.WriteString(" (expected ")
+		b.WriteString(f.expected)
+		b.WriteString(")")
+	}
+	return strings.Map(printable, b.String())
+}
+
+// printable keeps a finding on one line, whatever the document holds.
+func printable(r rune) rune {
+	if r < ' ' || r == 0x7f || r == '\u2028' || r == '\u2029' {
+		return ' '
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/reporter/findings_test.go
@@ -0,0 +1,41 @@
+package reporter
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func TestFindingsAreSortedByPlace(t *testing.T) {
+	is := is.New(t)
+	var f Findings
+	is.NoErr(f.Err())
+	f.Add(NewFinding(NewPlace("b.yaml", 1, 1), "late", "last", ""))
+	f.Add(NewFinding(NewPlace("a.yaml", 10, 2), "wrong_unit", "found 5", "a time with its unit"))
+	f.Add(NewFinding(NewPlace("a.yaml", 9, 3), "doubled_key", "found\ntwice", "once"))
+	is.Equal(f.Len(), 3)
+	is.Equal(f.String(), "a.yaml:9:3: doubled_key: found twice (expected once)\n"+
+		"a.yaml:10:2: wrong_unit: found 5 (expected a time with its unit)\n"+
+		"b.yaml:1:1: late: last")
+	err := errors.Wrap(f.Err(), "wrapped")
+	is.True(IsErrFindings(err))
+	is.True(HasCode(err, "late"))
+	is.True(!HasCode(err, "other"))
+	is.True(!IsErrFindings(errors.New("other")))
+	var second Findings
+	is.True(second.AddErr(err))
+	is.Equal(second.String(), f.String())
+}
+
+func TestFindingsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var f Findings
+	for range 5 * maxFindings {
+		f.Add(NewFinding(NewPlace("a", 1, 1), "code", "message", ""))
+	}
+	is.Equal(f.Len(), 5*maxFindings)
+	is.Equal(len(f.List()), maxFindings)
+	is.True(strings.HasSuffix(f.Err().Error(), "and 4000 more findings"))
+}
