--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -55,6 +55,8 @@
 	needs     map[string]time.Time
 	// owners caches which partitions each server owns, until the next record.
 	owners map[identifier.ServerName]owned
+	// ownerChanges counts the records that changed owners.
+	ownerChanges int
 	// planFrontsAt is when the fronts are to be planned again.
 	planFrontsAt time.Time
 
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -72,10 +72,14 @@
 // beginEvacuation closes the partitions of a lost server at once, and those of a leaving one as each falls idle.
 func (c *Controller) beginEvacuation(now time.Time, s *session) {
 	leaving := c.isLeaving(s.server)
-	if !s.down && !leaving || !c.lease.Current(now) {
+	step := "drain/" + string(s.server)
+	if !s.down && !leaving {
+		c.done(step)
+		return
+	}
+	if !c.lease.Current(now) {
 		return
 	}
-	step := "drain/" + string(s.server)
 	if _, ok := c.needs[step]; !ok {
 		c.needs[step] = now
 		c.note(tracer.KindMoveStarted, string(s.server), "")
--- a/internal/controller/log.go
+++ b/internal/controller/log.go
@@ -151,6 +151,8 @@
 		for _, id := range c.state.Bundle().RetiredInstances() {
 			c.onGone(now, id)
 		}
+	case recorder.Assign, recorder.Reassign, recorder.Pin, recorder.Unpin:
+		c.ownerChanges++
 	case recorder.Snapshot:
 		if c.state.SnapshotAt() == r.AsOf {
 			c.snapshotTime = now
--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -48,6 +48,8 @@
 	granted    owned
 	grantUntil time.Time
 
+	// seen is the change of ownership that the newest grant took into account.
+	seen    int
 	closing map[identifier.PartitionID]*closing
 	handing identifier.InstanceID
 }
@@ -142,7 +144,7 @@
 
 func (c *Controller) sendGrant(now time.Time, s *session) {
 	timings := c.timings()
-	if s.busy || !s.dirty && now.Sub(s.lastSent) < timings.Heartbeat {
+	if s.busy || !s.dirty && s.seen == c.ownerChanges && now.Sub(s.lastSent) < timings.Heartbeat {
 		return
 	}
 	ttl, echo, ok := c.grantTerms(now, s)
@@ -153,6 +155,7 @@
 	s.sentTTL = ttl
 	s.busy = true
 	s.dirty = false
+	s.seen = c.ownerChanges
 	s.lastSent = now
 	c.extendLapse(now, s, echo, ttl)
 	c.do(SendGrant{
--- a/internal/runner/hands.go
+++ b/internal/runner/hands.go
@@ -90,9 +90,12 @@
 	defer cancel()
 	h.meter.Count(meter.Appends)
 	h.meter.Add(meter.RecordsAppended, len(records))
+	start := time.Now()
 	if err := h.log.append(ctx, records); err != nil {
 		h.meter.Count(meter.AppendsFailed)
+		return
 	}
+	h.meter.Observe(meter.AppendTime, time.Since(start))
 }
 
 func (h *hands) readLog(ctx context.Context, l *loop, a controller.ReadLog) {
@@ -137,6 +140,10 @@
 		return
 	}
 	h.meter.Observe(meter.ExchangeTime, time.Since(sent))
+	h.meter.Add(meter.RecordsRelayed, len(reply.GetRecords()))
+	if reply.GetPledged() {
+		h.meter.Count(meter.PledgesGot)
+	}
 	l.ring.Observe(time.Now(), hybridOf(reply.GetClock()))
 	l.post(ctx, controller.PeerAnswered{Peer: a.Peer, SentAt: sent, Reply: replyOf(reply)})
 }
@@ -153,6 +160,9 @@
 		return
 	}
 	h.meter.Observe(meter.GrantTime, time.Since(start))
+	if !answer.Accepted {
+		h.meter.Count(meter.GrantsRefused)
+	}
 	l.post(ctx, controller.GrantAnswered{Server: a.Server, Term: a.Grant.Term, Answer: answer})
 }
 
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -98,3 +98,14 @@
 	})
 	return report
 }
+
+// totals returns the requests that run on, and wait for, the servers that this instance sends to, as last sampled.
+func (m *loadMeter) totals() (running, waiting int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, queue := range m.queues {
+		running += queue.Running
+		waiting += queue.Waiting
+	}
+	return running, waiting
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -26,6 +26,7 @@
 	inbox   chan func(now time.Time)
 	stopped chan struct{}
 	roster  *atomic.Int64
+	loads   *loadMeter
 	done    bool
 }
 
@@ -74,7 +75,9 @@
 }
 
 func (l *loop) step(ctx context.Context, now time.Time, event controller.Event) {
+	before := l.control.State().Next()
 	actions := l.control.Step(now, event)
+	l.countFolded(event, before, time.Since(now))
 	l.perform(ctx, now, actions)
 	l.meter.Observe(meter.ControlStepTime, time.Since(now))
 }
@@ -92,19 +95,6 @@
 	}
 }
 
-// gauge shows the state in the gauges.
-func (l *loop) gauge(now time.Time) {
-	state := l.control.State()
-	members := int64(len(state.Members()))
-	l.roster.Store(members)
-	l.meter.Set(meter.RosterSize, members)
-	l.meter.Set(meter.LeaseLeftMs, max(0, l.control.LeaseUntil().Sub(now).Milliseconds()))
-	l.meter.Set(meter.FrontedServers, int64(l.control.Fronted()))
-	if b := state.Bundle(); b != nil {
-		l.meter.Set(meter.BundleVersion, int64(b.Version()))
-	}
-}
-
 func (l *loop) stop() {
 	if !l.done {
 		l.done = true
--- a/internal/runner/note.go
+++ b/internal/runner/note.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,6 +17,10 @@
 	if counter, ok := counterOf(n.Kind); ok {
 		l.meter.Count(counter)
 	}
+	if n.Kind == tracer.KindRecordRefused || n.Kind == tracer.KindBundleRefused {
+		reason, _, _ := strings.Cut(n.Detail, ":")
+		l.meter.CountRecordRefusal(reason)
+	}
 	klog.InfoS(string(n.Kind), "offset", uint64(n.Offset), "subject", n.Subject, "detail", n.Detail)
 }
 
--- a/internal/runner/observer.go
+++ b/internal/runner/observer.go
@@ -24,6 +24,8 @@
 	switch s := signal.(type) {
 	case forwarder.ServerAnswered:
 		o.loads.answered(s.Partition, s.Took)
+	case forwarder.ServerRefused:
+		o.meter.CountServerRefusal(s.Reason)
 	case forwarder.RequestEnded:
 		o.ended(now, s)
 	}
@@ -38,7 +40,13 @@
 	if e.Forwarded {
 		o.meter.Count(meter.RequestsForwarded)
 	}
-	if e.Cut {
+	if forwarder.Reason(e.Reason) == forwarder.ReasonRepeat {
+		o.meter.Count(meter.RequestsRepeated)
+	}
+	if e.Cut && e.Status == 0 {
+		o.meter.Count(meter.RequestsCancelled)
+	}
+	if e.Cut && e.Status != 0 {
 		o.meter.Count(meter.AnswersCut)
 		o.ring.Add(now, 0, tracer.KindAnswerCut, string(e.Service), e.Reason)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -121,6 +121,7 @@
 	r.hands = newHands(log, servers, peers, r.meter)
 	r.loop = newLoop(control, r.hands, r.meter, r.ring)
 	r.loop.roster = &r.roster
+	r.loop.loads = r.loads
 }
 
 // peerAddress returns the address at which other instances reach this one.
