--- a/cmd/root.go
+++ b/cmd/root.go
@@ -34,6 +34,7 @@
 		loadCommand(),
 		standinCommand(),
 		measureCommand(),
+		capacityCommand(),
 	}
 }
 
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -27,8 +27,13 @@
 // are spread too.
 const baseShare = 0.05
 
-// weights returns the weight of n partitions with loads; each weighs 1 where no load is known.
-func weights(loads []float64, n int) []float64 {
+// idleShare is the share of all slots that the partitions weigh together at the least, so that a few requests on an idle
+// service do not draw every other partition away from one server.
+const idleShare = 0.1
+
+// weights returns the weight of n partitions with loads on servers that have slots together; each weighs 1 where no
+// load is known.
+func weights(loads []float64, n int, slots float64) []float64 {
 	total := 0.0
 	for i := 0; i < n && i < len(loads); i++ {
 		total += loads[i]
@@ -40,7 +45,7 @@
 	if total <= 0 {
 		return out
 	}
-	base := baseShare * total / float64(n)
+	base := max(baseShare*total, idleShare*slots) / float64(n)
 	for i := range out {
 		out[i] = base
 		if i < len(loads) {
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -86,7 +86,7 @@
 		}
 		got := Place(PlaceInput{Service: "desk", Servers: servers, Owners: owners, Loads: loads})
 		b := newBoard("desk", servers)
-		w := weights(loads, len(owners))
+		w := weights(loads, len(owners), newBoard("desk", servers).slots)
 		for p, owner := range got {
 			i, _ := b.at(owner)
 			b.add(i, w[p])
@@ -98,6 +98,24 @@
 	})
 }
 
+// TestPlaceNearIdle loses a server while hardly any request is under way: its partitions must still be spread.
+func TestPlaceNearIdle(t *testing.T) {
+	is := is.New(t)
+	servers := []Candidate{{Name: "a", Slots: 3, Usable: true}, {Name: "b", Slots: 3, Usable: true}, {Name: "c", Slots: 3}}
+	owners := make([]identifier.ServerName, 96)
+	for i := range owners {
+		owners[i] = servers[i%3].Name
+	}
+	loads := make([]float64, len(owners))
+	loads[0] = 0.05
+	count := map[identifier.ServerName]int{}
+	for _, owner := range Place(PlaceInput{Service: "desk", Servers: servers, Owners: owners, Loads: loads}) {
+		count[owner]++
+	}
+	is.Equal(count["a"]+count["b"], 96)
+	is.True(max(count["a"], count["b"]) <= 56) // near 48 each; all 32 went to one before the floor
+}
+
 func TestPlaceWithoutUsableServers(t *testing.T) {
 	is := is.New(t)
 	servers := []Candidate{{Name: "a"}, {Name: "b"}}
@@ -115,7 +133,7 @@
 		if len(moves) > in.Budget {
 			t.Fatalf("%d moves of %d", len(moves), in.Budget)
 		}
-		w := weights(in.Loads, len(owners))
+		w := weights(in.Loads, len(owners), 0)
 		peak := Imbalance(servers, owners, w)
 		if len(moves) > 0 && peak <= DefaultHigh {
 			t.Fatalf("moves at imbalance %v", peak)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -30,7 +30,7 @@
 	if len(b.servers) == 0 {
 		return target
 	}
-	w := weights(in.Loads, len(in.Owners))
+	w := weights(in.Loads, len(in.Owners), b.slots)
 	var orphans []int
 	total := 0.0
 	for p, owner := range in.Owners {
--- a/internal/assigner/rebalance.go
+++ b/internal/assigner/rebalance.go
@@ -88,7 +88,7 @@
 }
 
 func newRebalancing(in RebalanceInput, b *board) *rebalancing {
-	r := &rebalancing{in: in, board: b, weights: weights(in.Loads, len(in.Owners)), owned: make([][]int, len(b.servers))}
+	r := &rebalancing{in: in, board: b, weights: weights(in.Loads, len(in.Owners), 0), owned: make([][]int, len(b.servers))}
 	for p, owner := range in.Owners {
 		i, ok := b.at(owner)
 		if !ok {
--- a/internal/commander/message.go
+++ b/internal/commander/message.go
@@ -68,11 +68,11 @@
 	Term   identifier.Term       `json:"term"`
 }
 
-// Cancel tells a backend server that nobody waits for a request any more.
+// Cancel tells a backend server that nobody waits for the request that came with ExchangeID any more.
 type Cancel struct {
-	Issuer    identifier.InstanceID `json:"issuer"`
-	Term      identifier.Term       `json:"term"`
-	RequestID string                `json:"request_id"`
+	Issuer     identifier.InstanceID `json:"issuer"`
+	Term       identifier.Term       `json:"term"`
+	ExchangeID string                `json:"exchange_id"`
 }
 
 // Answer is a backend server's answer to Revoke, Drain and Cancel.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/detector"
 	"github.com/wasabibank/wasabibank/internal/leaser"
 	"github.com/wasabibank/wasabibank/internal/reducer"
 	"github.com/wasabibank/wasabibank/internal/router"
@@ -29,6 +30,8 @@
 	Table *router.Table
 	// Load returns the load of a backend server that this instance fronts; nil is no load.
 	Load func(now time.Time, server identifier.ServerName) ServerReport
+	// Hot returns the keys that take a large share of a server, as this instance's traffic shows; nil is none.
+	Hot func(now time.Time) []detector.HotKey
 }
 
 // Controller is the control state of one instance. It is not safe for concurrent use.
@@ -60,6 +63,8 @@
 	// planFrontsAt is when the fronts are to be planned again.
 	planFrontsAt time.Time
 
+	planPinsAt   time.Time
+	coolSince    map[pinnedKey]time.Time
 	lastTick     time.Time
 	loadedAt     time.Time
 	rosterSince  time.Time
@@ -91,6 +96,7 @@
 	c.goneSeen = map[identifier.InstanceID]time.Time{}
 	c.placing = map[identifier.ServiceName]*balance{}
 	c.needs = map[string]time.Time{}
+	c.coolSince = map[pinnedKey]time.Time{}
 	c.expelled = false
 	c.promises = leaser.Promises{}
 }
@@ -224,6 +230,7 @@
 	c.proposeWitnesses(now)
 	c.planFronts(now)
 	c.planOwners(now)
+	c.planPins(now)
 	c.proposeSnapshot(now)
 }
 
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -150,7 +150,7 @@
 	gate := c.opts.Table.Gate(s.server)
 	for _, partition := range e.Partitions {
 		move, ok := s.closing[partition]
-		if ok && gate.InFlight(partition) == 0 && !c.lastTick.Before(s.uncertainUntil) {
+		if ok && gate.InFlight(partition) == 0 && !c.lastTick.Before(s.uncertainUntil) && !c.lastTick.Before(s.openAt) {
 			move.proven = true
 		}
 	}
@@ -164,7 +164,7 @@
 		return
 	}
 	for _, move := range s.closing {
-		if !now.Before(move.lapse) && s.down {
+		if !now.Before(move.lapse) && !now.Before(s.openAt) && s.down {
 			move.proven = true
 		}
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -14,7 +14,10 @@
 type balance struct {
 	plannedAt time.Time
 	running   bool
-	movedAt   map[identifier.PartitionIndex]time.Time
+	// tokens is how many moves the churn budget allows at refilledAt.
+	tokens     float64
+	refilledAt time.Time
+	movedAt    map[identifier.PartitionIndex]time.Time
 }
 
 // planOwners gives partitions that no server owns their first owner, and moves load between servers.
--- a/internal/controller/rebalance.go
+++ b/internal/controller/rebalance.go
@@ -11,7 +11,9 @@
 
 const (
 	// rebalanceEvery is the time between two plans of one service.
-	rebalanceEvery = 10 * time.Second
+	rebalanceEvery = time.Second
+	// steadyTime is how long the roster must have been steady before load is moved.
+	steadyTime = 10 * time.Second
 	// settleTime is how long a partition stays after a move.
 	settleTime = time.Minute
 )
@@ -24,7 +26,7 @@
 		memory = &balance{plannedAt: now, movedAt: map[identifier.PartitionIndex]time.Time{}}
 		c.placing[service.Name()] = memory
 	}
-	if now.Sub(memory.plannedAt) < rebalanceEvery || now.Sub(c.rosterSince) < rebalanceEvery {
+	if now.Sub(memory.plannedAt) < rebalanceEvery || now.Sub(c.rosterSince) < steadyTime {
 		return
 	}
 	memory.plannedAt = now
@@ -39,28 +41,33 @@
 		Owners:   ownersOf(state),
 		Loads:    loads,
 		Settling: memory.settling(now, state),
-		Budget:   budgetOf(service),
+		Budget:   memory.budget(now, service),
 		High:     service.ImbalanceBound() + highMargin,
 		Low:      service.ImbalanceBound(),
 		Running:  memory.running,
 	})
 	memory.running = len(moves) > 0
+	memory.tokens -= float64(len(moves))
 	c.carryOut(now, service.Name(), memory, moves)
 }
 
 // highMargin is how far above its bound the imbalance must be before moves begin.
 const highMargin = 0.15
 
-// budgetOf returns how many partitions one plan may move.
-func budgetOf(service bundler.Service) int {
-	perPlan := service.ChurnBudget() * int(rebalanceEvery/time.Second) / 60
-	if perPlan == 0 && service.ChurnBudget() > 0 {
-		return 1
+// budget refills the service's allowance of moves, which is its churn budget a minute, and returns how many one plan may
+// make; less than 0 is none.
+func (b *balance) budget(now time.Time, service bundler.Service) int {
+	allowance := float64(service.ChurnBudget())
+	if b.refilledAt.IsZero() {
+		b.tokens = allowance
+	} else {
+		b.tokens = min(allowance, b.tokens+allowance*now.Sub(b.refilledAt).Minutes())
 	}
-	if perPlan == 0 {
+	b.refilledAt = now
+	if b.tokens < 1 {
 		return -1
 	}
-	return perPlan
+	return int(b.tokens)
 }
 
 func anyLoad(loads []float64) bool {
--- a/internal/controller/rig_test.go
+++ b/internal/controller/rig_test.go
@@ -42,13 +42,15 @@
 	withheld [][]byte
 	logDown  bool
 	silent   map[identifier.ServerName]bool
-	nonces   int
+	// unchecking says that the servers turn nobody away.
+	unchecking bool
+	nonces     int
 	// issued tells when each nonce was given.
 	issued map[string]time.Time
 	// peers answer heartbeats while their value is true.
 	peers   map[identifier.InstanceID]bool
 	grants  []SendGrant
-	revokes []SendRevoke
+	revokes int
 	stopped bool
 }
 
@@ -157,7 +159,8 @@
 			r.grants = append(r.grants, a)
 			r.answerGrant(a)
 		case SendRevoke:
-			r.revokes = append(r.revokes, a)
+			r.revokes++
+			r.step(RevokeAnswered{Server: a.Server, Term: a.Revoke.Term, Partitions: a.Revoke.Partitions, Accepted: true})
 		case Stopped:
 			r.stopped = true
 		}
@@ -190,7 +193,7 @@
 	r.issued[strconv.Itoa(r.nonces)] = r.now
 	answer := commander.GrantAnswer{
 		Accepted: a.Grant.Echo != "",
-		Checks:   true,
+		Checks:   !r.unchecking,
 		Term:     a.Grant.Term,
 		Nonce:    strconv.Itoa(r.nonces),
 	}
--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -69,7 +69,7 @@
 			c.sessions[name] = c.newSession(now, name, known)
 		}
 		if mine {
-			c.refreshSession(c.sessions[name], known)
+			c.refreshSession(now, c.sessions[name], known)
 		}
 	}
 }
@@ -85,20 +85,35 @@
 		lapse:      now.Add(leaser.Stretch(widest.GrantTTL, widest.ClockDrift)),
 		closing:    map[identifier.PartitionID]*closing{},
 	}
-	c.refreshSession(s, known)
+	c.refreshSession(now, s, known)
 	if s.exclusive && !s.checks && !known.Front.Clean {
-		s.openAt = now.Add(leaser.Stretch(widest.PauseBound, widest.ClockDrift))
+		c.awaitStaleSenders(now, s)
 	}
 	return s
 }
 
+// awaitStaleSenders closes a server that turns nobody away until an earlier fronting instance that was paused just
+// before it sent has sent or is past its pause bound.
+func (c *Controller) awaitStaleSenders(now time.Time, s *session) {
+	widest := c.state.Widest()
+	if !now.Before(s.openAt) {
+		s.dirty = true
+	}
+	s.openAt = now.Add(leaser.Stretch(widest.PauseBound, widest.ClockDrift))
+}
+
 // refreshSession takes over what the fold says of the server.
-func (c *Controller) refreshSession(s *session, known reducer.ServerState) {
+func (c *Controller) refreshSession(now time.Time, s *session, known reducer.ServerState) {
 	s.address = known.Address
 	s.exclusive = c.exclusive(s.server)
+	checked := s.checks
 	if known.Met && !known.Checks {
 		s.checks = false
 	}
+	found := checked && !s.checks && !known.Front.Clean
+	if s.exclusive && !s.checks && (found || len(known.Front.Unsettled) > 0) {
+		c.awaitStaleSenders(now, s)
+	}
 }
 
 // exclusive reports whether the server belongs to a keyed service, or to one that is no longer declared.
@@ -277,6 +292,9 @@
 func (c *Controller) learnChecks(now time.Time, s *session, checks bool) {
 	known, _ := c.state.GetServerByName(s.server)
 	if !checks {
+		if s.checks && s.exclusive && !known.Front.Clean {
+			c.awaitStaleSenders(now, s)
+		}
 		s.checks = false
 	} else if known.Met && known.Checks {
 		s.checks = true
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -47,9 +47,24 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	o.TLS = withServerName(o.TLS, o.Address)
 	return &Pool{options: o, tokens: make(chan struct{}, o.Connections), open: map[*conn]struct{}{}}
 }
 
+// withServerName names the host of address in a config that would else check no name.
+func withServerName(config *tls.Config, address string) *tls.Config {
+	if config == nil || config.ServerName != "" || config.InsecureSkipVerify {
+		return config
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return config
+	}
+	named := config.Clone()
+	named.ServerName = host
+	return named
+}
+
 // Address returns host:port of the other side.
 func (p *Pool) Address() string { return p.options.Address }
 
--- a/internal/exchanger/tls_test.go
+++ b/internal/exchanger/tls_test.go
@@ -16,7 +16,7 @@
 	t.Cleanup(s.Close)
 	roots := x509.NewCertPool()
 	roots.AddCert(s.Certificate())
-	return s, New(Options{Address: s.Listener.Addr().String(), TLS: &tls.Config{RootCAs: roots, ServerName: "example.com"}})
+	return s, New(Options{Address: s.Listener.Addr().String(), TLS: &tls.Config{RootCAs: roots}})
 }
 
 func TestSecureConnectionIsKept(t *testing.T) {
--- a/internal/faker/rig_test.go
+++ b/internal/faker/rig_test.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	headers := map[string]string{headerPartition: "render_desk/7", headerEpoch: "3", headerTerm: "5", headerDeadline: "5000", headerRequestID: id}
+	headers := map[string]string{headerPartition: "render_desk/7", headerEpoch: "3", headerTerm: "5", headerDeadline: "5000", headerRequestID: id, headerExchangeID: "exchange-" + id}
 	for name, value := range changed {
 		headers[name] = value
 	}
--- a/internal/faker/server_control.go
+++ b/internal/faker/server_control.go
@@ -123,16 +123,16 @@
 	}
 	s.freezer.wait()
 	notRun := false
-	answer := s.order(cancel.Issuer, cancel.Term, func() { notRun = s.cancelLocked(cancel.RequestID) })
+	answer := s.order(cancel.Issuer, cancel.Term, func() { notRun = s.cancelLocked(cancel.ExchangeID) })
 	answer.NotRun = notRun
 	s.answerControl(w, answer)
 }
 
 // cancelLocked stops the request where it has had no effect yet, and reports whether it did.
-func (s *Server) cancelLocked(requestID string) bool {
+func (s *Server) cancelLocked(exchangeID string) bool {
 	stopped := false
 	for j := range s.jobs {
-		if j.execution.RequestID == requestID {
+		if j.exchangeID == exchangeID {
 			j.cancelled = true
 			j.stop()
 			stopped = true
--- a/internal/faker/server_data.go
+++ b/internal/faker/server_data.go
@@ -14,25 +14,27 @@
 
 // The headers of a request to a backend server and of its answer.
 const (
-	headerPartition = "Wasabibank-Partition"
-	headerEpoch     = "Wasabibank-Epoch"
-	headerTerm      = "Wasabibank-Term"
-	headerDeadline  = "Wasabibank-Deadline-Ms"
-	headerRequestID = "Wasabibank-Request-Id"
-	headerRefused   = "Wasabibank-Refused"
+	headerPartition  = "Wasabibank-Partition"
+	headerEpoch      = "Wasabibank-Epoch"
+	headerTerm       = "Wasabibank-Term"
+	headerDeadline   = "Wasabibank-Deadline-Ms"
+	headerRequestID  = "Wasabibank-Request-Id"
+	headerExchangeID = "Wasabibank-Exchange-Id"
+	headerRefused    = "Wasabibank-Refused"
 )
 
 const maxRequestBytes = 64 << 20
 
 // job is one request that waits or executes. Its fields change under the server's mutex.
 type job struct {
-	ticket    ticket
-	execution Execution
-	sum       string
-	bytes     int
-	cancelled bool
-	ctx       context.Context
-	stop      context.CancelFunc
+	ticket     ticket
+	exchangeID string
+	execution  Execution
+	sum        string
+	bytes      int
+	cancelled  bool
+	ctx        context.Context
+	stop       context.CancelFunc
 }
 
 // serveData takes one request through queue, execution, effect and answer. It goes on when the sender has gone.
@@ -75,7 +77,7 @@
 		writeJSON(w, http.StatusBadRequest, refusal{Message: err.Error()})
 		return nil, false
 	}
-	j := &job{ticket: t, sum: Sum(body), bytes: len(body)}
+	j := &job{ticket: t, exchangeID: r.Header.Get(headerExchangeID), sum: Sum(body), bytes: len(body)}
 	j.ctx, j.stop = context.WithCancel(context.Background())
 	j.execution = Execution{
 		Server:    s.settings.Name,
--- a/internal/faker/server_test.go
+++ b/internal/faker/server_test.go
@@ -74,7 +74,7 @@
 		}, want: "no_grant"},
 		"newer term":      {meanwhile: func(r *rig) { r.server.order("b", 6, func() {}) }, want: "stale_term"},
 		"grant lapsed":    {meanwhile: func(r *rig) { r.advance(11 * time.Second) }, want: "expired"},
-		"cancelled":       {meanwhile: func(r *rig) { r.server.order("a", 5, func() { r.server.cancelLocked("id-1") }) }, want: "cancelled"},
+		"cancelled":       {meanwhile: func(r *rig) { r.server.order("a", 5, func() { r.server.cancelLocked("exchange-id-1") }) }, want: "cancelled"},
 		"drained is kept": {meanwhile: func(r *rig) { r.server.order("a", 5, func() { r.server.draining = true }) }},
 		"frozen, lapsed": {meanwhile: func(r *rig) {
 			r.server.SetFaults(ServerFaults{Frozen: true})
@@ -111,7 +111,7 @@
 	third := r.sendLater("id-3")
 	r.await(2, 1)
 	is.Equal(r.send("id-4", nil).refused, "shed")
-	r.server.order("a", 5, func() { is.True(r.server.cancelLocked("id-3")) })
+	r.server.order("a", 5, func() { is.True(r.server.cancelLocked("exchange-id-3")) })
 	is.Equal((<-third).refused, "cancelled")
 	close(r.goOn)
 	is.Equal((<-first).status, 200)
--- a/internal/faulter/fault.go
+++ b/internal/faulter/fault.go
@@ -35,6 +35,8 @@
 	StepExchange Step = "exchange"
 	StepRead     Step = "read"
 	StepLoaded   Step = "state_loaded"
+	// StepWrite lies between the gate and the first byte of a request.
+	StepWrite Step = "write"
 )
 
 // Break does the damage; subject is the server concerned, or "".
@@ -48,10 +50,13 @@
 	if len(w.faults) == 0 {
 		return
 	}
-	step, subject := stepOf(action)
-	if step == "" {
-		return
+	if step, subject := stepOf(action); step != "" {
+		w.strike(i, step, subject)
 	}
+}
+
+// strike strikes with the faults that wait for the step.
+func (w *World) strike(i *instance, step Step, subject identifier.ServerName) {
 	for _, f := range w.faults {
 		if f.fired || f.Step != step {
 			continue
--- a/internal/faulter/instance.go
+++ b/internal/faulter/instance.go
@@ -58,6 +58,8 @@
 		Genesis:     w.operators.genesis(),
 		Policy:      w.setup.Policy,
 		Table:       i.table,
+		Load:        i.load,
+		Hot:         i.hot,
 	})
 	i.perform(i.control.Start(i.clock()))
 	i.tickLater()
--- a/internal/faulter/matrix_test.go
+++ b/internal/faulter/matrix_test.go
@@ -12,7 +12,7 @@
 func matrixSteps() []Step {
 	return []Step{
 		"join", "set_witnesses", "claim_fronts", "hand_fronts", "assign", "reassign", "meet_server", "expel",
-		"release", "leave", "snapshot", StepGrant, StepRevoke, StepExchange, StepRead, StepLoaded,
+		"release", "leave", "snapshot", StepGrant, StepRevoke, StepExchange, StepRead, StepLoaded, StepWrite,
 	}
 }
 
@@ -138,7 +138,7 @@
 func TestMatrixUnchecking(t *testing.T) {
 	setup := matrixSetup()
 	setup.Unchecking = setup.Servers
-	steps := []Step{"claim_fronts", "hand_fronts", "assign", "reassign", StepGrant, StepRevoke, StepExchange}
+	steps := []Step{"claim_fronts", "hand_fronts", "assign", "reassign", StepGrant, StepRevoke, StepExchange, StepWrite}
 	runAll(t, singleCells(steps), setup)
 }
 
--- a/internal/faulter/survey.go
+++ b/internal/faulter/survey.go
@@ -20,6 +20,9 @@
 	PartitionLoad float64
 	// Elapsed reads the stopwatch that the time within the deciders is taken from.
 	Elapsed func() time.Duration
+	// Exchanged and Granted see each message with its answer; nil is nobody.
+	Exchanged func(controller.ExchangeRequest, controller.ExchangeReply)
+	Granted   func(commander.Grant, commander.GrantAnswer)
 }
 
 // SurveyCount is what the deciders of all instances did during a Survey.
@@ -33,11 +36,6 @@
 	Grants    int
 	Reads     int
 	Appends   int
-	// Request, Reply, Grant and Answer are samples of the messages: the last ones.
-	Request controller.ExchangeRequest
-	Reply   controller.ExchangeReply
-	Grant   commander.Grant
-	Answer  commander.GrantAnswer
 }
 
 // survey drives the deciders in lockstep, without delays, so that their time can be told from the rig's.
@@ -122,8 +120,9 @@
 	case controller.SendGrant:
 		answer := s.world.servers[a.Server].grant(a.Grant)
 		s.count.Grants++
-		s.count.Grant = a.Grant
-		s.count.Answer = answer
+		if s.options.Granted != nil {
+			s.options.Granted(a.Grant, answer)
+		}
 		s.step(i, controller.GrantAnswered{Server: a.Server, Term: a.Grant.Term, Answer: answer})
 	}
 }
@@ -141,8 +140,9 @@
 	var reply controller.ExchangeReply
 	s.timed(func() { reply = peer.control.RespondExchange(peer.clock(), a.Request) })
 	s.count.Exchanges++
-	s.count.Request = a.Request
-	s.count.Reply = reply
+	if s.options.Exchanged != nil {
+		s.options.Exchanged(a.Request, reply)
+	}
 	s.step(i, controller.PeerAnswered{Peer: a.Peer, SentAt: i.clock(), Reply: reply})
 }
 
--- a/internal/faulter/traffic.go
+++ b/internal/faulter/traffic.go
@@ -171,6 +171,13 @@
 		done(told, again)
 	}
 	i.watchAbort(aborted, r.deadline, func() { end(outcomeUnknown, false) })
+	w.strike(i, StepWrite, s.name)
+	w.after(0, func() { i.receive(func() { i.write(r, s, end) }) })
+}
+
+// write sends a request that has passed the gate; an instance can be paused in between.
+func (i *instance) write(r *request, s *fakeServer, end func(told outcome, again bool)) {
+	w := i.world
 	w.after(w.jitter(hopTime), func() {
 		if !w.reaches(i.name, string(s.name)) {
 			return
--- a/internal/faulter/world.go
+++ b/internal/faulter/world.go
@@ -80,6 +80,9 @@
 	callers   bool
 	leaving   identifier.ServerName
 	folded    *reducer.State
+	// hotKey is a key that takes hotLoad slots, or "".
+	hotKey  string
+	hotLoad float64
 }
 
 // link is one direction between two parties, by their names.
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -40,6 +40,8 @@
 	limit   time.Time      // of the exchange
 	result  limiter.Result // what the queue learns
 	freed   bool
+	// exchangeID is the router's own id of the exchange with the server.
+	exchangeID string
 }
 
 // tryLocal makes one attempt; again is true when it was not run and another at the same server can help.
@@ -102,6 +104,8 @@
 	}
 	l.entered = true
 	out := l.outgoing(now)
+	l.exchangeID = l.f.nextID()
+	l.q.set(out.Header, slotExchangeID, headerExchangeID, l.exchangeID)
 	l.q.set(out.Header, slotTerm, headerTerm, formatInt(term))
 	l.q.step(Write{})
 	l.limit = l.exchangeLimit(now)
@@ -208,7 +212,7 @@
 
 // cancel asks the server to stop work that no one waits for.
 func (l *local) cancel() {
-	l.f.canceller.Cancel(l.b.name, l.route.Server().Address(), l.q.id)
+	l.f.canceller.Cancel(l.b.name, l.route.Server().Address(), l.exchangeID)
 }
 
 // relay passes the answer on.
--- a/internal/forwarder/observer.go
+++ b/internal/forwarder/observer.go
@@ -68,9 +68,10 @@
 // Observe implements Observer.
 func (Ignore) Observe(time.Time, Signal) {}
 
-// Canceller asks a backend server to stop work that no one waits for. Cancel must return at once.
+// Canceller asks a backend server to stop work that no one waits for. Cancel must return at once. The exchange id is the
+// router's own: two callers may give the same request id, and neither may end the other's work.
 type Canceller interface {
-	Cancel(server identifier.ServerName, address string, requestID string)
+	Cancel(server identifier.ServerName, address string, exchangeID string)
 }
 
 // NoCancel is a Canceller that does nothing.
--- a/internal/forwarder/policy_test.go
+++ b/internal/forwarder/policy_test.go
@@ -165,7 +165,8 @@
 			<-s.arrived
 			cancel()
 			is.True(<-gone != nil)
-			is.Equal(c.a.nextCancel(t), "o1")
+			is.Equal(s.last().Header.Get(headerRequestID), "o1")
+			is.Equal(c.a.nextCancel(t), s.last().Header.Get(headerExchangeID))
 			await(t, "the slot is free", func() bool { return c.a.Loads(time.Now())[0].Running == 0 })
 			await(t, "the gate is left", func() bool { return c.a.table.Gate("s1").Total() == 0 })
 			await(t, "the end is told", func() bool { return len(e.observer.ended()) == 1 })
@@ -174,6 +175,22 @@
 	}
 }
 
+// TestCancelNamesOneExchange lets two callers give the same request id; the one that goes must not end the other's work.
+func TestCancelNamesOneExchange(t *testing.T) {
+	is := is.New(t)
+	s := newBlocking(t)
+	c := newCluster(t, s.address())
+	stays := sendLater(t, c.a, "POST", "/s/desk/k/orders", headerRequestID, "1", headerCaller, "first")
+	<-s.arrived
+	kept := s.last().Header.Get(headerExchangeID)
+	goes := sendLater(t, c.a, "POST", "/s/desk/k/orders", headerRequestID, "1", headerCaller, "second", headerTimeout, "50ms")
+	<-s.arrived
+	is.Equal((<-goes).outcome, "unknown")
+	is.True(c.a.nextCancel(t) != kept)
+	close(s.release)
+	is.Equal((<-stays).outcome, "answered")
+}
+
 // TestDeadlineEndsTheWait lets a server stay silent; the caller learns that the order may have run.
 func TestDeadlineEndsTheWait(t *testing.T) {
 	is := is.New(t)
--- a/internal/forwarder/watch_test.go
+++ b/internal/forwarder/watch_test.go
@@ -102,7 +102,11 @@
 		}
 		ok(w, r)
 	})
-	good := newFakeServer(t, ok)
+	// The good one serves slower, so that the choice by expected wait comes back to the bad one.
+	good := newFakeServer(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		ok(w, r)
+	})
 	c := newCluster(t, "127.0.0.1:3", bad.address(), good.address())
 	const reads = 200
 	before := int64(0) // at the bad one, before it froze
--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -12,6 +12,7 @@
 	headerPrefix       = "Wasabibank-"
 	headerCaller       = "Wasabibank-Caller"
 	headerRequestID    = "Wasabibank-Request-Id"
+	headerExchangeID   = "Wasabibank-Exchange-Id"
 	headerTimeout      = "Wasabibank-Timeout"
 	headerOutcome      = "Wasabibank-Outcome"
 	headerReason       = "Wasabibank-Reason"
@@ -102,6 +103,7 @@
 // The slots of the headers that each request or answer carries.
 const (
 	slotID slot = iota
+	slotExchangeID
 	slotPartition
 	slotEpoch
 	slotTerm
--- a/internal/loader/sender.go
+++ b/internal/loader/sender.go
@@ -126,8 +126,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	// Without GetBody the transport can't send the body a second time.
+	// Without GetBody the transport can't send the body a second time, and a request without any body needs one that it
+	// can't take for none: else it would silently send the request again on a stale connection.
 	out.GetBody = nil
+	if reader == nil {
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+	}
 	out.Header.Set("Wasabibank-Request-Id", r.id)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline) - answerGrace
--- a/internal/recorder/codec_test.go
+++ b/internal/recorder/codec_test.go
@@ -32,8 +32,8 @@
 		"assign":        Assign{Service: "desk", Moves: moves},
 		"reassign":      Reassign{Service: "desk", From: "s1", Term: 2, Moves: moves},
 		"meet_server":   MeetServer{Server: "s1", Version: 1, Checks: true},
-		"pin":           Pin{Service: "desk", Key: "k\"é/\u2028", Base: 1, Epoch: 2, Term: 3},
-		"unpin":         Unpin{Service: "desk", Key: "k", Base: 1, Epoch: 2, Term: 3},
+		"pin":           Pin{Service: "desk", Key: "k\"é/\u2028", Base: 1, Epoch: 2, Term: 3, Version: 4},
+		"unpin":         Unpin{Service: "desk", Key: "k", Base: 1, Epoch: 2, Term: 3, Version: 4},
 		"snapshot":      Snapshot{AsOf: 9, Part: 1, Parts: 2, Data: []byte{1, 2, 3}},
 	}
 }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -3,6 +3,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -94,6 +96,7 @@
 	owners map[identifier.ServiceName][]Owner
 	pins   map[identifier.ServiceName]map[string]identifier.PartitionIndex
 	fronts map[identifier.ServerName]Front
+	owned  map[identifier.ServerName][]identifier.PartitionID
 }
 
 // Picture is what a View is made of; the View takes over its maps.
@@ -108,7 +111,26 @@
 
 // NewView returns a View of p.
 func NewView(p Picture) *View {
-	return &View{offset: p.Offset, self: p.Self, bundle: p.Bundle, owners: p.Owners, pins: p.Pins, fronts: p.Fronts}
+	return &View{
+		offset: p.Offset,
+		self:   p.Self,
+		bundle: p.Bundle,
+		owners: p.Owners,
+		pins:   p.Pins,
+		fronts: p.Fronts,
+		owned:  ownedByServer(p.Owners),
+	}
+}
+
+func ownedByServer(owners map[identifier.ServiceName][]Owner) map[identifier.ServerName][]identifier.PartitionID {
+	owned := map[identifier.ServerName][]identifier.PartitionID{}
+	for _, service := range slices.Sorted(maps.Keys(owners)) {
+		for i, owner := range owners[service] {
+			id := identifier.PartitionID{Service: service, Index: identifier.PartitionIndex(i)}
+			owned[owner.Server] = append(owned[owner.Server], id)
+		}
+	}
+	return owned
 }
 
 // Offset returns the offset after the newest folded record.
@@ -152,6 +174,11 @@
 	return owners[p.Index]
 }
 
+// PartitionsOf returns the partitions that server owns, by service and index.
+func (v *View) PartitionsOf(server identifier.ServerName) []identifier.PartitionID {
+	return v.owned[server]
+}
+
 // RouteKey returns the route of key in a keyed service. The error is an ErrNoRoute.
 func (v *View) RouteKey(service bundler.Service, key string) (Route, error) {
 	partition := v.PartitionOf(service, key)
--- a/internal/runner/hands.go
+++ b/internal/runner/hands.go
@@ -10,6 +10,7 @@
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/reducer"
 	"github.com/wasabibank/wasabibank/internal/tailer"
+	"github.com/wasabibank/wasabibank/internal/translator"
 	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
 
@@ -133,7 +134,7 @@
 	bounded, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	h.meter.Count(meter.ExchangesSent)
-	reply, err := h.peers.Exchange(bounded, a.Address, requestMessage(a.Request, l.ring.Read(sent)))
+	reply, err := h.peers.Exchange(bounded, a.Address, translator.RequestMessage(a.Request, l.ring.Read(sent)))
 	if err != nil {
 		h.meter.Count(meter.ExchangesFailed)
 		l.post(ctx, controller.PeerSilent{Peer: a.Peer})
@@ -144,8 +145,8 @@
 	if reply.GetPledged() {
 		h.meter.Count(meter.PledgesGot)
 	}
-	l.ring.Observe(time.Now(), hybridOf(reply.GetClock()))
-	l.post(ctx, controller.PeerAnswered{Peer: a.Peer, SentAt: sent, Reply: replyOf(reply)})
+	l.ring.Observe(time.Now(), translator.Hybrid(reply.GetClock()))
+	l.post(ctx, controller.PeerAnswered{Peer: a.Peer, SentAt: sent, Reply: translator.Reply(reply)})
 }
 
 func (h *hands) sendGrant(ctx context.Context, l *loop, a controller.SendGrant) {
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -1,82 +1,68 @@
 package runner
 
 import (
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/controller"
+	"github.com/wasabibank/wasabibank/internal/detector"
 	"github.com/wasabibank/wasabibank/internal/forwarder"
+	"github.com/wasabibank/wasabibank/internal/router"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
 	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
 
 const (
-	// sampleEvery is the time between two samples of the load.
+	// sampleEvery is the time between two looks at the queues.
 	sampleEvery = time.Second
-	// sampleWeight is the weight of the newest sample in the moving average.
-	sampleWeight = 0.2
-	// negligibleLoad is the load, in slots, below which a partition is forgotten.
+	// negligibleLoad is the load, in slots, that is not worth a report.
 	negligibleLoad = 1e-4
 )
 
-// loadMeter measures how many slots each partition keeps busy.
+// loadMeter measures the load of the servers that this instance fronts: their queues, the slots that each partition
+// keeps busy, and the hot keys.
 type loadMeter struct {
+	loads *detector.Loads
+	hot   *detector.Detector
+
 	mu      sync.Mutex
-	busy    map[identifier.PartitionID]time.Duration
-	average map[identifier.PartitionID]float64
 	sampled time.Time
 	queues  map[identifier.ServerName]forwarder.ServerLoad
+	bundle  *bundler.Bundle
 }
 
 func newLoadMeter() *loadMeter {
 	return &loadMeter{
-		busy:    map[identifier.PartitionID]time.Duration{},
-		average: map[identifier.PartitionID]float64{},
-		queues:  map[identifier.ServerName]forwarder.ServerLoad{},
+		loads:  detector.NewLoads(0),
+		hot:    detector.New(detector.Options{}),
+		queues: map[identifier.ServerName]forwarder.ServerLoad{},
 	}
 }
 
-// answered adds the time that a request took on its server.
-func (m *loadMeter) answered(partition identifier.PartitionID, took time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.busy[partition] += took
+// answered adds one request with the time that it took on its server.
+func (m *loadMeter) answered(now time.Time, partition identifier.PartitionID, key string, took time.Duration) {
+	m.loads.Observe(partition, took.Seconds(), now)
+	m.hot.Observe(partition.Service, key, took.Seconds(), now)
 }
 
-// sample takes what was added since the last sample into the average when it is time.
+// sample looks at the queues when it is time.
 func (m *loadMeter) sample(now time.Time, loads func(now time.Time) []forwarder.ServerLoad) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	passed := now.Sub(m.sampled)
-	if passed < sampleEvery {
+	if now.Sub(m.sampled) < sampleEvery {
 		return
 	}
 	m.sampled = now
-	for partition := range m.busy {
-		if _, ok := m.average[partition]; !ok {
-			m.average[partition] = 0
-		}
-	}
-	for partition, average := range m.average {
-		slots := m.busy[partition].Seconds() / passed.Seconds()
-		average += sampleWeight * (slots - average)
-		if average < negligibleLoad {
-			delete(m.average, partition)
-			continue
-		}
-		m.average[partition] = average
-	}
-	clear(m.busy)
 	for _, load := range loads(now) {
 		m.queues[load.Server] = load
 	}
 }
 
-// report returns the load of a server, which owns the partitions that owned accepts.
-func (m *loadMeter) report(server identifier.ServerName, owned func(identifier.PartitionID) bool) controller.ServerReport {
+// report returns the load of a server by the ownership in view.
+func (m *loadMeter) report(now time.Time, server identifier.ServerName, view *router.View) controller.ServerReport {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	queue := m.queues[server]
+	m.mu.Unlock()
 	report := controller.ServerReport{
 		Server:       server,
 		Slots:        queue.Slots,
@@ -84,21 +70,37 @@
 		Waiting:      queue.Waiting,
 		ExpectedWait: queue.ExpectedWait,
 	}
-	for partition, load := range m.average {
-		if owned(partition) {
+	for _, partition := range view.PartitionsOf(server) {
+		if load := m.loads.Load(partition, now); load >= negligibleLoad {
 			report.Partitions = append(report.Partitions, controller.PartitionLoad{Partition: partition, Load: load})
 		}
 	}
-	sort.Slice(report.Partitions, func(i, j int) bool {
-		a, b := report.Partitions[i].Partition, report.Partitions[j].Partition
-		if a.Service != b.Service {
-			return a.Service < b.Service
-		}
-		return a.Index < b.Index
-	})
 	return report
 }
 
+// hotKeys returns the keys that take a large share of a server, by the bundle in force.
+func (m *loadMeter) hotKeys(now time.Time, bundle *bundler.Bundle) []detector.HotKey {
+	if bundle == nil {
+		return nil
+	}
+	if bundle != m.bundle {
+		m.bundle = bundle
+		m.setCapacities(bundle)
+	}
+	return m.hot.Hot(now)
+}
+
+// setCapacities tells the detector what one server of each service can take.
+func (m *loadMeter) setCapacities(bundle *bundler.Bundle) {
+	for _, service := range bundle.Services() {
+		slots := 0
+		for _, server := range service.Servers() {
+			slots += server.Slots()
+		}
+		m.hot.SetCapacity(service.Name(), float64(slots)/float64(len(service.Servers())))
+	}
+}
+
 // totals returns the requests that run on, and wait for, the servers that this instance sends to, as last sampled.
 func (m *loadMeter) totals() (running, waiting int) {
 	m.mu.Lock()
--- a/internal/runner/observer.go
+++ b/internal/runner/observer.go
@@ -23,7 +23,7 @@
 func (o observer) Observe(now time.Time, signal forwarder.Signal) {
 	switch s := signal.(type) {
 	case forwarder.ServerAnswered:
-		o.loads.answered(s.Partition, s.Took)
+		o.loads.answered(now, s.Partition, s.Key, s.Took)
 	case forwarder.ServerRefused:
 		o.meter.CountServerRefusal(s.Reason)
 	case forwarder.RequestEnded:
@@ -69,9 +69,9 @@
 
 // cancel is one request that nobody waits for any more.
 type cancel struct {
-	server    identifier.ServerName
-	address   string
-	requestID string
+	server     identifier.ServerName
+	address    string
+	exchangeID string
 }
 
 // canceller sends cancels to backend servers, one at a time.
@@ -87,9 +87,9 @@
 }
 
 // Cancel implements forwarder.Canceller.
-func (c *canceller) Cancel(server identifier.ServerName, address string, requestID string) {
+func (c *canceller) Cancel(server identifier.ServerName, address string, exchangeID string) {
 	select {
-	case c.queue <- cancel{server: server, address: address, requestID: requestID}:
+	case c.queue <- cancel{server: server, address: address, exchangeID: exchangeID}:
 	default:
 	}
 }
@@ -115,8 +115,8 @@
 	}
 	c.meter.Count(meter.CancelsSent)
 	_, _ = c.servers.Cancel(ctx, one.address, commander.Cancel{
-		Issuer:    view.Self(),
-		Term:      front.Term(),
-		RequestID: one.requestID,
+		Issuer:     view.Self(),
+		Term:       front.Term(),
+		ExchangeID: one.exchangeID,
 	})
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/wasabibank/wasabibank/internal/commander"
 	"github.com/wasabibank/wasabibank/internal/configurer"
 	"github.com/wasabibank/wasabibank/internal/controller"
+	"github.com/wasabibank/wasabibank/internal/detector"
 	"github.com/wasabibank/wasabibank/internal/forwarder"
 	"github.com/wasabibank/wasabibank/internal/messenger"
 	"github.com/wasabibank/wasabibank/internal/meter"
@@ -115,6 +116,7 @@
 		Genesis:     reducer.Genesis{FirstSigners: r.settings.FirstSigners()},
 		Table:       r.table,
 		Load:        r.loadOf,
+		Hot:         r.hotKeys,
 	})
 	log := newLogClients(r.settings.LogAddresses(), r.settings.Instance())
 	peers := messenger.NewClients(peerTimeout, r.clientTL)
@@ -138,10 +140,12 @@
 // loadOf returns the load of a server that this instance fronts.
 func (r *Runner) loadOf(now time.Time, server identifier.ServerName) controller.ServerReport {
 	r.loads.sample(now, r.forward.Loads)
-	view := r.table.View()
-	return r.loads.report(server, func(p identifier.PartitionID) bool {
-		return view.GetOwnerByPartition(p).Server == server
-	})
+	return r.loads.report(now, server, r.table.View())
+}
+
+// hotKeys returns the keys that take a large share of a server.
+func (r *Runner) hotKeys(now time.Time) []detector.HotKey {
+	return r.loads.hotKeys(now, r.table.View().Bundle())
 }
 
 // Addresses returns the addresses that the process listens on, as one line for people and scripts.
