The instance list as a hint, typed answers to unparsable requests, smaller modules

Change: an instance listed as leaving hands its fronts on and gets no new ones (TestListedLeavingInstanceHandsItsFrontsOn: every request answered meanwhile). net/http's own refusals are rewritten on the connection to the typed JSON answer (TestUnparsableRequestsAreRefusedTyped, five kinds).

Ruled out for the refusals: an http.Server hook (there is none before the handler).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,10 @@
 	// planFrontsAt is when the fronts are to be planned again.
 	planFrontsAt time.Time
 
+	// leaving are the names of the instances that the platform lists as leaving.
+	leaving []string
+	// closed says that the instance leaves and nobody is left to take its fronts.
+	closed       bool
 	planPinsAt   time.Time
 	coolSince    map[pinnedKey]time.Time
 	lastTick     time.Time
@@ -164,6 +168,8 @@
 		c.onGrantFailed(e)
 	case RevokeAnswered:
 		c.onRevokeAnswered(e)
+	case InstancesListed:
+		c.leaving = e.Leaving
 	case StopRequested:
 		c.onStopRequested()
 	}
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -65,19 +65,26 @@
 	Accepted   bool
 }
 
+// InstancesListed is the platform's word on which instances, by name, are leaving. It lags: it moves fronts in good time
+// and decides nothing else.
+type InstancesListed struct {
+	Leaving []string
+}
+
 // StopRequested asks the instance to hand over what it fronts and to leave.
 type StopRequested struct{}
 
-func (Tick) event()           {}
-func (LogRead) event()        {}
-func (LogExpired) event()     {}
-func (LogUnavailable) event() {}
-func (PeerAnswered) event()   {}
-func (PeerSilent) event()     {}
-func (GrantAnswered) event()  {}
-func (GrantFailed) event()    {}
-func (RevokeAnswered) event() {}
-func (StopRequested) event()  {}
+func (Tick) event()            {}
+func (LogRead) event()         {}
+func (LogExpired) event()      {}
+func (LogUnavailable) event()  {}
+func (PeerAnswered) event()    {}
+func (PeerSilent) event()      {}
+func (GrantAnswered) event()   {}
+func (GrantFailed) event()     {}
+func (RevokeAnswered) event()  {}
+func (InstancesListed) event() {}
+func (StopRequested) event()   {}
 
 // Action is something for the shell to do.
 type Action interface {
--- a/internal/controller/front.go
+++ b/internal/controller/front.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/assigner"
@@ -27,7 +28,7 @@
 		switch {
 		case target.Instance == c.id && !mine && c.claimable(target.Server, known):
 			claims = append(claims, recorder.FrontClaim{Server: target.Server, Term: known.Front.Term})
-		case mine && target.Instance != c.id:
+		case mine && target.Instance != c.id && target.Instance != "":
 			c.considerHand(now, target)
 		}
 	}
@@ -54,10 +55,12 @@
 }
 
 func (c *Controller) frontInstances(now time.Time, self bool) []assigner.FrontInstance {
+	self = self && !slices.Contains(c.leaving, c.opts.Name)
 	instances := []assigner.FrontInstance{{ID: c.id, Domain: c.opts.Domain, Usable: self}}
 	for _, id := range c.heard(now) {
 		m, _ := c.state.GetMemberByID(id)
-		instances = append(instances, assigner.FrontInstance{ID: id, Domain: m.Domain, Usable: true})
+		usable := !slices.Contains(c.leaving, m.Name)
+		instances = append(instances, assigner.FrontInstance{ID: id, Domain: m.Domain, Usable: usable})
 	}
 	return instances
 }
@@ -160,8 +163,6 @@
 		c.advanceHands(now)
 		return
 	}
-	for _, s := range c.sessions {
-		s.openAt = now.Add(time.Hour)
-	}
+	c.closed = true
 	c.leaveWhenIdle(now)
 }
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -22,7 +22,7 @@
 }
 
 func (c *Controller) permitOf(now time.Time, s *session) router.Permit {
-	if s.down || s.handing != "" || now.Before(s.openAt) {
+	if c.closed || s.down || s.handing != "" || now.Before(s.openAt) {
 		return router.Permit{}
 	}
 	if !s.exclusive {
--- a/internal/faulter/availability.go
+++ b/internal/faulter/availability.go
@@ -8,34 +8,51 @@
 
 // Unserved counts the partitions for which no instance could send a request to a server that would take it now.
 func (w *World) Unserved() int {
-	service, ok := w.fold().GetServiceByName(deskService)
-	if !ok {
+	if _, ok := w.fold().GetServiceByName(deskService); !ok {
 		return w.setup.Partitions
 	}
 	unserved := 0
-	for i, partition := range service.Partitions {
-		id := identifier.PartitionID{Service: deskService, Index: identifier.PartitionIndex(i)}
-		if !w.serves(id, partition.Owner, partition.Epoch) {
+	for _, served := range w.served() {
+		if !served {
 			unserved++
 		}
 	}
 	return unserved
 }
 
-// serves reports whether the owner of a partition would execute a request that its fronting instance may send now.
-func (w *World) serves(p identifier.PartitionID, owner identifier.ServerName, epoch identifier.Epoch) bool {
-	s, ok := w.servers[owner]
-	if !ok || s.dead || s.frozen {
-		return false
+// served reports for each partition whether its owner would execute a request that its fronting instance may send now.
+func (w *World) served() []bool {
+	service, _ := w.fold().GetServiceByName(deskService)
+	fronts := map[identifier.ServerName]*instance{}
+	for _, name := range w.names {
+		fronts[name] = w.openFront(name)
+	}
+	served := make([]bool, w.setup.Partitions)
+	for i := range served {
+		partition := service.Partitions[i]
+		front := fronts[partition.Owner]
+		if front == nil {
+			continue
+		}
+		id := identifier.PartitionID{Service: deskService, Index: identifier.PartitionIndex(i)}
+		s := w.servers[partition.Owner]
+		allowed := front.table.Gate(s.name).Allows(id, partition.Epoch, front.clock())
+		served[i] = allowed && (!s.checks || s.holdsNow(id))
 	}
-	front := w.frontOf(owner)
-	if front == nil || front.dead || front.paused || !w.reaches(front.name, string(owner)) {
-		return false
+	return served
+}
+
+// openFront returns the instance that can send to the server now, or nil.
+func (w *World) openFront(name identifier.ServerName) *instance {
+	s := w.servers[name]
+	if s.dead || s.halted {
+		return nil
 	}
-	if !front.table.Gate(owner).Allows(p, epoch, front.clock()) {
-		return false
+	front := w.frontOf(name)
+	if front == nil || front.dead || front.halted || !w.reaches(front.name, string(name)) {
+		return nil
 	}
-	return !s.checks || s.holdsNow(p)
+	return front
 }
 
 // frontOf returns the instance that the log makes the front of a server, or nil.
@@ -67,10 +84,8 @@
 	for passed := time.Duration(0); passed < d; passed += step {
 		w.Run(step)
 		gap.Open = 0
-		service, _ := w.fold().GetServiceByName(deskService)
-		for i := range lengths {
-			p := identifier.PartitionID{Service: deskService, Index: identifier.PartitionIndex(i)}
-			if w.serves(p, service.Partitions[i].Owner, service.Partitions[i].Epoch) {
+		for i, served := range w.served() {
+			if served {
 				lengths[i] = 0
 				continue
 			}
--- a/internal/faulter/break.go
+++ b/internal/faulter/break.go
@@ -22,7 +22,7 @@
 func Breaks() []NamedBreak {
 	return []NamedBreak{
 		{"instance_killed", func(_ *World, at *instance, _ identifier.ServerName) { at.dead = true }},
-		{"instance_paused", func(_ *World, at *instance, _ identifier.ServerName) { at.pause(breakTime) }},
+		{"instance_paused", func(_ *World, at *instance, _ identifier.ServerName) { at.halt(breakTime) }},
 		{"instance_cut_from_log", func(w *World, at *instance, _ identifier.ServerName) { w.cutFor(at.name, "log", breakTime) }},
 		{"instance_cut_from_peers", func(w *World, at *instance, _ identifier.ServerName) { w.cutFromPeers(at) }},
 		{"instance_cut_off", func(w *World, at *instance, _ identifier.ServerName) { w.cutOff(at) }},
@@ -36,7 +36,7 @@
 		{"append_late", func(w *World, at *instance, _ identifier.ServerName) { w.delayAppends(at) }},
 		{"records_expired", func(w *World, _ *instance, _ identifier.ServerName) { w.log.expire(w.newestSnapshot()) }},
 		{"server_killed", func(w *World, _ *instance, s identifier.ServerName) { w.servers[s].dead = true }},
-		{"server_frozen", func(w *World, _ *instance, s identifier.ServerName) { w.servers[s].freeze(breakTime) }},
+		{"server_frozen", func(w *World, _ *instance, s identifier.ServerName) { w.servers[s].halt(breakTime) }},
 		{"server_stops_checking", func(w *World, _ *instance, s identifier.ServerName) { w.servers[s].checks = false }},
 		{"clock_fast", func(_ *World, at *instance, _ identifier.ServerName) { at.skewBy(0.009) }},
 		{"clock_slow", func(_ *World, at *instance, _ identifier.ServerName) { at.skewBy(-0.009) }},
--- a/internal/faulter/instance.go
+++ b/internal/faulter/instance.go
@@ -12,6 +12,7 @@
 
 // instance is one entry of the rig: the real control decider with a shell that is only the agenda.
 type instance struct {
+	mailbox
 	world   *World
 	number  int
 	name    string
@@ -19,11 +20,8 @@
 	table   *router.Table
 	control *controller.Controller
 	naive   *naiveInstance
-	dead    bool
 	left    bool
 	leaving bool
-	paused  bool
-	buffer  []func()
 	// skew is by how much its clock runs fast.
 	skew    float64
 	born    time.Time
@@ -38,6 +36,7 @@
 func (w *World) startInstance() *instance {
 	n := len(w.instances) + 1
 	i := &instance{
+		mailbox: mailbox{schedule: &w.clock},
 		world:   w,
 		number:  n - 1,
 		name:    fmt.Sprintf("entry_%d", n),
@@ -82,30 +81,6 @@
 	})
 }
 
-// receive runs f now, when the pause ends, or never.
-func (i *instance) receive(f func()) {
-	switch {
-	case i.dead:
-	case i.paused:
-		i.buffer = append(i.buffer, f)
-	default:
-		f()
-	}
-}
-
-// pause stops the instance for d; it then goes on as if nothing had happened.
-func (i *instance) pause(d time.Duration) {
-	i.paused = true
-	i.world.after(d, func() {
-		i.paused = false
-		buffer := i.buffer
-		i.buffer = nil
-		for _, f := range buffer {
-			i.receive(f)
-		}
-	})
-}
-
 // step feeds one event to the decider and does what it asks for.
 func (i *instance) step(event controller.Event) {
 	if i.dead {
--- a/internal/faulter/ledger.go
+++ b/internal/faulter/ledger.go
@@ -82,7 +82,7 @@
 	}
 	for _, name := range w.serverNames() {
 		other := w.servers[name]
-		if other != s && !other.dead && other.running[r.partition] > 0 && !other.frozen {
+		if other != s && !other.dead && other.running[r.partition] > 0 && !other.halted {
 			w.broken(PromiseOneOwner, fmt.Sprintf("%s runs on %s and %s", r.partition, s.name, name))
 		}
 	}
--- a/internal/faulter/naive.go
+++ b/internal/faulter/naive.go
@@ -42,7 +42,7 @@
 		}
 		for _, name := range w.names {
 			s := w.servers[name]
-			n.healthy[name] = !s.dead && !s.frozen && w.reaches(n.host.name, string(name))
+			n.healthy[name] = !s.dead && !s.halted && w.reaches(n.host.name, string(name))
 		}
 	})
 	w.after(w.jitter(detectionOfNaive), n.poll)
--- a/internal/faulter/script.go
+++ b/internal/faulter/script.go
@@ -28,6 +28,10 @@
 	w.Compete()
 	w.Run(3 * time.Second)
 	w.StopCallers()
+	if w.setup.Naive {
+		w.Run(requestTime + time.Second)
+		return
+	}
 	w.Run(restTime)
 	w.probeAll()
 	w.checkEnd()
@@ -97,9 +101,6 @@
 
 // checkEnd checks what must hold when the world has come to rest.
 func (w *World) checkEnd() {
-	if w.setup.Naive {
-		return
-	}
 	entries := w.log.from(identifier.Offset(w.log.first))
 	fresh, err := reducer.Load(w.operators.genesis(), entries)
 	if err != nil {
--- a/internal/faulter/server.go
+++ b/internal/faulter/server.go
@@ -19,14 +19,12 @@
 
 // fakeServer is a backend server with fenced grants.
 type fakeServer struct {
+	mailbox
 	world   *World
 	name    identifier.ServerName
 	address string
 	// checks says that the server turns away orders without a standing grant.
 	checks  bool
-	dead    bool
-	frozen  bool
-	buffer  []func()
 	term    identifier.Term
 	holds   map[identifier.PartitionID]holding
 	revoked map[identifier.PartitionID]identifier.Epoch
@@ -37,6 +35,7 @@
 
 func newFakeServer(w *World, name identifier.ServerName, address string, checks bool) *fakeServer {
 	return &fakeServer{
+		mailbox: mailbox{schedule: &w.clock},
 		world:   w,
 		name:    name,
 		address: address,
@@ -48,30 +47,6 @@
 	}
 }
 
-// receive runs f on the server now, when it thaws, or never.
-func (s *fakeServer) receive(f func()) {
-	switch {
-	case s.dead:
-	case s.frozen:
-		s.buffer = append(s.buffer, f)
-	default:
-		f()
-	}
-}
-
-// freeze stops the server for d; it then goes on as if nothing had happened.
-func (s *fakeServer) freeze(d time.Duration) {
-	s.frozen = true
-	s.world.after(d, func() {
-		s.frozen = false
-		buffer := s.buffer
-		s.buffer = nil
-		for _, f := range buffer {
-			s.receive(f)
-		}
-	})
-}
-
 // holdsNow reports whether the server believes that it owns the partition.
 func (s *fakeServer) holdsNow(p identifier.PartitionID) bool {
 	return s.world.now.Before(s.holds[p].until)
--- a/internal/runner/ports.go
+++ b/internal/runner/ports.go
@@ -58,6 +58,7 @@
 	if bounds.MaxConnections() > 0 {
 		caller = netutil.LimitListener(caller, bounds.MaxConnections())
 	}
+	caller = refusalListener{Listener: caller, entry: settings.Instance()}
 	return &ports{
 		caller: caller,
 		peer:   peer,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -165,6 +165,7 @@
 	group.Go(func() error { r.loop.run(ctx); return nil })
 	group.Go(func() error { r.hands.runAppends(ctx); return nil })
 	group.Go(func() error { r.cancels.run(ctx); return nil })
+	group.Go(func() error { r.watchInstances(ctx); return nil })
 	group.Go(func() error { return r.ports.serve(r.handlers()) })
 	group.Go(func() error {
 		defer cancel()
