--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -34,10 +34,14 @@
 	return dispatch("wasabibank standin", cmds, args, stdout, stderr)
 }
 
-// newStandinFlags returns the flags that each stand-in has.
-func newStandinFlags(name string, stderr io.Writer) (*flag.FlagSet, *string) {
+// newStandinFlags returns the flags that each stand-in has; explanation tells its admin paths.
+func newStandinFlags(name, explanation string, stderr io.Writer) (*flag.FlagSet, *string) {
 	flags := flag.NewFlagSet("wasabibank standin "+name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
+	flags.Usage = func() {
+		fmt.Fprintf(stderr, "usage: wasabibank standin %s [flags]\n\n%s\n", name, explanation)
+		flags.PrintDefaults()
+	}
 	listen := flags.String("listen", "127.0.0.1:0", "address to listen on; port 0 lets the system choose")
 	return flags, listen
 }
@@ -96,7 +100,7 @@
 
 func runStandinLog(args []string, stdout, stderr io.Writer) ExitCode {
 	var settings faker.LogSettings
-	flags, listen := newStandinFlags("log", stderr)
+	flags, listen := newStandinFlags("log", logExplanation, stderr)
 	flags.IntVar(&settings.RetainRecords, "retain-records", 0, "records that are kept; 0 is all")
 	flags.DurationVar(&settings.RetainAge, "retain-age", 0, "time for which a record is kept; 0 is for ever")
 	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
@@ -108,7 +112,7 @@
 
 func runStandinRoster(args []string, stdout, stderr io.Writer) ExitCode {
 	var settings faker.RosterSettings
-	flags, listen := newStandinFlags("roster", stderr)
+	flags, listen := newStandinFlags("roster", rosterExplanation, stderr)
 	flags.DurationVar(&settings.Lag, "lag", 0, "how far the list that is shown stays behind")
 	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
 		return code
@@ -118,7 +122,7 @@
 }
 
 func runStandinCollector(args []string, stdout, stderr io.Writer) ExitCode {
-	flags, listen := newStandinFlags("collector", stderr)
+	flags, listen := newStandinFlags("collector", collectorExplanation, stderr)
 	if code, ok := parseBundleFlags(flags, args, 0, 0); !ok {
 		return code
 	}
--- a/cmd/standin_server.go
+++ b/cmd/standin_server.go
@@ -21,7 +21,7 @@
 
 func runStandinServer(args []string, stdout, stderr io.Writer) ExitCode {
 	var settings faker.ServerSettings
-	flags, listen := newStandinFlags("server", stderr)
+	flags, listen := newStandinFlags("server", serverExplanation, stderr)
 	name := flags.String("name", "", "name of the backend server, as in the bundle")
 	collect := flags.String("collect", "", "host:port of a collector that receives each execution; empty is none")
 	flags.IntVar(&settings.Slots, "slots", 3, "requests that execute at once")
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -11,9 +11,11 @@
 
 const (
 	waitHalfLife    = 500 * time.Millisecond // a reported wait counts half after it
+	serviceHalfLife = 10 * time.Second       // the same for a long service time without a new measurement
 	defaultService  = 10 * time.Millisecond  // expected service time before the first answer
 	serviceGain     = 8                      // one answer's weight in the mean is 1/serviceGain
 	hintPenalty     = 4                      // what a bad health answer multiplies the expected wait by
+	clearlyLess     = 0.75                   // share of an expected wait below which another is preferred
 	forgetFactor    = 2                      // known servers over candidates before old ones are dropped
 	maxEjectedShare = 2                      // at most 1/maxEjectedShare of the candidates is passed over
 )
@@ -31,6 +33,7 @@
 	outstanding int
 	service     time.Duration // mean time of an answer, waits included
 	samples     int
+	measuredAt  time.Time
 	wait        time.Duration // last reported
 	waitAt      time.Time
 	outlier     outlier
@@ -50,13 +53,23 @@
 	if len(usable) == 0 {
 		return "", false
 	}
-	first := usable[source.IntN(len(usable))]
-	second := usable[source.IntN(len(usable))]
-	if c.expected(now, second) < c.expected(now, first) {
-		first = second
+	best := c.betterOfTwo(now, usable, source)
+	c.get(best.Server).outstanding++
+	return best.Server, true
+}
+
+// betterOfTwo returns the one with the least expected wait of two different candidates, and either where there is
+// little between them, so that a slightly faster server does not get all.
+func (c *Chooser) betterOfTwo(now time.Time, usable []Candidate, source *rand.Rand) Candidate {
+	at := source.IntN(len(usable))
+	if len(usable) == 1 {
+		return usable[at]
+	}
+	other := (at + 1 + source.IntN(len(usable)-1)) % len(usable)
+	if float64(c.expected(now, usable[other])) < clearlyLess*float64(c.expected(now, usable[at])) {
+		return usable[other]
 	}
-	c.get(first.Server).outstanding++
-	return first.Server, true
+	return usable[at]
 }
 
 // usable returns the candidates without the leaving ones, the one to avoid and the outliers.
@@ -113,30 +126,33 @@
 	if !ok {
 		return 0
 	}
-	own := time.Duration(s.outstanding) * s.mean() / time.Duration(max(candidate.Slots, 1))
-	expected := own + s.mean() + decay(s.wait, now.Sub(s.waitAt))
+	service := s.mean(now)
+	own := time.Duration(s.outstanding) * service / time.Duration(max(candidate.Slots, 1))
+	expected := own + service + decay(s.wait, now.Sub(s.waitAt), waitHalfLife)
 	if candidate.Suspect {
 		expected *= hintPenalty
 	}
 	return expected
 }
 
-// decay halves wait for each waitHalfLife of age.
-func decay(wait, age time.Duration) time.Duration {
-	halvings := age / waitHalfLife
+// decay halves d for each halfLife of age.
+func decay(d, age, halfLife time.Duration) time.Duration {
+	halvings := age / halfLife
 	if halvings > 32 {
 		return 0
 	}
-	half := wait >> halvings
-	rest := float64(age%waitHalfLife) / float64(waitHalfLife)
+	half := d >> halvings
+	rest := float64(age%halfLife) / float64(halfLife)
 	return half - time.Duration(rest*float64(half)/2)
 }
 
-func (s *server) mean() time.Duration {
+// mean returns the expected time of an answer; a long one that was measured long ago counts less.
+func (s *server) mean(now time.Time) time.Duration {
 	if s.samples == 0 {
 		return defaultService
 	}
-	return s.service
+	excess := max(0, s.service-defaultService)
+	return s.service - excess + decay(excess, now.Sub(s.measuredAt), serviceHalfLife)
 }
 
 func (c *Chooser) get(name identifier.ServerName) *server {
--- a/internal/chooser/outlier.go
+++ b/internal/chooser/outlier.go
@@ -80,7 +80,7 @@
 	switch r := result.(type) {
 	case Answered:
 		s.report(now, r.Wait)
-		s.measure(r.Took)
+		s.measure(now, r.Took)
 		s.outlier.answered()
 		if c.slow(name, s) {
 			s.outlier.eject(now)
@@ -99,8 +99,9 @@
 	s.waitAt = now
 }
 
-func (s *server) measure(took time.Duration) {
+func (s *server) measure(now time.Time, took time.Duration) {
 	s.samples++
+	s.measuredAt = now
 	if s.samples == 1 {
 		s.service = took
 		return
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -53,6 +53,10 @@
 	goneSeen  map[identifier.InstanceID]time.Time
 	placing   map[identifier.ServiceName]*balance
 	needs     map[string]time.Time
+	// owners caches which partitions each server owns, until the next record.
+	owners map[identifier.ServerName]owned
+	// planFrontsAt is when the fronts are to be planned again.
+	planFrontsAt time.Time
 
 	lastTick     time.Time
 	loadedAt     time.Time
--- a/internal/controller/front.go
+++ b/internal/controller/front.go
@@ -15,9 +15,11 @@
 
 // planFronts claims the free fronts that fall to this instance, and passes on those that fall to another.
 func (c *Controller) planFronts(now time.Time) {
-	if c.state.Bundle() == nil {
+	c.advanceHands(now)
+	if c.state.Bundle() == nil || now.Before(c.planFrontsAt) {
 		return
 	}
+	c.planFrontsAt = now.Add(c.timings().Heartbeat)
 	var claims []recorder.FrontClaim
 	for _, target := range c.frontTargets(now, true) {
 		known, _ := c.state.GetServerByName(target.Server)
@@ -32,7 +34,6 @@
 	if len(claims) > 0 {
 		c.propose(now, purposeClaim, recorder.ClaimFronts{Claims: claims})
 	}
-	c.advanceHands(now)
 }
 
 // frontTargets returns which instance should front which server; self says whether this instance may front any.
--- a/internal/controller/log.go
+++ b/internal/controller/log.go
@@ -56,6 +56,7 @@
 	}
 	c.lost = false
 	c.state = state
+	c.owners = nil
 	c.keepForRelay(c.backlog)
 	c.backlog = nil
 	c.loaded = true
@@ -83,6 +84,7 @@
 		c.beginGeneration()
 	}
 	c.state = reducer.NewState(c.opts.Genesis)
+	c.owners = nil
 	c.backlog = nil
 	c.relay = nil
 	c.do(ReadLog{From: e.FirstRetained})
@@ -100,6 +102,8 @@
 			continue
 		}
 		folded = true
+		c.owners = nil
+		c.planFrontsAt = time.Time{}
 		c.keepForRelay([]reducer.Entry{entry})
 		c.onVerdict(now, verdict)
 	}
@@ -148,6 +152,8 @@
 			c.onGone(now, id)
 		}
 	case recorder.Snapshot:
-		c.snapshotTime = now
+		if c.state.SnapshotAt() == r.AsOf {
+			c.snapshotTime = now
+		}
 	}
 }
--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -292,18 +292,30 @@
 	c.sessions = map[identifier.ServerName]*session{}
 }
 
-// ownedBy returns the partitions that the fold gives to the server.
+// ownedBy returns the partitions that the fold gives to the server. The caller must not change it.
 func (c *Controller) ownedBy(server identifier.ServerName) owned {
-	set := owned{}
+	if c.owners == nil {
+		c.owners = c.ownersByServer()
+	}
+	return c.owners[server]
+}
+
+func (c *Controller) ownersByServer() map[identifier.ServerName]owned {
+	owners := map[identifier.ServerName]owned{}
 	for _, name := range c.state.ServiceNames() {
 		service, _ := c.state.GetServiceByName(name)
 		for i, partition := range service.Partitions {
-			if partition.Owner == server {
-				set[identifier.PartitionID{Service: name, Index: identifier.PartitionIndex(i)}] = partition.Epoch
+			if partition.Owner == "" {
+				continue
+			}
+			if owners[partition.Owner] == nil {
+				owners[partition.Owner] = owned{}
 			}
+			id := identifier.PartitionID{Service: name, Index: identifier.PartitionIndex(i)}
+			owners[partition.Owner][id] = partition.Epoch
 		}
 	}
-	return set
+	return owners
 }
 
 // sorted returns the partitions in order of service and index.
--- /dev/null
+++ b/internal/docchecker/docchecker_test.go
@@ -0,0 +1,106 @@
+package docchecker
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/configurer"
+	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/tracer"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
+)
+
+const repository = "../.."
+
+func TestPagesOfTheRepository(t *testing.T) {
+	is := is.New(t)
+	faults, err := Check(os.DirFS(repository))
+	is.NoErr(err)
+	for _, fault := range faults {
+		t.Error(fault)
+	}
+}
+
+func TestCheckFindsFaults(t *testing.T) {
+	tests := map[string]struct {
+		page string
+		want string
+	}{
+		"good links":        {page: "[a](docs/other.md) [b](docs/other.md#a-heading) [c](#top) [d](https://example.org/x)\n# Top\n"},
+		"missing file":      {page: "[a](docs/none.md)", want: "no such file"},
+		"missing heading":   {page: "[a](docs/other.md#none)", want: "no such heading"},
+		"heading in code":   {page: "[a](#top)\n```\n# Top\n```\n", want: "no such heading"},
+		"absolute link":     {page: "[a](/docs/other.md)", want: "link is not relative"},
+		"link in code":      {page: "```\n[a](docs/none.md)\n```\n`[a](docs/none.md)`\n"},
+		"machine path":      {page: "run `/root/x`", want: "path of one machine"},
+		"machine path code": {page: "```\ncd /work/main\n```", want: "path of one machine"},
+		"path of the API":   {page: "GET /s/desk/work and docs/work/x"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tree := fstest.MapFS{
+				"README.md":      {Data: []byte(tc.page)},
+				"docs/other.md":  {Data: []byte("# A heading\n")},
+				".hidden/bad.md": {Data: []byte("[a](none.md)")},
+			}
+			faults, err := Check(tree)
+			is.NoErr(err)
+			if tc.want == "" {
+				is.Equal(faults, nil)
+				return
+			}
+			is.Equal(len(faults), 1)
+			is.True(strings.Contains(faults[0].String(), tc.want))
+		})
+	}
+}
+
+func TestEveryCounterAndEventIsOnTheOperatorsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(repository + "/docs/operators/counters_and_events.md")
+	is.NoErr(err)
+	var rows []string
+	for _, d := range meter.Descriptions() {
+		rows = append(rows, "| `"+d.Name+"` | "+d.Help+" |")
+	}
+	for _, k := range tracer.Kinds() {
+		rows = append(rows, "| `"+string(k.Kind)+"` | "+string(k.Group)+" | "+k.Help+" |")
+	}
+	for _, row := range rows {
+		if !strings.Contains(string(page), row) {
+			t.Errorf("the page lacks the row %s", row)
+		}
+	}
+}
+
+func TestEveryExampleLoads(t *testing.T) {
+	decoders := map[string]func(file string, raw []byte) error{
+		"bundle.yaml": func(file string, raw []byte) error {
+			_, err := bundler.Decode(file, raw)
+			return err
+		},
+		"entry*.yaml": func(file string, raw []byte) error {
+			_, err := configurer.Decode(file, raw)
+			return err
+		},
+	}
+	for pattern, decode := range decoders {
+		t.Run(pattern, func(t *testing.T) {
+			is := is.New(t)
+			files, err := filepath.Glob(repository + "/docs/examples/*/" + pattern)
+			is.NoErr(err)
+			is.True(len(files) >= 3)
+			for _, file := range files {
+				raw, err := os.ReadFile(file)
+				is.NoErr(err)
+				is.NoErr(decode(file, raw))
+			}
+		})
+	}
+}
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -49,6 +49,9 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	idleFrom time.Time
+	peek     func(fd uintptr) bool // sets quiet
+	quiet    bool                  // nothing can be read at present
+	peeked   [1]byte
 }
 
 func newConn(plain net.Conn) *conn {
@@ -57,6 +60,11 @@
 	if tcp, ok := plain.(syscall.Conn); ok {
 		c.raw, _ = tcp.SyscallConn()
 	}
+	c.peek = func(fd uintptr) bool {
+		_, _, errno := syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.quiet = errno == syscall.EAGAIN
+		return true
+	}
 	return c
 }
 
@@ -78,12 +86,7 @@
 	if c.raw == nil {
 		return false
 	}
-	quiet := false
-	var peeked [1]byte
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, errno := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errno == syscall.EAGAIN
-		return true
-	})
-	return err != nil || !quiet
+	c.quiet = false
+	err := c.raw.Read(c.peek)
+	return err != nil || !c.quiet
 }
--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -57,9 +57,12 @@
 	return errors.As(err, &body)
 }
 
+// IsErrBusy reports whether err says that no connection became free within the connect timeout.
+func IsErrBusy(err error) bool { return errors.Is(err, errBusy) }
+
 var (
 	errPoolClosed  = errors.New("pool is closed")
-	errNoConn      = errors.New("no connection became free in time")
+	errBusy        = errors.New("no connection became free in time")
 	errUpgrade     = errors.New("unexpected switch of protocols")
 	errInterim     = errors.New("too many interim answers")
 	errHeadTooLong = errors.New("head of the answer is too long")
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -20,7 +20,7 @@
 type Options struct {
 	Address        string        // host:port
 	Connections    int           // bound on open connections
-	ConnectTimeout time.Duration // for the connection and its TLS handshake
+	ConnectTimeout time.Duration // for the connection and its TLS handshake, and for the wait for a free one
 	IdleTimeout    time.Duration // an idle connection is not used after it
 	TLS            *tls.Config
 }
@@ -109,13 +109,13 @@
 		return nil
 	default:
 	}
-	timer := time.NewTimer(deadline.Sub(now))
+	timer := time.NewTimer(min(p.options.ConnectTimeout, deadline.Sub(now)))
 	defer timer.Stop()
 	select {
 	case p.tokens <- struct{}{}:
 		return nil
 	case <-timer.C:
-		return errNoConn
+		return errBusy
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -60,9 +60,9 @@
 
 // setOwnHeaders sets the headers that every answer carries.
 func (q *request) setOwnHeaders(h http.Header, outcome Outcome) {
-	h[headerOutcome] = []string{string(outcome)}
-	h[headerEntry] = []string{string(q.entry)}
-	h[headerRequestID] = []string{q.id}
+	q.set(h, slotOutcome, headerOutcome, string(outcome))
+	q.set(h, slotEntry, headerEntry, string(q.entry))
+	q.set(h, slotAnswerID, headerRequestID, q.id)
 }
 
 // seconds returns d in whole seconds, rounded up.
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -184,6 +184,13 @@
 	return b.queue.ExpectedWait(now)
 }
 
+// service returns the usual service time of a class; ok is false before the first measurement.
+func (b *backend) service(class identifier.ClassName) (usual time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue.Service(class)
+}
+
 // deliver tells the waiting requests what the queue decided. The lock is held.
 func (b *backend) deliver(change limiter.Change) {
 	for _, ticket := range change.Started {
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	routePause   = 25 * time.Millisecond // between two looks for a route
-	maxRouteWait = time.Second           // for a route, at most half of the time left
-	maxElsewhere = 1                     // other servers that are asked after one refused
+	routePause    = 25 * time.Millisecond // between two looks for a route
+	maxRouteWait  = time.Second           // for a route, at most half of the time left
+	maxRouteWaits = 1024                  // requests that wait for a route at once
+	maxElsewhere  = 1                     // other servers that are asked after one refused
 )
 
 // retryBackoff is the pause before an idempotent request is sent again.
@@ -149,6 +150,8 @@
 
 // along makes one attempt along route and returns the wait that the server's fronting instance expects.
 func (a *run) along(route router.Route) (result, time.Duration) {
+	w := a.f.watchRoute(a.q, route)
+	defer w.end(a.q)
 	if route.Front().Instance() != a.f.table.View().Self() {
 		a.forwarded = true
 		return a.f.attemptPeer(a.q, route)
@@ -186,6 +189,11 @@
 	if !now.Before(a.routeEnd) {
 		return false
 	}
+	if a.f.routeWaits.Add(1) > maxRouteWaits {
+		a.f.routeWaits.Add(-1)
+		return false
+	}
+	defer a.f.routeWaits.Add(-1)
 	changed := a.f.table.Changed()
 	if a.f.table.View() != a.view {
 		return true
@@ -202,7 +210,7 @@
 		return true
 	case <-early:
 		return true
-	case <-a.q.context().Done():
+	case <-a.q.r.Context().Done():
 		return false
 	}
 }
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -43,6 +43,7 @@
     classes:
       - {name: order, match: [{method: POST, path: /orders}], idempotent: false, priority: 0, deadline: 30s, may_wait: false, retries: 0, retry_budget: 0, hedged: false, body_bytes: 1KiB}
       - {name: upload, match: [{method: PUT, path: /upload}], idempotent: false, priority: 0, deadline: 30s, may_wait: false, retries: 0, retry_budget: 0, hedged: false, body_bytes: 1MiB}
+      - {name: special, match: [{method: GET, path: /special}], idempotent: false, priority: 0, deadline: 30s, may_wait: false, retries: 0, retry_budget: 0, hedged: false, body_bytes: 1KiB}
       - {name: read, match: [{method: GET, path: "/**"}, {method: HEAD, path: "/**"}], idempotent: true, priority: 1, deadline: 30s, may_wait: false, retries: 2, retry_budget: 0.5, hedged: false, body_bytes: 1KiB}
     server_defaults: {slots: 2, connections: 10, connect_time: 1ms, cold_start: 0s}
     servers:
@@ -132,6 +133,13 @@
 // Cancel implements Canceller.
 func (e *entry) Cancel(_ identifier.ServerName, _ string, id string) { e.cancels <- id }
 
+// nextCancel returns the request id of the next cancel.
+func (e *entry) nextCancel(t testing.TB) string {
+	t.Helper()
+	await(t, "a cancel", func() bool { return len(e.cancels) > 0 })
+	return <-e.cancels
+}
+
 func (e *entry) peerAddress() string { return strings.TrimPrefix(e.peers.URL, "http://") }
 
 func newEntry(t testing.TB, name identifier.InstanceID) *entry {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,7 +27,7 @@
 	Observer        Observer         // Ignore
 	Canceller       Canceller        // NoCancel
 	PeerTLS         *tls.Config      // nil is plain TCP to other instances
-	PeerConnections int              // bound on connections to each other instance, 256
+	PeerConnections int              // bound on connections to each other instance, 512
 	Entries         func() int       // instances that share the callers' limits, 1
 	Suspect         func(identifier.ServerName) bool
 	Seed            uint64 // of the choice of servers and of the jitter of retries
@@ -46,6 +46,7 @@
 	suspect         func(identifier.ServerName) bool
 	flights         flights
 	lastID          atomic.Uint64
+	routeWaits      atomic.Int64 // requests that wait for a route
 
 	backends sync.Map // identifier.ServerName to *backend
 	peers    sync.Map // address to *exchanger.Pool
@@ -68,7 +69,7 @@
 	class   identifier.ClassName
 }
 
-const defaultPeerConnections = 256
+const defaultPeerConnections = 512
 
 // New returns a Forwarder that serves nothing until the table has a view and the gates have permits.
 func New(o Options) *Forwarder {
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -11,61 +10,12 @@
 )
 
 const (
-	maxLocalTries = 3                     // attempts at one server that ended unrun
-	serverGrace   = 20 * time.Millisecond // after the deadline, for the server's own last word
-	maxRefusal    = 64 << 10              // bytes of a refusal's body that are read to keep its connection
+	minPatience    = time.Second           // with a server whose work others can do
+	patienceFactor = 20                    // the same, in usual service times
+	maxLocalTries  = 3                     // attempts at one server that ended unrun
+	serverGrace    = 20 * time.Millisecond // after the deadline, for the server's own last word
 )
 
-// attemptLocal sends the request to the server, which this instance fronts. An at-most-once request that came before
-// is not sent again.
-func (f *Forwarder) attemptLocal(q *request, route router.Route) result {
-	if q.class.Idempotent() {
-		return f.sendLocal(q, route)
-	}
-	f.repeatsMu.Lock()
-	fate := f.repeats.Begin(q.arrived, q.repeatKey())
-	f.repeatsMu.Unlock()
-	if _, first := fate.(limiter.NotRun); !first {
-		return repeatOf(fate)
-	}
-	var last result
-	defer func() { f.endRepeat(q, last) }()
-	last = f.sendLocal(q, route)
-	return last
-}
-
-// repeatOf returns the result of a second arrival.
-func repeatOf(fate limiter.Fate) repeated {
-	switch first := fate.(type) {
-	case limiter.Answered:
-		message := "the request came before and was answered"
-		return repeated{verdict: verdict{reason: ReasonRepeat, message: message, firstStatus: first.Status}, outcome: OutcomeAnswered}
-	case limiter.InFlight:
-		message := "the request came before and is under way"
-		return repeated{verdict: verdict{reason: ReasonRepeat, message: message, retryAfter: time.Second}, outcome: OutcomeUnknown}
-	}
-	message := "the request came before and may have run"
-	return repeated{verdict: verdict{reason: ReasonRepeat, message: message}, outcome: OutcomeUnknown}
-}
-
-// endRepeat notes what became of an at-most-once request; a nil result is a fault on the way.
-func (f *Forwarder) endRepeat(q *request, r result) {
-	var fate limiter.Fate = limiter.Uncertain{}
-	switch end := r.(type) {
-	case finished:
-		fate = limiter.Answered{Status: end.status}
-	case moved, refused:
-		fate = limiter.NotRun{}
-	case abandoned:
-		if !q.life.MayHaveRun() {
-			fate = limiter.NotRun{}
-		}
-	}
-	f.repeatsMu.Lock()
-	defer f.repeatsMu.Unlock()
-	f.repeats.End(f.clock(), q.repeatKey(), fate)
-}
-
 // sendLocal tries until an attempt is run, may have run or is refused for good.
 func (f *Forwarder) sendLocal(q *request, route router.Route) result {
 	b := f.backend(route.Server())
@@ -87,6 +37,7 @@
 	gate    *router.Gate
 	entered bool
 	started time.Time
+	limit   time.Time      // of the exchange
 	result  limiter.Result // what the queue learns
 	freed   bool
 }
@@ -97,7 +48,7 @@
 	ticket, refusal, err := b.admit(q.context(), f.clock(), q.queued(), route.Partition())
 	if err != nil {
 		q.step(Withdraw{})
-		return abandoned{}, false
+		return q.withdrawn(), false
 	}
 	if refusal != nil {
 		q.step(Withdraw{})
@@ -109,6 +60,18 @@
 	return l.send()
 }
 
+// withdrawn is the end of an attempt that was taken back while nothing had been sent.
+func (q *request) withdrawn() result {
+	if q.callerGone() {
+		return abandoned{}
+	}
+	return moved{verdict: replacedVerdict()}
+}
+
+func replacedVerdict() verdict {
+	return verdict{reason: ReasonMoved, message: "the key moved meanwhile", retryAfter: routePause}
+}
+
 // free gives back the slot and leaves the gate, once.
 func (l *local) free() {
 	if l.freed {
@@ -139,9 +102,10 @@
 	}
 	l.entered = true
 	out := l.outgoing(now)
-	setInt(out.Header, headerTerm, term)
+	l.q.set(out.Header, slotTerm, headerTerm, formatInt(term))
 	l.q.step(Write{})
-	answer, err := conn.Do(l.q.context(), out, l.q.deadline.Add(serverGrace), l.q.inform)
+	l.limit = l.exchangeLimit(now)
+	answer, err := conn.Do(l.q.exchangeContext(), out, l.limit.Add(serverGrace), l.q.inform)
 	if err != nil {
 		return l.failed(err)
 	}
@@ -151,9 +115,9 @@
 func (l *local) outgoing(now time.Time) *http.Request {
 	out := l.q.outgoing(l.route.Server().Address(), "")
 	h := out.Header
-	setInt(h, headerPartition, l.route.Partition().Index)
-	setInt(h, headerEpoch, l.route.Epoch())
-	setInt(h, headerDeadline, milliseconds(l.q.deadline.Sub(now)))
+	l.q.set(h, slotPartition, headerPartition, formatInt(l.route.Partition().Index))
+	l.q.set(h, slotEpoch, headerEpoch, formatInt(l.route.Epoch()))
+	l.q.set(h, slotDeadline, headerDeadline, formatInt(milliseconds(l.q.deadline.Sub(now))))
 	delete(h, headerServer)
 	delete(h, headerHops)
 	return out
@@ -163,10 +127,30 @@
 	return verdict{reason: ReasonMoved, message: err.Error(), retryAfter: routePause}
 }
 
+// exchangeLimit returns the deadline of the exchange: the request's own, or less where another server can answer it and
+// this one takes far longer than usual.
+func (l *local) exchangeLimit(now time.Time) time.Time {
+	if l.q.service.Keyed() || l.q.class.Retries() == 0 {
+		return l.q.deadline
+	}
+	usual, ok := l.b.service(l.q.class.Name())
+	if !ok {
+		return l.q.deadline
+	}
+	limit := now.Add(max(minPatience, patienceFactor*usual))
+	if limit.Before(l.q.deadline) {
+		return limit
+	}
+	return l.q.deadline
+}
+
 // unreachable is the end of an attempt without a connection.
 func (l *local) unreachable(err error) (result, bool) {
 	if l.q.context().Err() != nil {
-		return abandoned{}, false
+		return l.q.withdrawn(), false
+	}
+	if exchanger.IsErrBusy(err) {
+		return refusedBy(limiter.Refuse{Reason: limiter.ReasonOverloaded, RetryAfter: time.Second}), false
 	}
 	l.b.missed()
 	l.f.observer.Observe(l.f.clock(), ServerFailed{Server: l.b.name})
@@ -199,13 +183,14 @@
 
 // interrupted is the end of an exchange that may have run: the server is asked to stop.
 func (l *local) interrupted(err error) result {
-	gone := l.q.context().Err() != nil
-	late := !l.f.clock().Before(l.q.deadline)
+	gone := l.q.callerGone()
+	replaced := !gone && l.q.exchangeContext().Err() != nil
+	late := !l.f.clock().Before(l.limit)
 	bad := exchanger.IsErrBody(err)
 	if !bad {
 		l.f.observer.Observe(l.f.clock(), ServerFailed{Server: l.b.name, Sent: true, Timeout: late, CallerGone: gone})
 	}
-	if gone || late {
+	if gone || late || replaced {
 		l.cancel()
 	}
 	switch {
@@ -213,6 +198,8 @@
 		return abandoned{}
 	case bad:
 		return broken{verdict: l.q.badBody(err)}
+	case replaced:
+		return broken{verdict: verdict{reason: ReasonBroken, message: "the key moved meanwhile"}}
 	case late:
 		return broken{verdict: verdict{reason: ReasonTimeout, message: "the server did not answer in time"}}
 	}
@@ -224,44 +211,6 @@
 	l.f.canceller.Cancel(l.b.name, l.route.Server().Address(), l.q.id)
 }
 
-// answered handles the head of an answer.
-func (l *local) answered(answer *exchanger.Response) (result, bool) {
-	reason := answer.Header.Get(headerRefused)
-	if reason == "" || !isRefusal(answer.Status) {
-		return l.relay(answer), false
-	}
-	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusal))
-	answer.Close(l.f.clock(), err == nil && answer.ContentLength <= maxRefusal)
-	l.q.step(RefuseUnrun{})
-	l.f.observer.Observe(l.f.clock(), ServerRefused{Server: l.b.name, Reason: reason, Term: l.route.Front().Term()})
-	return l.refusedBy(reason)
-}
-
-func isRefusal(status int) bool {
-	return status == http.StatusConflict || status == http.StatusServiceUnavailable
-}
-
-// refusedBy says what a server's refusal means for the request.
-func (l *local) refusedBy(reason string) (result, bool) {
-	v := verdict{
-		reason:     ReasonServerRefused,
-		message:    "the server refused: " + reason,
-		retryAfter: max(l.b.expectedWait(l.f.clock()), routePause),
-	}
-	switch reason {
-	case "shed":
-		l.result = limiter.Shed{}
-		return refused{verdict: v}, true
-	case "expired":
-		v.reason = ReasonExpired
-		return refused{verdict: v}, false
-	case "stale_term", "stale_epoch", "no_grant", "draining":
-		v.reason = ReasonMoved
-		return moved{verdict: v}, false
-	}
-	return refused{verdict: v}, false
-}
-
 // relay passes the answer on.
 func (l *local) relay(answer *exchanger.Response) result {
 	if l.q.fromPeer {
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/limiter"
 	"github.com/wasabibank/wasabibank/internal/router"
 	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
@@ -39,7 +40,7 @@
 	}
 	out := h.outgoing()
 	h.q.step(Write{})
-	answer, err := conn.Do(h.q.context(), out, h.q.deadline.Add(peerGrace), h.q.inform)
+	answer, err := conn.Do(h.q.exchangeContext(), out, h.q.deadline.Add(peerGrace), h.q.inform)
 	if exchanger.IsErrNotSent(err) {
 		h.q.step(Withdraw{})
 		return h.unsent(err)
@@ -59,23 +60,29 @@
 	front := h.route.Front()
 	out := h.q.outgoing(front.PeerAddress(), "/forward")
 	header := out.Header
-	header[headerServer] = []string{string(h.route.Server().Name())}
-	setInt(header, headerPartition, h.route.Partition().Index)
-	setInt(header, headerEpoch, h.route.Epoch())
-	setInt(header, headerTerm, front.Term())
-	setInt(header, headerDeadline, milliseconds(h.q.deadline.Sub(h.started)))
-	setInt(header, headerHops, 1)
+	h.q.set(header, slotServer, headerServer, string(h.route.Server().Name()))
+	h.q.set(header, slotPartition, headerPartition, formatInt(h.route.Partition().Index))
+	h.q.set(header, slotEpoch, headerEpoch, formatInt(h.route.Epoch()))
+	h.q.set(header, slotTerm, headerTerm, formatInt(front.Term()))
+	h.q.set(header, slotDeadline, headerDeadline, formatInt(milliseconds(h.q.deadline.Sub(h.started))))
+	h.q.set(header, slotHops, headerHops, "1")
 	return out
 }
 
 // unsent is the end of a hop of which nothing was sent.
 func (h *hop) unsent(err error) result {
-	if h.q.context().Err() != nil {
+	if h.q.callerGone() {
 		return abandoned{}
 	}
+	if h.q.context().Err() != nil {
+		return moved{verdict: replacedVerdict()}
+	}
 	if exchanger.IsErrBody(err) {
 		return refused{verdict: h.q.badBody(err)}
 	}
+	if exchanger.IsErrBusy(err) {
+		return refusedBy(limiter.Refuse{Reason: limiter.ReasonOverloaded, RetryAfter: time.Second})
+	}
 	h.f.observer.Observe(h.f.clock(), PeerFailed{Instance: h.route.Front().Instance()})
 	return moved{verdict: verdict{
 		reason:     ReasonUnreachable,
@@ -86,9 +93,12 @@
 
 // interrupted is the end of a hop that may have run.
 func (h *hop) interrupted(err error) result {
-	if h.q.context().Err() != nil {
+	if h.q.callerGone() {
 		return abandoned{}
 	}
+	if h.q.context().Err() != nil {
+		return broken{verdict: verdict{reason: ReasonBroken, message: "the key moved meanwhile"}}
+	}
 	if exchanger.IsErrBody(err) {
 		return broken{verdict: h.q.badBody(err)}
 	}
@@ -160,6 +170,8 @@
 	if v, ok := q.readBody(); !ok {
 		return refused{verdict: v}
 	}
+	w := f.watchRoute(q, route)
+	defer w.end(q)
 	return f.attemptLocal(q, route)
 }
 
@@ -181,7 +193,7 @@
 		panic(http.ErrAbortHandler)
 	case moved:
 		end.verdict.reason = ReasonMoved
-		setInt(q.w.Header(), headerOffset, f.table.View().Offset())
+		q.w.Header().Set(headerOffset, formatInt(f.table.View().Offset()))
 		q.giveUp(end.verdict)
 	case refused:
 		q.giveUp(end.verdict)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -24,9 +24,10 @@
 
 // request is one request under way in this instance.
 type request struct {
-	w     http.ResponseWriter
-	r     *http.Request
-	entry identifier.InstanceID
+	w       http.ResponseWriter
+	r       *http.Request
+	attempt context.Context // of the present attempt; ends when its route is replaced
+	entry   identifier.InstanceID
 
 	id       string
 	caller   identifier.CallerName
@@ -40,6 +41,7 @@
 	body     body
 	life     Life
 	fromPeer bool
+	values   [slotCount]string // of headers
 }
 
 // newRequest returns a request with its id and names; the rest is filled in by parse.
@@ -56,7 +58,24 @@
 	return string(f.self) + "-" + strconv.FormatUint(f.lastID.Add(1), 36)
 }
 
-func (q *request) context() context.Context { return q.r.Context() }
+// context returns the context of the present attempt while nothing of it has been sent.
+func (q *request) context() context.Context {
+	if q.attempt != nil {
+		return q.attempt
+	}
+	return q.r.Context()
+}
+
+// exchangeContext returns the context of an exchange. One that may not be repeated ends with its caller only.
+func (q *request) exchangeContext() context.Context {
+	if q.class.Idempotent() {
+		return q.context()
+	}
+	return q.r.Context()
+}
+
+// callerGone reports whether the caller has gone.
+func (q *request) callerGone() bool { return q.r.Context().Err() != nil }
 
 // step applies s to the life of the request. An impossible step is a fault of this program.
 func (q *request) step(s Step) {
@@ -182,6 +201,9 @@
 	return limiter.RequestKey{Service: q.service.Name(), Key: q.key, Caller: q.caller, ID: q.id}
 }
 
+// noUserAgent keeps Request.Write from naming one of its own.
+var noUserAgent = []string{""}
+
 // outgoing returns the request to send under path. It shares the headers of the request that came in.
 func (q *request) outgoing(host, prefix string) *http.Request {
 	path := prefix + "/" + string(q.service.Name()) + "/" + q.rawKey + q.rest
@@ -191,9 +213,9 @@
 		Host:   host,
 		Header: q.r.Header,
 	}
-	out.Header[headerRequestID] = []string{q.id}
+	q.set(out.Header, slotID, headerRequestID, q.id)
 	if _, ok := out.Header["User-Agent"]; !ok {
-		out.Header["User-Agent"] = []string{""}
+		out.Header["User-Agent"] = noUserAgent
 	}
 	q.body.attach(out, q)
 	return out
--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -96,11 +96,37 @@
 	return false
 }
 
+// slot is a place for one header value in a request, which saves an allocation for each.
+type slot int
+
+// The slots of the headers that each request or answer carries.
+const (
+	slotID slot = iota
+	slotPartition
+	slotEpoch
+	slotTerm
+	slotDeadline
+	slotServer
+	slotHops
+	slotOutcome
+	slotEntry
+	slotAnswerID
+	slotCount
+)
+
+// set sets a header to a value that stands in a slot of the request.
+func (q *request) set(h http.Header, s slot, name, value string) {
+	q.values[s] = value
+	h[name] = q.values[s : s+1 : s+1]
+}
+
 // setInt sets a header to a whole number.
-func setInt[N ~int | ~int64 | ~uint64](h http.Header, name string, n N) {
-	h[name] = []string{strconv.FormatInt(int64(n), 10)}
+func setInt[N ~int | ~int64](h http.Header, name string, n N) {
+	h[name] = []string{formatInt(n)}
 }
 
+func formatInt[N ~int | ~int64 | ~uint64](n N) string { return strconv.FormatInt(int64(n), 10) }
+
 // getInt returns a header that must be a whole number, 0 where it is missing or is none.
 func getInt(h http.Header, name string) int64 {
 	n, err := strconv.ParseInt(h.Get(name), 10, 64)
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -65,6 +65,16 @@
 // Waiting returns how many requests wait.
 func (q *Queue) Waiting() int { return len(q.places) }
 
+// Service returns the measured service time of a class; ok is false before the first measurement.
+func (q *Queue) Service(class identifier.ClassName) (mean time.Duration, ok bool) {
+	for _, l := range q.lanes {
+		if l.class == class {
+			return l.mean, l.measured
+		}
+	}
+	return 0, false
+}
+
 // Counts returns the totals.
 func (q *Queue) Counts() Counts { return q.counts }
 
--- a/internal/limiter/queue_test.go
+++ b/internal/limiter/queue_test.go
@@ -109,6 +109,20 @@
 	is.Equal(refusal.Reason, ReasonExpired)
 }
 
+// TestLateStartIsPassedOver frees a slot when the first request has less time left than it needs.
+func TestLateStartIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(1)
+	first := started(is, q.Offer(start, urgent(time.Hour)))
+	q.Done(at(time.Second), first, Served{Took: time.Second})
+	second := started(is, q.Offer(at(time.Second), urgent(time.Hour)))
+	tight := waits(is, q.Offer(at(time.Second), urgent(4*time.Second)))
+	ample := waits(is, q.Offer(at(time.Second), urgent(time.Hour)))
+	change := q.Done(at(3500*time.Millisecond), second, Lost{})
+	is.Equal(change.Started, []Ticket{ample})
+	is.Equal(change.GivenUp[0].Ticket, tight)
+}
+
 func TestStuckServerIsNoticed(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(1)
--- a/internal/loader/fetch.go
+++ b/internal/loader/fetch.go
@@ -16,14 +16,6 @@
 	maxFetchBytes = 64 << 20
 )
 
-// ended returns when e had its effect; for one of a killed server that is not known, and the start stands for it.
-func ended(e faker.Execution) time.Time {
-	if e.End.IsZero() {
-		return e.Start
-	}
-	return e.End
-}
-
 // Fetch reads all executions from stand-in servers or collectors at addresses. One that several of them hold is
 // returned once.
 func Fetch(ctx context.Context, addresses []string) ([]faker.Execution, error) {
--- /dev/null
+++ b/internal/loader/plan_test.go
@@ -0,0 +1,78 @@
+package loader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDecodePlan(t *testing.T) {
+	tests := map[string]struct {
+		raw  string
+		good bool
+	}{
+		"whole":             {raw: "rate: 10\ncount: 5\nretry_pause: 50ms\nkeys: {distribution: hot, hot_every: 2s}\nclasses:\n- {name: a, service: s, timeout: 2s}\n", good: true},
+		"unknown key":       {raw: "rate: 10\ncount: 5\nclases: []\n"},
+		"no rate":           {raw: "count: 5\nclasses: [{name: a, service: s}]\n"},
+		"neither end":       {raw: "rate: 5\nclasses: [{name: a, service: s}]\n"},
+		"both ends":         {raw: "rate: 5\ncount: 5\nduration: 2s\nclasses: [{name: a, service: s}]\n"},
+		"no class":          {raw: "rate: 5\ncount: 5\n"},
+		"no service":        {raw: "rate: 5\ncount: 5\nclasses: [{name: a}]\n"},
+		"wrong share":       {raw: "rate: 5\ncount: 5\nkeys: {hot_share: 2}\nclasses: [{name: a, service: s}]\n"},
+		"wrong kind of key": {raw: "rate: 5\ncount: 5\nkeys: {distribution: normal}\nclasses: [{name: a, service: s}]\n"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plan, err := DecodePlan([]byte(tc.raw))
+			if err == nil {
+				_, err = plan.complete()
+			}
+			is.Equal(err == nil, tc.good)
+		})
+	}
+}
+
+func TestSequence(t *testing.T) {
+	tests := map[string]struct {
+		keys Keys
+		hot  string
+	}{
+		"uniform":   {keys: Keys{Count: 50}},
+		"zipf":      {keys: Keys{Distribution: DistributionZipf, Count: 50}, hot: "key-0"},
+		"hot":       {keys: Keys{Distribution: DistributionHot, Count: 50}, hot: "key-0"},
+		"hot moves": {keys: Keys{Distribution: DistributionHot, Count: 50, HotEvery: 100 * time.Millisecond}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plan := testPlan()
+			plan.Count, plan.Keys, plan.Rate = 2000, tc.keys, 1000
+			plan, err := plan.complete()
+			is.NoErr(err)
+			counts := map[string]int{}
+			first, second := newSequence(plan, "t"), newSequence(plan, "t")
+			for {
+				r, ok := first.next()
+				again, _ := second.next()
+				is.Equal(r.id+r.key, again.id+again.key) // the same seed, the same requests
+				if !ok {
+					break
+				}
+				counts[r.key]++
+			}
+			most := ""
+			for key, n := range counts {
+				if n > counts[most] {
+					most = key
+				}
+			}
+			if tc.hot != "" {
+				is.Equal(most, tc.hot)
+				return
+			}
+			is.True(counts[most] < 200)
+		})
+	}
+}
--- a/internal/loader/tally.go
+++ b/internal/loader/tally.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
 
 // The range and precision of the latency histograms.
@@ -94,9 +92,3 @@
 		t.broken++
 	}
 }
-
-// serviceKey names a key of a service.
-type serviceKey struct {
-	service identifier.ServiceName
-	key     string
-}
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -10,18 +10,14 @@
 	RequestsNotRun
 	RequestsUnknown
 	RequestsForwarded
-	RequestsMoved
 	RequestsRepeated
 	RequestsCancelled
-	RequestsRetried
-	RequestsHedged
 	AnswersCut
 )
 
 // The counters of control work.
 const (
 	RecordsFolded Counter = iota + AnswersCut + 1
-	RecordsAccepted
 	RecordsRefused
 	RecordsRelayed
 	Appends
@@ -53,10 +49,8 @@
 	GrantsFailed
 	RevokesSent
 	RevokesFailed
-	DrainsSent
 	CancelsSent
 	ServersSuspected
-	ServersNotChecking
 	SnapshotsWritten
 	SnapshotsLoaded
 	EventsOverwritten
@@ -92,10 +86,8 @@
 	GrantTime
 	FoldTime
 	ControlStepTime
-	BundleInForceTime
-	MoveTime
 
-	timerCount = int(MoveTime) + 1
+	timerCount = int(ControlStepTime) + 1
 )
 
 // Description is the name of a counter, gauge or timer on the metrics page, and what it counts.
@@ -107,57 +99,51 @@
 }
 
 var counterDescriptions = [counterCount]Description{
-	RequestsReceived:   {"requests_received", "Requests that callers sent to this instance."},
-	RequestsAnswered:   {"requests_answered", "Requests whose caller got the backend server's whole answer."},
-	RequestsNotRun:     {"requests_not_run", "Requests whose caller was told that they were not run."},
-	RequestsUnknown:    {"requests_unknown", "Requests that may have run and whose answer was lost."},
-	RequestsForwarded:  {"requests_forwarded", "Requests passed on to the fronting instance of their backend server."},
-	RequestsMoved:      {"requests_moved", "Forwarded requests that came back unsent because the front or the owner had changed."},
-	RequestsRepeated:   {"requests_repeated", "Requests with an id that this instance had seen before."},
-	RequestsCancelled:  {"requests_cancelled", "Requests whose caller went away before the answer."},
-	RequestsRetried:    {"requests_retried", "Further attempts at requests that may be repeated or were certainly not run."},
-	RequestsHedged:     {"requests_hedged", "Second attempts at idempotent requests while the first one still ran."},
-	AnswersCut:         {"answers_cut", "Answers that broke off and were passed on as visibly broken."},
-	RecordsFolded:      {"records_folded", "Records of the log that this instance has folded."},
-	RecordsAccepted:    {"records_accepted", "Folded records that were accepted."},
-	RecordsRefused:     {"records_refused", "Folded records that were refused; record_refusals tells why."},
-	RecordsRelayed:     {"records_relayed", "Records of the log that came from a peer."},
-	Appends:            {"appends", "Append calls to the log."},
-	AppendsFailed:      {"appends_failed", "Append calls that gave no offset; they may have taken effect."},
-	RecordsAppended:    {"records_appended", "Records in append calls."},
-	LogReads:           {"log_reads", "Read calls to the log."},
-	LogReadsFailed:     {"log_reads_failed", "Read calls to the log that failed."},
-	LogGaps:            {"log_gaps", "Times that records had expired before this instance read them."},
-	ExchangesSent:      {"exchanges_sent", "Heartbeats sent to peers."},
-	ExchangesFailed:    {"exchanges_failed", "Heartbeats to peers that got no answer."},
-	ExchangesAnswered:  {"exchanges_answered", "Heartbeats of peers that were answered."},
-	PledgesGot:         {"pledges_got", "Pledges that peers gave to this instance."},
-	PledgesGiven:       {"pledges_given", "Pledges that this instance gave to peers."},
-	PledgesRefused:     {"pledges_refused", "Pledges that this instance refused to peers."},
-	LeaseLapses:        {"lease_lapses", "Times that this instance lost its lease and stopped sending to backend servers."},
-	BundlesAccepted:    {"bundles_accepted", "Bundles that came into force."},
-	BundlesRefused:     {"bundles_refused", "Published bundles that the fold refused."},
-	InstancesJoined:    {"instances_joined", "Instances that joined the roster."},
-	InstancesLeft:      {"instances_left", "Instances that left the roster by themselves."},
-	Expulsions:         {"expulsions", "Instances that were expelled from the roster."},
-	FrontsTaken:        {"fronts_taken", "Backend servers whose front this instance took over."},
-	FrontsHanded:       {"fronts_handed", "Backend servers whose front this instance handed on."},
-	MovesStarted:       {"moves_started", "Moves of partitions that this instance started."},
-	MovesDone:          {"moves_done", "Moves of partitions that this instance finished by a record."},
-	KeysPinned:         {"keys_pinned", "Keys that got a partition of their own."},
-	KeysUnpinned:       {"keys_unpinned", "Keys that went back to their common partition."},
-	GrantsSent:         {"grants_sent", "Grants sent to backend servers."},
-	GrantsRefused:      {"grants_refused", "Grants that a backend server refused."},
-	GrantsFailed:       {"grants_failed", "Grants that got no answer."},
-	RevokesSent:        {"revokes_sent", "Revocations sent to backend servers."},
-	RevokesFailed:      {"revokes_failed", "Revocations that got no answer or were refused."},
-	DrainsSent:         {"drains_sent", "Drain orders sent to backend servers."},
-	CancelsSent:        {"cancels_sent", "Cancellations sent to backend servers."},
-	ServersSuspected:   {"servers_suspected", "Times that this instance took a backend server for lost."},
-	ServersNotChecking: {"servers_not_checking", "Backend servers found not to check who orders them."},
-	SnapshotsWritten:   {"snapshots_written", "Snapshots of the folded state that this instance appended."},
-	SnapshotsLoaded:    {"snapshots_loaded", "Snapshots of the folded state that this instance started from."},
-	EventsOverwritten:  {"events_overwritten", "Events that fell out of the time line's ring."},
+	RequestsReceived:  {"requests_received", "Requests that callers sent to this instance."},
+	RequestsAnswered:  {"requests_answered", "Requests whose caller got the backend server's whole answer."},
+	RequestsNotRun:    {"requests_not_run", "Requests whose caller was told that they were not run."},
+	RequestsUnknown:   {"requests_unknown", "Requests that may have run and whose answer was lost."},
+	RequestsForwarded: {"requests_forwarded", "Requests passed on to the fronting instance of their backend server."},
+	RequestsRepeated:  {"requests_repeated", "Requests that were answered as repeats of an earlier one."},
+	RequestsCancelled: {"requests_cancelled", "Requests whose caller went away before the answer."},
+	AnswersCut:        {"answers_cut", "Answers that broke off and were passed on as visibly broken."},
+	RecordsFolded:     {"records_folded", "Records of the log that this instance has folded."},
+	RecordsRefused:    {"records_refused", "Folded records other than bundles that were refused; record_refusals tells why."},
+	RecordsRelayed:    {"records_relayed", "Records of the log that came from a peer."},
+	Appends:           {"appends", "Append calls to the log."},
+	AppendsFailed:     {"appends_failed", "Append calls that gave no offset; they may have taken effect."},
+	RecordsAppended:   {"records_appended", "Records in append calls."},
+	LogReads:          {"log_reads", "Read calls to the log."},
+	LogReadsFailed:    {"log_reads_failed", "Read calls to the log that failed."},
+	LogGaps:           {"log_gaps", "Times that records had expired before this instance read them."},
+	ExchangesSent:     {"exchanges_sent", "Heartbeats sent to peers."},
+	ExchangesFailed:   {"exchanges_failed", "Heartbeats to peers that got no answer."},
+	ExchangesAnswered: {"exchanges_answered", "Heartbeats of peers that were answered."},
+	PledgesGot:        {"pledges_got", "Heartbeats that a peer answered with a pledge."},
+	PledgesGiven:      {"pledges_given", "Heartbeats of peers that were answered with a pledge."},
+	PledgesRefused:    {"pledges_refused", "Heartbeats of peers that were answered without a pledge."},
+	LeaseLapses:       {"lease_lapses", "Times that this instance lost its lease and stopped sending to backend servers."},
+	BundlesAccepted:   {"bundles_accepted", "Bundles that came into force."},
+	BundlesRefused:    {"bundles_refused", "Published bundles that the fold refused."},
+	InstancesJoined:   {"instances_joined", "Instances that joined the roster."},
+	InstancesLeft:     {"instances_left", "Instances that left the roster by themselves."},
+	Expulsions:        {"expulsions", "Instances that were expelled from the roster."},
+	FrontsTaken:       {"fronts_taken", "Records by which instances took fronts over, as folded here."},
+	FrontsHanded:      {"fronts_handed", "Records by which instances passed fronts on, as folded here."},
+	MovesStarted:      {"moves_started", "Times that this instance began to empty a backend server."},
+	MovesDone:         {"moves_done", "Records that gave partitions to other servers, as folded here."},
+	KeysPinned:        {"keys_pinned", "Records that gave a key a partition of its own, as folded here."},
+	KeysUnpinned:      {"keys_unpinned", "Records that returned a key to its common partition, as folded here."},
+	GrantsSent:        {"grants_sent", "Grants sent to backend servers."},
+	GrantsRefused:     {"grants_refused", "Grants that a backend server did not accept; the first one of a term may only fetch a nonce."},
+	GrantsFailed:      {"grants_failed", "Grants that got no answer."},
+	RevokesSent:       {"revokes_sent", "Revocations sent to backend servers."},
+	RevokesFailed:     {"revokes_failed", "Revocations that got no answer or were refused."},
+	CancelsSent:       {"cancels_sent", "Cancellations sent to backend servers."},
+	ServersSuspected:  {"servers_suspected", "Times that this instance took a backend server for lost."},
+	SnapshotsWritten:  {"snapshots_written", "Parts of snapshots in the log, as folded here."},
+	SnapshotsLoaded:   {"snapshots_loaded", "Times that this instance loaded the state from the log."},
+	EventsOverwritten: {"events_overwritten", "Events that fell out of the time line's ring."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
@@ -172,14 +158,12 @@
 }
 
 var timerDescriptions = [timerCount]Description{
-	AppendTime:        {"append_time", "Time of an append call."},
-	LogReadTime:       {"log_read_time", "Time of a read call to the log, without the wait for new records."},
-	ExchangeTime:      {"exchange_time", "Time of an answered heartbeat."},
-	GrantTime:         {"grant_time", "Time of an answered grant."},
-	FoldTime:          {"fold_time", "Time to fold the records of one read."},
-	ControlStepTime:   {"control_step_time", "Time of one step of the control thread."},
-	BundleInForceTime: {"bundle_in_force_time", "Time from the append of a bundle, by its author's clock, to its use here."},
-	MoveTime:          {"move_time", "Time from the start of a partition's move to its record."},
+	AppendTime:      {"append_time", "Time of an append call."},
+	LogReadTime:     {"log_read_time", "Time of a read call to the log, with its wait for new records."},
+	ExchangeTime:    {"exchange_time", "Time of an answered heartbeat."},
+	GrantTime:       {"grant_time", "Time of an answered grant."},
+	FoldTime:        {"fold_time", "Time to fold the records of one read."},
+	ControlStepTime: {"control_step_time", "Time of one step of the control thread."},
 }
 
 // String returns the counter's name on the metrics page.
--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -120,13 +120,14 @@
 }
 
 // Pin gives Key a partition of its own, Index, on the server that owns the key's partition Base at Epoch.
-// The author fronts that server at Term.
+// The author fronts that server at Term, and the service's pins are at Version.
 type Pin struct {
 	Service identifier.ServiceName    `json:"service"`
 	Key     string                    `json:"key"`
 	Base    identifier.PartitionIndex `json:"base"`
 	Epoch   identifier.Epoch          `json:"epoch"`
 	Term    identifier.Term           `json:"term"`
+	Version uint64                    `json:"version"`
 }
 
 // Unpin returns Key to its partition Base; both are on the server that the author fronts at Term.
@@ -136,6 +137,7 @@
 	Base    identifier.PartitionIndex `json:"base"`
 	Epoch   identifier.Epoch          `json:"epoch"`
 	Term    identifier.Term           `json:"term"`
+	Version uint64                    `json:"version"`
 }
 
 // Snapshot is one part of the folded state before the record at AsOf.
--- a/internal/reducer/apply.go
+++ b/internal/reducer/apply.go
@@ -74,6 +74,7 @@
 		return nil, ErrGap{Want: st.s.Next, Got: offset}
 	}
 	st.s.Next = offset + 1
+	st.sorted = sortedNames{}
 	envelope, err := recorder.Decode(data)
 	if err != nil {
 		return Refused{Offset: offset, Reason: ReasonMalformed, Detail: err.Error()}, nil
@@ -129,7 +130,7 @@
 	case recorder.Unpin:
 		return st.applyUnpin(origin, r)
 	case recorder.Snapshot:
-		return st.applySnapshot(r)
+		return st.applySnapshot(origin, r)
 	default:
 		return refusal{reason: ReasonMalformed, detail: "no rule for this record"}
 	}
--- a/internal/reducer/bundle.go
+++ b/internal/reducer/bundle.go
@@ -22,10 +22,36 @@
 	if err := bundler.CheckSuccessor(st.bundle, next); err != nil {
 		return refusal{reason: ReasonNotSuccessor, detail: st.lostTo(err)}
 	}
+	if no := st.checkDeclared(next); no.refused() {
+		return no
+	}
 	st.adoptBundle(origin, r.Signed, next)
 	return refusal{}
 }
 
+// checkDeclared refuses a bundle that gives a name of an earlier bundle another meaning: epochs, terms and the keys'
+// partitions go on from what the name had.
+func (st *State) checkDeclared(next *bundler.Bundle) refusal {
+	for _, service := range next.Services() {
+		if known, ok := st.s.Services[service.Name()]; ok && known.Base != service.Partitions() {
+			return refusal{
+				reason: ReasonNotSuccessor,
+				detail: fmt.Sprintf("service %s once had %d partitions and must keep them", service.Name(), known.Base),
+			}
+		}
+		for _, server := range service.Servers() {
+			known, ok := st.s.Servers[server.Name()]
+			if ok && (known.Address != server.Address() || known.Service != service.Name()) {
+				return refusal{
+					reason: ReasonNotSuccessor,
+					detail: fmt.Sprintf("server %s was once declared at %s for %s", server.Name(), known.Address, known.Service),
+				}
+			}
+		}
+	}
+	return refusal{}
+}
+
 // signers returns those who may sign off the next bundle.
 func (st *State) signers() []bundler.Signer {
 	if st.bundle == nil {
@@ -71,7 +97,7 @@
 	for _, server := range service.Servers() {
 		known, ok := st.s.Servers[server.Name()]
 		if !ok {
-			known = &ServerState{}
+			known = &ServerState{Service: service.Name()}
 			st.s.Servers[server.Name()] = known
 		}
 		known.Address = server.Address()
--- a/internal/reducer/front.go
+++ b/internal/reducer/front.go
@@ -7,12 +7,14 @@
 	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
 
-// settle forgets an instance that can act no more; clean says that it stopped by its own word.
+// settle forgets an instance that can act no more; clean says that it stopped by its own word. A holder that goes ends
+// its term, so that a claim which was refused while it held can't be accepted when it is repeated.
 func (f *FrontState) settle(id identifier.InstanceID, clean bool) {
 	f.Unsettled = slices.DeleteFunc(f.Unsettled, func(other identifier.InstanceID) bool { return other == id })
 	if f.Holder == id {
 		f.Holder = ""
 		f.Clean = clean
+		f.Term++
 	}
 }
 
--- a/internal/reducer/ownership.go
+++ b/internal/reducer/ownership.go
@@ -79,6 +79,9 @@
 	if r.Key == "" || service.pinOf(r.Key) >= 0 {
 		return refusal{reason: ReasonRepeat, detail: "the key is pinned"}
 	}
+	if r.Version != service.PinVersion {
+		return refusal{reason: ReasonStale, detail: "the pins have changed since"}
+	}
 	if no := st.checkBase(origin, service, r.Base, r.Epoch, r.Term); no.refused() {
 		return no
 	}
@@ -89,6 +92,7 @@
 	pin := &service.Pins[slot]
 	pin.Key = r.Key
 	pin.Base = r.Base
+	service.PinVersion++
 	partition := &service.Partitions[pin.Index]
 	partition.Owner = service.Partitions[r.Base].Owner
 	partition.Epoch++
@@ -137,6 +141,9 @@
 	if !ok {
 		return refusal{reason: ReasonUnknown, detail: string(r.Service) + " is not keyed"}
 	}
+	if r.Version != service.PinVersion {
+		return refusal{reason: ReasonStale, detail: "the pins have changed since"}
+	}
 	slot := service.pinOf(r.Key)
 	if r.Key == "" || slot < 0 || service.Pins[slot].Base != r.Base {
 		return refusal{reason: ReasonUnknown, detail: "the key is not pinned from that partition"}
@@ -152,5 +159,6 @@
 	pinned.Epoch++
 	pinned.Provenance = origin
 	service.Pins[slot].Key = ""
+	service.PinVersion++
 	return refusal{}
 }
--- a/internal/reducer/roster.go
+++ b/internal/reducer/roster.go
@@ -55,6 +55,7 @@
 		return
 	}
 	delete(st.s.Members, id)
+	delete(st.s.Snapshots, id)
 	st.s.RosterVersion++
 	st.rememberGone(id, origin.Offset)
 	for _, server := range st.s.Servers {
--- a/internal/reducer/snapshot.go
+++ b/internal/reducer/snapshot.go
@@ -43,15 +43,25 @@
 	return clone, clone.Unmarshal(data)
 }
 
-func (st *State) applySnapshot(r recorder.Snapshot) refusal {
+func (st *State) applySnapshot(origin Provenance, r recorder.Snapshot) refusal {
 	if r.Parts < 1 || r.Part < 0 || r.Part >= r.Parts {
 		return refusal{reason: ReasonMalformed, detail: "no such part"}
 	}
 	if r.AsOf <= st.s.SnapshotAt {
 		return refusal{reason: ReasonStale, detail: "a newer snapshot is in the log"}
 	}
-	if r.Part == r.Parts-1 {
+	progress := st.s.Snapshots[origin.Author]
+	if progress.AsOf != r.AsOf || progress.Parts != r.Parts {
+		progress = SnapshotProgress{AsOf: r.AsOf, Parts: r.Parts}
+	}
+	if r.Part != progress.Got {
+		return refusal{reason: ReasonStale, detail: "not the next part of the snapshot"}
+	}
+	progress.Got++
+	st.s.Snapshots[origin.Author] = progress
+	if progress.Got == r.Parts {
 		st.s.SnapshotAt = r.AsOf
+		delete(st.s.Snapshots, origin.Author)
 	}
 	return refusal{}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -4,6 +4,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -96,15 +97,24 @@
 	Base       int              `json:"base"`
 	Partitions []PartitionState `json:"partitions"`
 	Pins       []PinState       `json:"pins"`
+	PinVersion uint64           `json:"pin_version"`
 }
 
 // ServerState is what is known for good about one backend server.
 type ServerState struct {
-	Address string     `json:"address"`
-	Front   FrontState `json:"front"`
-	Met     bool       `json:"met"`
-	Checks  bool       `json:"checks"`
-	Version uint64     `json:"version"`
+	Service identifier.ServiceName `json:"service"`
+	Address string                 `json:"address"`
+	Front   FrontState             `json:"front"`
+	Met     bool                   `json:"met"`
+	Checks  bool                   `json:"checks"`
+	Version uint64                 `json:"version"`
+}
+
+// SnapshotProgress counts the parts of a snapshot that one author has written so far, in order.
+type SnapshotProgress struct {
+	AsOf  identifier.Offset `json:"as_of"`
+	Parts int               `json:"parts"`
+	Got   int               `json:"got"`
 }
 
 // state is the serialised form of State. Maps marshal with sorted keys.
@@ -117,6 +127,7 @@
 	Servers       map[identifier.ServerName]*ServerState      `json:"servers"`
 	Services      map[identifier.ServiceName]*ServiceState    `json:"services"`
 	SnapshotAt    identifier.Offset                           `json:"snapshot_at"`
+	Snapshots     map[identifier.InstanceID]SnapshotProgress  `json:"snapshots"`
 	Widest        Widest                                      `json:"widest"`
 	Gone          map[identifier.InstanceID]identifier.Offset `json:"gone"`
 }
@@ -146,6 +157,14 @@
 	genesis Genesis
 	s       state
 	bundle  *bundler.Bundle
+	sorted  sortedNames
+}
+
+// sortedNames keeps the sorted lists until the next record.
+type sortedNames struct {
+	members  []Member
+	servers  []identifier.ServerName
+	services []identifier.ServiceName
 }
 
 // NewState returns the state before the first record.
@@ -155,10 +174,11 @@
 
 func emptyState() state {
 	return state{
-		Members:  map[identifier.InstanceID]*Member{},
-		Servers:  map[identifier.ServerName]*ServerState{},
-		Services: map[identifier.ServiceName]*ServiceState{},
-		Gone:     map[identifier.InstanceID]identifier.Offset{},
+		Members:   map[identifier.InstanceID]*Member{},
+		Servers:   map[identifier.ServerName]*ServerState{},
+		Services:  map[identifier.ServiceName]*ServiceState{},
+		Gone:      map[identifier.InstanceID]identifier.Offset{},
+		Snapshots: map[identifier.InstanceID]SnapshotProgress{},
 	}
 }
 
@@ -180,14 +200,15 @@
 // Widest returns the longest protocol times ever in force.
 func (st *State) Widest() Widest { return st.s.Widest }
 
-// Members returns the roster in order of instance id, the expelled included.
+// Members returns the roster in order of instance id, the expelled included. The caller must not change it.
 func (st *State) Members() []Member {
-	members := make([]Member, 0, len(st.s.Members))
-	for _, m := range st.s.Members {
-		members = append(members, *m)
+	if st.sorted.members == nil {
+		st.sorted.members = make([]Member, 0, len(st.s.Members))
+		for _, id := range slices.Sorted(maps.Keys(st.s.Members)) {
+			st.sorted.members = append(st.sorted.members, *st.s.Members[id])
+		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
-	return members
+	return st.sorted.members
 }
 
 // GetMemberByID returns one instance of the roster.
@@ -214,14 +235,12 @@
 	return *s, true
 }
 
-// ServerNames returns the backend servers ever declared, sorted.
+// ServerNames returns the backend servers ever declared, sorted. The caller must not change it.
 func (st *State) ServerNames() []identifier.ServerName {
-	names := make([]identifier.ServerName, 0, len(st.s.Servers))
-	for name := range st.s.Servers {
-		names = append(names, name)
+	if st.sorted.servers == nil {
+		st.sorted.servers = slices.Sorted(maps.Keys(st.s.Servers))
 	}
-	slices.Sort(names)
-	return names
+	return st.sorted.servers
 }
 
 // GetServiceByName returns the partitions of a keyed service. The caller must not change them.
@@ -233,23 +252,10 @@
 	return *s, true
 }
 
-// ServiceNames returns the keyed services ever declared, sorted.
+// ServiceNames returns the keyed services ever declared, sorted. The caller must not change it.
 func (st *State) ServiceNames() []identifier.ServiceName {
-	names := make([]identifier.ServiceName, 0, len(st.s.Services))
-	for name := range st.s.Services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func compareIDs(a, b identifier.InstanceID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
+	if st.sorted.services == nil {
+		st.sorted.services = slices.Sorted(maps.Keys(st.s.Services))
 	}
+	return st.sorted.services
 }
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -92,6 +92,13 @@
 	return nil
 }
 
+// Allows reports whether a request would be let through at now.
+func (g *Gate) Allows(partition identifier.PartitionID, epoch identifier.Epoch, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.check(partition, epoch, now) == nil
+}
+
 // Leave takes a request that entered out of the count.
 func (g *Gate) Leave(partition identifier.PartitionID) {
 	g.mu.Lock()
--- a/internal/tracer/kind.go
+++ b/internal/tracer/kind.go
@@ -11,9 +11,7 @@
 	KindInstanceJoined   Kind = "instance_joined"
 	KindInstanceLeft     Kind = "instance_left"
 	KindInstanceExpelled Kind = "instance_expelled"
-	KindInstanceGone     Kind = "instance_gone"
 	KindPeerSilent       Kind = "peer_silent"
-	KindPeerHeard        Kind = "peer_heard"
 	KindWitnessesSet     Kind = "witnesses_set"
 	KindPauseNoticed     Kind = "pause_noticed"
 )
@@ -21,10 +19,7 @@
 // The kinds of an instance's right to act.
 const (
 	KindLeaseGained    Kind = "lease_gained"
-	KindLeasePledged   Kind = "lease_pledged"
 	KindLeaseLapsed    Kind = "lease_lapsed"
-	KindPledgeGiven    Kind = "pledge_given"
-	KindPledgeRefused  Kind = "pledge_refused"
 	KindPledgeReleased Kind = "pledge_released"
 )
 
@@ -42,32 +37,25 @@
 const (
 	KindBundleAccepted Kind = "bundle_accepted"
 	KindBundleRefused  Kind = "bundle_refused"
-	KindBundleInForce  Kind = "bundle_in_force"
 )
 
 // The kinds of ownership.
 const (
 	KindFrontTaken         Kind = "front_taken"
 	KindFrontHanded        Kind = "front_handed"
-	KindFrontLost          Kind = "front_lost"
 	KindPartitionsAssigned Kind = "partitions_assigned"
 	KindMoveStarted        Kind = "move_started"
 	KindMoveDone           Kind = "move_done"
-	KindMoveGivenUp        Kind = "move_given_up"
 	KindKeyPinned          Kind = "key_pinned"
 	KindKeyUnpinned        Kind = "key_unpinned"
 )
 
 // The kinds of backend servers.
 const (
-	KindServerMet         Kind = "server_met"
-	KindServerNotChecking Kind = "server_not_checking"
-	KindServerSuspected   Kind = "server_suspected"
-	KindServerBack        Kind = "server_back"
-	KindServerDraining    Kind = "server_draining"
-	KindGrantAccepted     Kind = "grant_accepted"
-	KindGrantRefused      Kind = "grant_refused"
-	KindGrantLapsed       Kind = "grant_lapsed"
+	KindServerMet       Kind = "server_met"
+	KindServerSuspected Kind = "server_suspected"
+	KindServerBack      Kind = "server_back"
+	KindGrantAccepted   Kind = "grant_accepted"
 )
 
 // The kinds of requests; only what should be rare is an event.
@@ -108,43 +96,31 @@
 	{KindInstanceJoined, GroupMembership, true, "An instance joined the roster by a record."},
 	{KindInstanceLeft, GroupMembership, true, "An instance left the roster by its own record."},
 	{KindInstanceExpelled, GroupMembership, true, "An instance was expelled by a record because it was no longer heard."},
-	{KindInstanceGone, GroupMembership, false, "An expelled instance can no longer act; its fronts are free."},
 	{KindPeerSilent, GroupMembership, false, "No heartbeat of the peer for longer than the bundle's timings allow."},
-	{KindPeerHeard, GroupMembership, false, "A silent peer is heard again."},
 	{KindWitnessesSet, GroupMembership, true, "The witnesses of an instance changed by a record."},
 	{KindPauseNoticed, GroupMembership, false, "The process itself stood still; the silence of others meanwhile does not count."},
 	{KindLeaseGained, GroupLease, false, "The instance has read the log up to its tail and may act."},
-	{KindLeasePledged, GroupLease, false, "The log can't be read; pledges of a majority of the witnesses keep the lease up."},
 	{KindLeaseLapsed, GroupLease, false, "The lease ran out; the instance sends nothing to backend servers."},
-	{KindPledgeGiven, GroupLease, false, "The instance gave a peer its first pledge since the peer lost the log."},
-	{KindPledgeRefused, GroupLease, false, "The instance refused a pledge; the detail says why."},
 	{KindPledgeReleased, GroupLease, true, "By a record the pledges of a witness to an expelled instance have run out."},
 	{KindLogLost, GroupLog, false, "The log can't be read."},
 	{KindLogBack, GroupLog, false, "The log can be read again."},
 	{KindLogGap, GroupLog, false, "Records had expired before they were read; the instance starts again from a snapshot."},
 	{KindRecordRefused, GroupLog, true, "The fold refused a record; the detail says what it lost to."},
 	{KindSnapshotWritten, GroupLog, true, "A snapshot of the folded state was appended."},
-	{KindSnapshotLoaded, GroupLog, false, "The instance started from a snapshot."},
+	{KindSnapshotLoaded, GroupLog, false, "The instance loaded the state from the log, from the newest snapshot on if there is one."},
 	{KindBundleAccepted, GroupBundle, true, "The fold accepted a signed-off bundle."},
 	{KindBundleRefused, GroupBundle, true, "The fold refused a bundle; the detail says why."},
-	{KindBundleInForce, GroupBundle, false, "Requests on this instance are treated by the bundle from now on."},
 	{KindFrontTaken, GroupOwnership, true, "By a record an instance fronts further backend servers."},
 	{KindFrontHanded, GroupOwnership, true, "By a record an instance passed the front of a backend server on; it had stopped sending."},
-	{KindFrontLost, GroupOwnership, false, "The instance no longer fronts a backend server."},
 	{KindPartitionsAssigned, GroupOwnership, true, "By a record partitions got their first owner."},
 	{KindMoveStarted, GroupOwnership, false, "A move of partitions away from a backend server began."},
 	{KindMoveDone, GroupOwnership, true, "The moved partitions have their new owner by a record."},
-	{KindMoveGivenUp, GroupOwnership, false, "A move was given up; the owner stays."},
 	{KindKeyPinned, GroupOwnership, true, "A hot key got a partition of its own."},
 	{KindKeyUnpinned, GroupOwnership, true, "A key went back to its common partition."},
 	{KindServerMet, GroupServer, true, "The log records whether a backend server checks its orders."},
-	{KindServerNotChecking, GroupServer, false, "A backend server that was taken to check its orders doesn't."},
 	{KindServerSuspected, GroupServer, false, "A backend server is taken for lost."},
 	{KindServerBack, GroupServer, false, "A backend server that was taken for lost answers again."},
-	{KindServerDraining, GroupServer, false, "A backend server is leaving and gets no new work."},
 	{KindGrantAccepted, GroupServer, false, "A backend server accepted its first grant of a term."},
-	{KindGrantRefused, GroupServer, false, "A backend server refused a grant."},
-	{KindGrantLapsed, GroupServer, false, "A grant ran out by the clock of the instance that issued it."},
 	{KindRequestUnknown, GroupRequest, false, "A caller was told that its request may have run."},
 	{KindAnswerCut, GroupRequest, false, "An answer broke off and was passed on as visibly broken."},
 }
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -3,6 +3,7 @@
 package tracer
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,10 @@
 const (
 	// DefaultCapacity is the number of events that a Ring keeps unless told otherwise.
 	DefaultCapacity = 4096
+	// foldTime is how long further events of requests that are alike are counted with the first one.
+	foldTime = time.Second
+	// maxFolds bounds the kinds of alike events that a Ring tells apart.
+	maxFolds = 256
 	// maxTextBytes bounds the subject and the detail of an event.
 	maxTextBytes = 512
 )
@@ -33,6 +38,16 @@
 	Subject string `json:"subject"`
 	// Detail is a short text for a reader.
 	Detail string `json:"detail"`
+	// Further counts the events like this one within the next second; only events of requests are counted so.
+	Further int `json:"further,omitempty"`
+}
+
+// Text returns the detail, with the count of further events where there are any.
+func (e Event) Text() string {
+	if e.Further == 0 {
+		return e.Detail
+	}
+	return strings.TrimSpace(fmt.Sprintf("%s (and %d more within %v)", e.Detail, e.Further, foldTime))
 }
 
 // Page is what one process knows of the time line.
@@ -55,6 +70,14 @@
 	oldest      int
 	offset      identifier.Offset
 	overwritten uint64
+	folds       map[foldKey]int
+}
+
+// foldKey is what events have in common that are counted together.
+type foldKey struct {
+	kind    Kind
+	subject string
+	detail  string
 }
 
 // NewRing returns a Ring of the process instance that keeps capacity events; a capacity below 1 is DefaultCapacity.
@@ -71,7 +94,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.offset = max(r.offset, offset)
-	r.put(Event{
+	e := Event{
 		Time:     now.Round(0).UTC(),
 		Clock:    r.clock.read(now),
 		Instance: r.instance,
@@ -79,7 +102,38 @@
 		Kind:     kind,
 		Subject:  bounded(subject),
 		Detail:   bounded(detail),
-	})
+	}
+	if kind.Group() == GroupRequest && r.fold(e) {
+		return
+	}
+	r.put(e)
+}
+
+// fold counts e with an event like it that is not older than foldTime, so that a burst of requests does not push the
+// rest out of the ring. It returns false where there is none, and then e is put in the next place.
+func (r *Ring) fold(e Event) bool {
+	key := foldKey{kind: e.Kind, subject: e.Subject, detail: e.Detail}
+	if place, ok := r.folds[key]; ok {
+		first := &r.events[place]
+		alike := first.Kind == e.Kind && first.Subject == e.Subject && first.Detail == e.Detail
+		if alike && e.Time.Sub(first.Time) < foldTime {
+			first.Further++
+			return true
+		}
+	}
+	if r.folds == nil || len(r.folds) >= maxFolds {
+		r.folds = map[foldKey]int{}
+	}
+	r.folds[key] = r.next()
+	return false
+}
+
+// next returns the place of the next event.
+func (r *Ring) next() int {
+	if len(r.events) < r.capacity {
+		return len(r.events)
+	}
+	return r.oldest
 }
 
 // Read returns a reading of the hybrid logical clock, to send to another process.
--- a/internal/tracer/write.go
+++ b/internal/tracer/write.go
@@ -1,6 +1,7 @@
 package tracer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,8 +16,8 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "TIME\tOFFSET\tINSTANCE\tKIND\tSUBJECT\tDETAIL")
 	for _, row := range t.Rows() {
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\n",
-			row.Time.Format(timeFormat), row.Offset, row.who(len(t.Instances)), row.Kind, orDash(row.Subject), row.Detail)
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\n",
+			row.Time.Format(timeFormat), row.Offset, row.who(len(t.Instances)), row.Kind, row.about())
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -36,9 +37,11 @@
 	return fmt.Sprintf("%d events of %d instances, %d earlier events overwritten", len(t.Events), len(t.Instances), t.Overwritten)
 }
 
-func orDash(text string) string {
-	if text == "" {
-		return "-"
+// about returns the cells of subject and detail; the table does not fill up the last cell of a line.
+func (r Row) about() string {
+	subject := cmp.Or(r.Subject, "-")
+	if r.Text() == "" {
+		return subject
 	}
-	return text
+	return subject + "\t" + r.Text()
 }
--- a/pkg/bundler/bundle.go
+++ b/pkg/bundler/bundle.go
@@ -128,7 +128,7 @@
 // PublicKey returns a copy of the key that checks the person's signatures.
 func (s Signer) PublicKey() ed25519.PublicKey { return slices.Clone(s.publicKey) }
 
-// CallerLimit bounds what one caller may ask of one entry instance set.
+// CallerLimit bounds what one caller may ask.
 type CallerLimit struct {
 	caller     identifier.CallerName
 	rate       float64
@@ -139,11 +139,12 @@
 // Caller returns the caller's name; `*` stands for callers without a limit of their own.
 func (l CallerLimit) Caller() identifier.CallerName { return l.caller }
 
-// Rate returns the requests allowed per second over all entry instances.
+// Rate returns the requests allowed per second, of all instances together.
 func (l CallerLimit) Rate() float64 { return l.rate }
 
-// Burst returns how many requests may come at once.
+// Burst returns how many requests one instance takes at once.
 func (l CallerLimit) Burst() int { return l.burst }
 
-// Concurrent returns how many requests may be under way at once; 0 is no limit.
+// Concurrent returns how many requests may be under way at once, at all instances together; 0 is no limit.
+// Each instance allows its share, rounded up.
 func (l CallerLimit) Concurrent() int { return l.concurrent }
--- a/pkg/bundler/class.go
+++ b/pkg/bundler/class.go
@@ -87,9 +87,23 @@
 	return m.method == other.method && slices.Equal(m.segments, other.segments)
 }
 
-// all reports whether the match takes every request.
-func (m match) all() bool {
-	return m.method == anyMethod && len(m.segments) == 1 && m.segments[0] == anySegments
+// covers reports whether m takes every request that other takes.
+func (m match) covers(other match) bool {
+	if m.method != anyMethod && m.method != other.method {
+		return false
+	}
+	for i, want := range m.segments {
+		if want == anySegments {
+			return true
+		}
+		if i >= len(other.segments) || other.segments[i] == anySegments {
+			return false
+		}
+		if want != anySegment && want != other.segments[i] {
+			return false
+		}
+	}
+	return len(m.segments) == len(other.segments)
 }
 
 func (c *classData) matches(method, rest string) bool {
--- a/pkg/bundler/class_test.go
+++ b/pkg/bundler/class_test.go
@@ -33,3 +33,25 @@
 		})
 	}
 }
+
+func TestCovers(t *testing.T) {
+	tests := map[string]struct {
+		first, second match
+		want          bool
+	}{
+		"same":             {first: newMatch("GET", "/a"), second: newMatch("GET", "/a"), want: true},
+		"everything":       {first: newMatch("*", "/**"), second: newMatch("PUT", "/a/*"), want: true},
+		"prefix":           {first: newMatch("GET", "/a/**"), second: newMatch("GET", "/a"), want: true},
+		"one segment":      {first: newMatch("GET", "/*"), second: newMatch("GET", "/a"), want: true},
+		"other method":     {first: newMatch("GET", "/**"), second: newMatch("PUT", "/a")},
+		"any method after": {first: newMatch("GET", "/a"), second: newMatch("*", "/a")},
+		"narrow first":     {first: newMatch("GET", "/a/*"), second: newMatch("GET", "/a/**")},
+		"longer":           {first: newMatch("GET", "/a"), second: newMatch("GET", "/a/b")},
+		"shorter":          {first: newMatch("GET", "/a/b"), second: newMatch("GET", "/a")},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(tc.first.covers(tc.second), tc.want)
+		})
+	}
+}
--- a/pkg/bundler/decode_class.go
+++ b/pkg/bundler/decode_class.go
@@ -112,7 +112,7 @@
 
 func (c *classData) covers(pattern match) bool {
 	for _, mine := range c.patterns {
-		if mine.all() || mine.equal(pattern) {
+		if mine.covers(pattern) {
 			return true
 		}
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,12 +24,13 @@
 finish() {
   local code=$? name
   trap - EXIT INT TERM
+  set +e
   # Entries stop gracefully first, while the platform and the servers still answer.
   stop_all entry_
   stop_all ''
   if [ "$code" -ne 0 ]; then
     for name in "$dir"/*.err; do
-      [ "$name" != "$dir/load.err" ] && [ -s "$name" ] && { printf -- '--- %s\n' "$(basename "$name")"; tail -n 20 "$name"; } >&2
+      if [ -s "$name" ]; then tail -n 20 "$name" | sed "s|^|$(basename "$name"): |" >&2; fi
     done
   fi
   rm -rf "$dir"
@@ -38,14 +39,15 @@
 
 # stop_all PREFIX stops the processes whose names begin so.
 stop_all() {
-  local name
+  local name names=()
   for name in "${!pid_of[@]}"; do
-    [[ $name == "$1"* ]] && kill -TERM "${pid_of[$name]}" 2>/dev/null
+    if [[ $name == "$1"* ]]; then names+=("$name"); fi
   done
-  for name in "${!pid_of[@]}"; do
-    [[ $name == "$1"* ]] && stop_hard "${pid_of[$name]}" && unset "pid_of[$name]"
+  for name in "${names[@]}"; do kill -TERM "${pid_of[$name]}" 2>/dev/null || true; done
+  for name in "${names[@]}"; do
+    stop_hard "${pid_of[$name]}"
+    unset "pid_of[$name]"
   done
-  return 0
 }
 
 # stop_hard waits for the end of a process and kills it where it takes too long.
@@ -83,7 +85,7 @@
   return 1
 }
 
-listens() { grep -q '^listening ' "$dir/$1.out"; }
+listens() { grep -q "^listening " "$dir/$1.out" 2>/dev/null; }
 
 # address NAME [PORT] prints the address that a process listens on.
 address() {
@@ -108,7 +110,7 @@
 
 is_ready() { [ "$(http GET "$(address "$1" admin)" /ready)" = 200 ]; }
 
-has_sent() { grep -q "^sent $1\$" "$dir/load.err"; }
+has_sent() { grep -q "^sent $1\$" "$dir/load.err" 2>/dev/null; }
 
 # kill_hard NAME kills one process that this script started.
 kill_hard() {
@@ -228,5 +230,11 @@
   note 'not every request has an outcome'
   exit 1
 fi
+for name in "${!pid_of[@]}"; do
+  if ! kill -0 "${pid_of[$name]}" 2>/dev/null; then
+    note "$name ended by itself"
+    code=1
+  fi
+done
 printf 'demo: %s\n' "$line"
 exit "$code"
