--- a/cmd/bundle.go
+++ b/cmd/bundle.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 
-	"github.com/pkg/errors"
-
 	"github.com/wasabibank/wasabibank/pkg/bundler"
 	"github.com/wasabibank/wasabibank/pkg/reporter"
 	"github.com/wasabibank/wasabibank/pkg/reporter/parser"
@@ -40,22 +38,6 @@
 	return flags
 }
 
-// parseBundleFlags reads args, of which least to most are no flags. When it returns false, the verb ends with the code.
-func parseBundleFlags(flags *flag.FlagSet, args []string, least, most int) (ExitCode, bool) {
-	err := flags.Parse(args)
-	if errors.Is(err, flag.ErrHelp) {
-		return ExitDone, false
-	}
-	if err != nil {
-		return ExitUsage, false
-	}
-	if flags.NArg() < least || flags.NArg() > most {
-		flags.Usage()
-		return ExitUsage, false
-	}
-	return ExitDone, true
-}
-
 // failBundle prints err, findings one a line, and returns the exit code of a failure.
 func failBundle(stderr io.Writer, err error) ExitCode {
 	if reporter.IsErrFindings(err) {
--- a/cmd/bundle_check.go
+++ b/cmd/bundle_check.go
@@ -13,7 +13,7 @@
 	flags := bundleFlags("check", "[-parent FILE] FILE...",
 		"Checks each bundle whole and prints every finding of all files. Exit code 1 when there are findings.", stderr)
 	parentPath := flags.String("parent", "", "the bundle in force, which each FILE must be able to follow")
-	if code, ok := parseBundleFlags(flags, args, 1, math.MaxInt); !ok {
+	if code, ok := parseFlags(flags, args, 1, math.MaxInt); !ok {
 		return code
 	}
 	parent, err := readParent(*parentPath)
--- a/cmd/bundle_keygen.go
+++ b/cmd/bundle_keygen.go
@@ -26,7 +26,7 @@
 	flags := bundleFlags("keygen", "PREFIX",
 		"Makes an Ed25519 key pair: PREFIX.key.pem (private, PKCS 8) and PREFIX.pub (public, base64, as bundles hold it).\n"+
 			"Files that exist are not overwritten.", stderr)
-	if code, ok := parseBundleFlags(flags, args, 1, 1); !ok {
+	if code, ok := parseFlags(flags, args, 1, 1); !ok {
 		return code
 	}
 	public, private, err := ed25519.GenerateKey(rand.Reader)
--- a/cmd/bundle_publish.go
+++ b/cmd/bundle_publish.go
@@ -23,7 +23,7 @@
 	var log logFlags
 	log.register(flags)
 	operator := flags.String("operator", "", "who publishes; the bundle's approver when left out")
-	if code, ok := parseBundleFlags(flags, args, 1, 1); !ok {
+	if code, ok := parseFlags(flags, args, 1, 1); !ok {
 		return code
 	}
 	if log.settings == "" {
--- a/cmd/bundle_show.go
+++ b/cmd/bundle_show.go
@@ -17,7 +17,7 @@
 	var log logFlags
 	log.register(flags)
 	raw := flags.Bool("raw", false, "print the signed text alone, byte for byte")
-	if code, ok := parseBundleFlags(flags, args, 0, 1); !ok {
+	if code, ok := parseFlags(flags, args, 0, 1); !ok {
 		return code
 	}
 	if (log.settings == "") == (flags.NArg() == 0) {
--- a/cmd/bundle_sign.go
+++ b/cmd/bundle_sign.go
@@ -18,7 +18,7 @@
 		"Checks the bundle FILE and adds one signature to FILE.sign_off. Author and approver both sign.", stderr)
 	signer := flags.String("signer", "", "the name of the signer: the bundle's author or approver")
 	keyPath := flags.String("key", "", "the signer's private key, as keygen writes it")
-	if code, ok := parseBundleFlags(flags, args, 1, 1); !ok {
+	if code, ok := parseFlags(flags, args, 1, 1); !ok {
 		return code
 	}
 	if *signer == "" || *keyPath == "" {
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -31,10 +31,10 @@
 		fmt.Fprintln(stderr, "SIGTERM and SIGINT begin a planned stop: nothing in flight is cut.")
 		flags.PrintDefaults()
 	}
-	if err := flags.Parse(args); err != nil {
-		return usageCode(err)
+	if code, ok := parseFlags(flags, args, 0, 0); !ok {
+		return code
 	}
-	if *path == "" || flags.NArg() > 0 {
+	if *path == "" {
 		flags.Usage()
 		return ExitUsage
 	}
@@ -65,11 +65,3 @@
 	}
 	return ExitDone
 }
-
-// usageCode returns the exit code for an error of flag parsing; asking for help is no error.
-func usageCode(err error) ExitCode {
-	if err == flag.ErrHelp {
-		return ExitDone
-	}
-	return ExitUsage
-}
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -70,7 +70,7 @@
 
 func runLoad(args []string, stdout, stderr io.Writer) ExitCode {
 	f := newLoadFlags(stderr)
-	if code, ok := parseBundleFlags(f.set, args, 0, 0); !ok {
+	if code, ok := parseFlags(f.set, args, 0, 0); !ok {
 		return code
 	}
 	settings, err := f.settings(stderr)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,9 +66,10 @@
 	// leaving are the names of the instances that the platform lists as leaving.
 	leaving []string
 	// closed says that the instance leaves and nobody is left to take its fronts.
-	closed       bool
-	planPinsAt   time.Time
-	coolSince    map[pinnedKey]time.Time
+	closed     bool
+	planPinsAt time.Time
+	// pinSeen is since when this instance has seen a pin on a server that it fronts.
+	pinSeen      map[pinnedKey]time.Time
 	lastTick     time.Time
 	loadedAt     time.Time
 	rosterSince  time.Time
@@ -100,7 +101,7 @@
 	c.goneSeen = map[identifier.InstanceID]time.Time{}
 	c.placing = map[identifier.ServiceName]*balance{}
 	c.needs = map[string]time.Time{}
-	c.coolSince = map[pinnedKey]time.Time{}
+	c.pinSeen = map[pinnedKey]time.Time{}
 	c.expelled = false
 	c.promises = leaser.Promises{}
 }
--- a/internal/controller/pin.go
+++ b/internal/controller/pin.go
@@ -3,19 +3,15 @@
 import (
 	"time"
 
-	"github.com/wasabibank/wasabibank/internal/detector"
+	"github.com/wasabibank/wasabibank/internal/assigner"
 	"github.com/wasabibank/wasabibank/internal/recorder"
 	"github.com/wasabibank/wasabibank/internal/reducer"
 	"github.com/wasabibank/wasabibank/pkg/hasher"
 	"github.com/wasabibank/wasabibank/pkg/identifier"
 )
 
-const (
-	// pinPlanEvery is the time between two looks at the hot keys.
-	pinPlanEvery = 500 * time.Millisecond
-	// unpinAfter is how long a pinned key must have ceased to be hot before it goes back.
-	unpinAfter = 5 * time.Minute
-)
+// pinPlanEvery is the time between two looks at the hot keys.
+const pinPlanEvery = 500 * time.Millisecond
 
 // pinnedKey names a key of a service.
 type pinnedKey struct {
@@ -24,40 +20,61 @@
 }
 
 // planPins gives the hot keys on the servers that this instance fronts a partition of their own, so that they can be
-// moved alone, and takes it back from keys that have long ceased to be hot.
+// moved alone, and takes it back from keys that have ceased to be hot.
 func (c *Controller) planPins(now time.Time) {
 	if c.opts.Hot == nil || c.state.Bundle() == nil || now.Before(c.planPinsAt) {
 		return
 	}
 	c.planPinsAt = now.Add(pinPlanEvery)
-	hot := map[pinnedKey]bool{}
+	hot := map[identifier.ServiceName][]assigner.HeavyKey{}
 	for _, key := range c.opts.Hot(now) {
-		hot[pinnedKey{service: key.Service, key: key.Key}] = true
-		c.pin(now, key)
+		hot[key.Service] = append(hot[key.Service], assigner.HeavyKey{Key: key.Key, Load: key.Rate})
 	}
 	for _, name := range c.state.ServiceNames() {
 		service, _ := c.state.GetServiceByName(name)
-		for _, pin := range service.Pins {
-			c.considerUnpin(now, name, service, pin, hot)
+		plan := assigner.Isolate(assigner.IsolateInput{Hot: hot[name], Pinned: c.ownPins(now, name, service)}, now)
+		for _, key := range plan.Pin {
+			c.pin(now, name, service, key)
+		}
+		for _, key := range plan.Unpin {
+			c.unpin(now, name, service, key)
+		}
+	}
+}
+
+// ownPins returns the pinned keys on the servers that this instance fronts, each with the time since when it has seen
+// the pin there.
+func (c *Controller) ownPins(now time.Time, name identifier.ServiceName, service reducer.ServiceState) []assigner.PinnedKey {
+	var pins []assigner.PinnedKey
+	for _, pin := range service.Pins {
+		id := pinnedKey{service: name, key: pin.Key}
+		_, mine := c.sessions[service.Partitions[pin.Index].Owner]
+		if pin.Key == "" || !mine {
+			delete(c.pinSeen, id)
+			continue
+		}
+		if _, ok := c.pinSeen[id]; !ok {
+			c.pinSeen[id] = now
 		}
+		pins = append(pins, assigner.PinnedKey{Key: pin.Key, Since: c.pinSeen[id]})
 	}
+	return pins
 }
 
 // pin proposes a partition for a hot key that shares one with others.
-func (c *Controller) pin(now time.Time, key detector.HotKey) {
-	service, ok := c.state.GetServiceByName(key.Service)
-	if !ok || isPinned(service, key.Key) {
+func (c *Controller) pin(now time.Time, name identifier.ServiceName, service reducer.ServiceState, key string) {
+	if _, pinned := pinOf(service, key); pinned {
 		return
 	}
-	base := hasher.Partition(key.Key, service.Base)
+	base := hasher.Partition(key, service.Base)
 	partition := service.Partitions[base]
 	s, mine := c.sessions[partition.Owner]
-	if !mine || s.handing != "" || c.isClosing(s, key.Service, base) {
+	if !mine || s.handing != "" || c.isClosing(s, name, base) {
 		return
 	}
-	c.propose(now, pinPurpose(key.Service), recorder.Pin{
-		Service: key.Service,
-		Key:     key.Key,
+	c.propose(now, pinPurpose(name), recorder.Pin{
+		Service: name,
+		Key:     key,
 		Base:    base,
 		Epoch:   partition.Epoch,
 		Term:    s.term,
@@ -67,13 +84,14 @@
 
 func pinPurpose(service identifier.ServiceName) string { return "pin/" + string(service) }
 
-func isPinned(service reducer.ServiceState, key string) bool {
+// pinOf returns the pin of key.
+func pinOf(service reducer.ServiceState, key string) (reducer.PinState, bool) {
 	for _, pin := range service.Pins {
 		if pin.Key == key {
-			return true
+			return pin, true
 		}
 	}
-	return false
+	return reducer.PinState{}, false
 }
 
 func (c *Controller) isClosing(s *session, service identifier.ServiceName, index identifier.PartitionIndex) bool {
@@ -81,31 +99,19 @@
 	return closing
 }
 
-// considerUnpin moves the partition of a key that is no longer hot back to its base's server, and then gives it up.
-func (c *Controller) considerUnpin(now time.Time, name identifier.ServiceName, service reducer.ServiceState, pin reducer.PinState, hot map[pinnedKey]bool) {
+// unpin moves the partition of a key that is no longer hot back to its base's server, and then gives it up.
+func (c *Controller) unpin(now time.Time, name identifier.ServiceName, service reducer.ServiceState, key string) {
+	pin, _ := pinOf(service, key)
 	partition := service.Partitions[pin.Index]
-	s, mine := c.sessions[partition.Owner]
-	id := pinnedKey{service: name, key: pin.Key}
-	if pin.Key == "" || !mine || hot[id] {
-		delete(c.coolSince, id)
-		return
-	}
-	since, ok := c.coolSince[id]
-	if !ok {
-		c.coolSince[id] = now
-		return
-	}
 	base := service.Partitions[pin.Base]
-	if now.Sub(since) < unpinAfter || s.handing != "" || c.isClosing(s, name, pin.Index) || base.Owner == "" {
+	s := c.sessions[partition.Owner]
+	if s.handing != "" || base.Owner == "" || c.isClosing(s, name, pin.Index) || c.isClosing(s, name, pin.Base) {
 		return
 	}
 	if base.Owner != partition.Owner {
 		c.close(now, s, identifier.PartitionID{Service: name, Index: pin.Index}, base.Owner, true)
 		return
 	}
-	if c.isClosing(s, name, pin.Base) {
-		return
-	}
 	c.propose(now, pinPurpose(name), recorder.Unpin{
 		Service: name,
 		Key:     pin.Key,
