--- a/cmd/root.go
+++ b/cmd/root.go
@@ -27,6 +27,7 @@
 func commands() []command {
 	return []command{
 		entryCommand(),
+		edgeCommand(),
 		bundleCommand(),
 		statusCommand(),
 		ownerCommand(),
--- /dev/null
+++ b/internal/carrier/job.go
@@ -0,0 +1,67 @@
+package carrier
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/ranger"
+	"github.com/wasabibank/wasabibank/internal/viewer"
+)
+
+// job is a request on its way to a backend server.
+type job struct {
+	id     string // the client's id of the request
+	method string
+	uri    string // as the client sent it
+	host   string
+	header http.Header // end-to-end headers
+	body   []byte
+
+	service    string
+	route      string
+	priority   int
+	repeatable bool
+	keyed      bool
+	key        uint16
+	objective  time.Time // when the answer is late
+	limit      time.Time // when the answer is due
+
+	pool     viewer.Pool
+	owners   ranger.Version // version of the map by which pool was chosen
+	avoid    string         // server that has failed this request
+	arrivals int            // times that it may have reached a server
+}
+
+// outcome is what is known of a request that was given to a front.
+type outcome int
+
+const (
+	answered  outcome = iota // a server answered
+	rejected                 // it reached a server, which said that it did not run it
+	refused                  // no server can run it in time; it was not sent
+	moved                    // its keys are not at the server; it was not sent
+	unreached                // no server could be connected to; it was not sent
+	broken                   // it may have run, and there is no whole answer
+	cut                      // it was not sent before its time was up or its client left
+)
+
+// String implements fmt.Stringer.
+func (o outcome) String() string {
+	return [...]string{"answered", "rejected", "refused", "moved", "unreached", "broken", "cut"}[o]
+}
+
+// result is an outcome and what belongs to it.
+type result struct {
+	outcome    outcome
+	status     int
+	header     http.Header
+	body       []byte
+	server     string
+	sent       bool // it may have reached a server
+	retryAfter time.Duration
+	reason     string // for the log
+	front      string
+}
+
+// notRun reports whether the request has surely not run.
+func (r result) notRun() bool { return r.outcome != answered && r.outcome != broken }
--- /dev/null
+++ b/internal/cataloger/cataloger.go
@@ -0,0 +1,120 @@
+// Package cataloger keeps what the platform's service discovery says of the backend servers, and decides when a server
+// whose entry has vanished is to be taken as gone.
+package cataloger
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what a backend server says of itself.
+type State int
+
+// The states of a backend server. Gone is the state of one whose entry was removed.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	}
+	return "gone"
+}
+
+// Server is the entry of one backend server.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Domain  string
+	Slots   int
+	State   State
+	Born    int64         // Unix time of its start in milliseconds; a later one is a new incarnation under the same id
+	Cold    time.Duration // how much longer it is slow after its start, as of its entry
+}
+
+// Catalog is the set of known servers. The zero Catalog is empty; it is not safe for concurrent use.
+type Catalog struct {
+	servers map[string]Server
+	missing map[string]time.Time // until when the entry of a server that is missing may come back
+	last    map[string]Server    // the newest entry of each server that was ever known
+}
+
+// Put records an entry. It reports whether anything but its age changed.
+func (c *Catalog) Put(s Server) bool {
+	if c.servers == nil {
+		c.servers = map[string]Server{}
+		c.last = map[string]Server{}
+	}
+	delete(c.missing, s.ID)
+	old, known := c.servers[s.ID]
+	if known && s.Born < old.Born {
+		return false
+	}
+	c.servers[s.ID] = s
+	c.last[s.ID] = s
+	return !known || old != s
+}
+
+// Remove records that the entry of a server vanished. Until settled, which is the end of the time in which entries that
+// lapsed during an outage of the store come back, the server keeps its state.
+func (c *Catalog) Remove(now, settled time.Time, id string) {
+	if _, known := c.servers[id]; !known {
+		return
+	}
+	if now.Before(settled) {
+		if c.missing == nil {
+			c.missing = map[string]time.Time{}
+		}
+		c.missing[id] = settled
+		return
+	}
+	delete(c.servers, id)
+	delete(c.missing, id)
+}
+
+// Keep removes every server whose id is not in present, as a whole reading of the store shows it.
+func (c *Catalog) Keep(now, settled time.Time, present map[string]bool) {
+	for id := range c.servers {
+		if !present[id] {
+			c.Remove(now, settled, id)
+		}
+	}
+}
+
+// Expire drops the servers whose entries did not come back in time. It reports whether any was dropped.
+func (c *Catalog) Expire(now time.Time) bool {
+	changed := false
+	for id, until := range c.missing {
+		if !now.Before(until) {
+			delete(c.missing, id)
+			delete(c.servers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Last returns the newest entry that a server ever had. Its address may belong to another server by now.
+func (c *Catalog) Last(id string) (Server, bool) {
+	s, ok := c.last[id]
+	return s, ok
+}
+
+// Servers returns the servers in order of their ids.
+func (c *Catalog) Servers() []Server {
+	all := make([]Server, 0, len(c.servers))
+	for _, s := range c.servers {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,223 @@
+// Package conductor runs the control side of an instance on the platform. One goroutine owns all state and runs the
+// deciders (elector, granter, balancer); calls to the store, to other instances and to backend servers run beside it and
+// come back as events.
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/wasabibank/wasabibank/internal/balancer"
+	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/clocker"
+	"github.com/wasabibank/wasabibank/internal/elector"
+	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+	"github.com/wasabibank/wasabibank/internal/viewer"
+	"github.com/wasabibank/wasabibank/platform"
+)
+
+const (
+	// tick is how often time alone is looked at.
+	tick = 50 * time.Millisecond
+	// stall is the gap between two ticks after which this process is taken to have stood still.
+	stall = 600 * time.Millisecond
+	// heartbeat is between two reports to the leader.
+	heartbeat = 400 * time.Millisecond
+	// heartbeatTimeout bounds the answer to a report; the way is 20 ms at most.
+	heartbeatTimeout = 700 * time.Millisecond
+	// memberTimeout is after how long without a report the leader drops an instance.
+	memberTimeout = 1600 * time.Millisecond
+	// releaseLimit bounds the answer to a release, which comes when what runs has ended.
+	releaseLimit = 3 * time.Second
+	// balance is between two looks at the load of servers.
+	balance = 250 * time.Millisecond
+	// movesAtOnce is the part of a service's servers whose ranges may be moved at the same time.
+	movesAtOnce = 4
+	// kept is how many changes of the map the leader keeps to send instead of the whole.
+	kept = 64
+)
+
+// LeadTimes are the times of the lead. The silence and one round of grants together are shorter than grants last.
+var LeadTimes = elector.Settings{
+	Authority: 20 * time.Second, Renew: time.Second, Silence: 2200 * time.Millisecond, Doubt: 900 * time.Millisecond,
+	Retry: 250 * time.Millisecond, Refusals: 2, Jitter: 250 * time.Millisecond,
+}
+
+// GrantTimes are the times of grants.
+var GrantTimes = granter.Settings{
+	Hold: 4 * time.Second, Renew: 1200 * time.Millisecond, Margin: 100 * time.Millisecond, Retry: 200 * time.Millisecond,
+}
+
+// Options are what a Conductor needs.
+type Options struct {
+	Self    viewer.Member
+	Store   *platform.Store
+	Carrier *carrier.Carrier
+}
+
+// Conductor is the control side of an instance. Use New and Run.
+type Conductor struct {
+	options Options
+	events  chan func(now time.Time)
+	context context.Context
+
+	table    *matcher.Table
+	catalog  cataloger.Catalog
+	readable bool // whether the catalog was read at least once
+	owners   *ranger.Map
+	members  []viewer.Member // without Self
+	version  uint64          // of members, as the leader counts
+	dirty    bool            // the view has to be made anew
+
+	elector    *elector.Elector
+	plan       []byte // content of the newest plan record in the store
+	ticked     time.Time
+	reported   time.Time
+	reporting  bool
+	unreported carrier.Loads
+	leaving    bool
+	peers      peers
+	orders     platform.Orders
+	lead       *lead // nil while this instance does not lead
+	troubled   map[string]time.Time
+}
+
+// lead is what only a leader has.
+type lead struct {
+	granter  *granter.Granter
+	sequence uint64 // of the map
+	deltas   []delta
+	members  map[string]*registered
+	version  uint64
+	loads    map[string]*balancer.Load
+	speeds   map[string]*speed
+	balanced time.Time
+	plans    map[uint64][]byte
+}
+
+// delta is one change of the map.
+type delta struct {
+	sequence uint64
+	segments []ranger.Segment
+}
+
+// registered is an instance that reports to this leader.
+type registered struct {
+	member viewer.Member
+	seen   time.Time
+	sent   bool // a publication is on its way
+	again  bool // there is something newer to publish
+	known  ranger.Version
+	listed uint64
+}
+
+// speed is the measured service time of a server, in seconds.
+type speed struct {
+	mean    float64
+	answers float64
+}
+
+// New returns a Conductor.
+func New(o Options) *Conductor {
+	now := clocker.Now()
+	self := elector.Identity{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation, Address: o.Self.Address}
+	return &Conductor{
+		options: o, events: make(chan func(time.Time), 256),
+		elector:    elector.New(LeadTimes, now, self, share(o.Self)),
+		ticked:     now,
+		unreported: emptyLoads(),
+		troubled:   map[string]time.Time{},
+	}
+}
+
+// share returns the place of an instance in the jitter of takeovers, from 0 to 1.
+func share(m viewer.Member) float64 { return float64(m.Incarnation/1000%1000) / 1000 }
+
+func emptyLoads() carrier.Loads {
+	return carrier.Loads{Keys: map[string]map[uint16]int{}, Answers: map[string]carrier.Answers{}}
+}
+
+// post hands an event to the control goroutine.
+func (c *Conductor) post(event func(now time.Time)) {
+	select {
+	case c.events <- event:
+	case <-c.context.Done():
+	}
+}
+
+// Run works until ctx ends.
+func (c *Conductor) Run(ctx context.Context) {
+	c.context = ctx
+	go c.watchOperators(ctx)
+	go c.watchServers(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			event(clocker.Now())
+		case <-ticker.C:
+		}
+		c.step(clocker.Now())
+	}
+}
+
+// Leave tells the others that this instance is about to stop.
+func (c *Conductor) Leave() {
+	c.post(func(now time.Time) {
+		c.leaving = true
+		c.reported = time.Time{}
+		if c.lead != nil {
+			c.lead.version++
+			c.publish(now)
+		}
+	})
+}
+
+// step does what is due.
+func (c *Conductor) step(now time.Time) {
+	if now.Sub(c.ticked) > stall {
+		klog.InfoS("process stood still", "for", now.Sub(c.ticked))
+		c.elector.Doubt(now)
+	}
+	c.ticked = now
+	if c.catalog.Expire(now) {
+		c.serversChanged(now)
+	}
+	if call := c.elector.Tick(now); call != nil {
+		c.call(now, call)
+	}
+	c.follow(now)
+	if c.lead != nil {
+		c.rule(now)
+	}
+	c.report(now)
+	if c.dirty {
+		c.dirty = false
+		c.show()
+	}
+}
+
+// show hands a new view to traffic.
+func (c *Conductor) show() {
+	if c.table == nil || !c.readable {
+		return
+	}
+	servers := c.catalog.Servers()
+	self := c.options.Self
+	self.Leaving = c.leaving
+	c.options.Carrier.SetView(time.Now(), viewer.New(self, c.table, servers, c.owners, c.members))
+	inUse := map[string]bool{}
+	for _, s := range servers {
+		inUse[s.Address] = true
+	}
+	c.options.Carrier.Forget(inUse)
+	c.orders.Forget(inUse)
+}
--- /dev/null
+++ b/internal/conductor/lead.go
@@ -0,0 +1,276 @@
+package conductor
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/wasabibank/wasabibank/internal/balancer"
+	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+	"github.com/wasabibank/wasabibank/internal/viewer"
+)
+
+// follow takes up or lays down the lead.
+func (c *Conductor) follow(now time.Time) {
+	taken, orphan := c.elector.Took()
+	switch {
+	case taken && c.elector.Term() != 0:
+		c.takeUp(now, orphan)
+	case c.elector.Term() == 0 && c.lead != nil:
+		klog.InfoS("lead lost", "term", c.owners.Version().Term)
+		c.lead = nil
+		c.reported = time.Time{}
+	}
+}
+
+// takeUp starts to lead. orphan says that the last leader has surely stopped.
+func (c *Conductor) takeUp(now time.Time, orphan bool) {
+	predecessor := now
+	if !orphan {
+		predecessor = now.Add(LeadTimes.Authority)
+	}
+	predecessor = predecessor.Add(GrantTimes.Hold + GrantTimes.Margin)
+	holdings := decodePlan(c.plan)
+	if c.plan == nil {
+		predecessor = now
+	}
+	term := c.elector.Term()
+	klog.InfoS("lead taken", "term", term, "predecessor_stopped", orphan, "ranges", len(holdings))
+	c.lead = &lead{
+		granter: granter.New(GrantTimes, now, term, holdings, predecessor),
+		members: map[string]*registered{}, version: c.version + 1, loads: map[string]*balancer.Load{},
+		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{},
+	}
+	for _, m := range c.members {
+		c.lead.members[m.Instance] = &registered{member: m, seen: now}
+	}
+	c.setServers(now)
+	c.lead.sequence = 1
+	c.owners = c.owners.With(ranger.Version{Term: term, Sequence: 1}, c.lead.granter.Segments(now))
+	c.lead.granter.Delta(now) // part of the whole map
+	c.dirty = true
+	c.publish(now)
+}
+
+// setServers hands the servers to the granter.
+func (c *Conductor) setServers(now time.Time) {
+	if c.table == nil || !c.readable {
+		return
+	}
+	c.lead.granter.SetServers(now, c.table.KeyedServices(), c.catalog.Servers())
+}
+
+// rule does what is due at a leader.
+func (c *Conductor) rule(now time.Time) {
+	l := c.lead
+	if c.dirty {
+		c.setServers(now) // the configuration may have a new service
+	}
+	c.dropMembers(now)
+	c.storePlan()
+	if c.elector.Active(now) && c.table != nil {
+		for _, order := range l.granter.Tick(now) {
+			c.order(now, order)
+		}
+		c.storePlan()
+		c.balance(now)
+	}
+	if changed := l.granter.Delta(now); len(changed) > 0 {
+		l.sequence++
+		l.deltas = append(l.deltas, delta{sequence: l.sequence, segments: changed})
+		if len(l.deltas) > kept {
+			l.deltas = slices.Delete(l.deltas, 0, len(l.deltas)-kept)
+		}
+		c.owners = c.owners.With(ranger.Version{Term: c.elector.Term(), Sequence: l.sequence}, changed)
+		c.dirty = true
+		c.publish(now)
+	}
+}
+
+// storePlan asks for the present plan to be stored, and tells the granter what is.
+func (c *Conductor) storePlan() {
+	l := c.lead
+	l.granter.Stored(c.elector.StoredPlan())
+	maps.DeleteFunc(l.plans, func(sequence uint64, _ []byte) bool { return sequence < c.elector.StoredPlan() })
+	holdings, sequence, stale := l.granter.Plan()
+	if !stale {
+		return
+	}
+	if _, encoded := l.plans[sequence]; !encoded {
+		l.plans[sequence] = encodePlan(c.elector.Term(), sequence, holdings)
+	}
+	c.elector.Want(sequence)
+}
+
+// order sends a grant or a release.
+func (c *Conductor) order(now time.Time, order granter.Order) {
+	l := c.lead
+	switch o := order.(type) {
+	case granter.Grant:
+		address := c.address(o.Server)
+		go func() {
+			outcome, err := c.orders.Grant(c.context, time.Now(), address, o)
+			c.post(func(now time.Time) { c.granted(now, l, o, outcome, err) })
+		}()
+	case granter.Release:
+		address := c.address(o.Server)
+		klog.InfoS("range released", "server", o.Server, "range", o.Range.String(), "fence", o.Fence)
+		go func() {
+			ctx, cancel := context.WithTimeout(c.context, releaseLimit)
+			defer cancel()
+			outcome, handover, err := c.orders.Release(ctx, time.Now(), address, o, releaseLimit)
+			c.post(func(now time.Time) {
+				klog.InfoS("release ended", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
+					"outcome", int(outcome), "handover", handover != "", "error", err)
+				if c.lead == l {
+					l.granter.Released(now, o, outcome, handover)
+				}
+			})
+		}()
+	}
+}
+
+// address returns where a server is reached; a server without an entry is reached where it was last.
+func (c *Conductor) address(server string) string {
+	if s, ok := c.catalog.Last(server); ok {
+		return s.Address
+	}
+	return ""
+}
+
+func (c *Conductor) granted(now time.Time, l *lead, o granter.Grant, outcome granter.Outcome, err error) {
+	if outcome != granter.Accepted {
+		klog.InfoS("grant failed", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
+			"outcome", int(outcome), "error", err)
+	}
+	if c.lead != l {
+		return
+	}
+	if outcome == granter.Fenced {
+		c.elector.Doubt(now)
+	}
+	l.granter.Granted(now, o, outcome)
+}
+
+// balance moves ranges away from busy servers.
+func (c *Conductor) balance(now time.Time) {
+	l := c.lead
+	if now.Sub(l.balanced) < balance {
+		return
+	}
+	l.balanced = now
+	c.learn(c.options.Carrier.TakeLoads())
+	for _, service := range c.table.KeyedServices() {
+		load := l.load(service)
+		load.Fade(now)
+		ready := l.granter.Ready(service)
+		limit := max(1, len(ready)/movesAtOnce) - l.granter.Moves()
+		if limit <= 0 {
+			continue
+		}
+		for _, m := range balancer.Plan(load, l.granter.Held(service), c.capacities(ready), limit) {
+			started := l.granter.Move(now, service, m.Range, m.To)
+			klog.InfoS("range to move", "service", service, "range", m.Range.String(), "from", m.From, "to", m.To,
+				"started", started, "requests", int(load.Total()))
+		}
+	}
+}
+
+func (l *lead) load(service string) *balancer.Load {
+	if l.loads[service] == nil {
+		l.loads[service] = &balancer.Load{}
+	}
+	return l.loads[service]
+}
+
+// learn adds what an instance has measured.
+func (c *Conductor) learn(loads carrier.Loads) {
+	l := c.lead
+	for service, keys := range loads.Keys {
+		load := l.load(service)
+		for key, requests := range keys {
+			load.Add(key, requests)
+		}
+	}
+	for server, a := range loads.Answers {
+		s := l.speeds[server]
+		if s == nil {
+			s = &speed{}
+			l.speeds[server] = s
+		}
+		s.learn(a)
+	}
+}
+
+// memory is how many answers a server's measured speed reflects.
+const memory = 40
+
+func (s *speed) learn(a carrier.Answers) {
+	if a.Count == 0 {
+		return
+	}
+	count := float64(a.Count)
+	s.answers = min(s.answers+count, memory)
+	s.mean += (a.Work.Seconds()/count - s.mean) * min(1, count/s.answers)
+}
+
+// prior is how many answers of mean speed are added to a server's own, so that few answers tell little.
+const prior = 8
+
+// capacities returns how much each server can carry, relative to the others.
+func (c *Conductor) capacities(servers []string) map[string]float64 {
+	total, count := 0.0, 0.0
+	for _, id := range servers {
+		if s := c.lead.speeds[id]; s != nil {
+			total += s.mean
+			count++
+		}
+	}
+	mean := total / max(count, 1)
+	capacities := map[string]float64{}
+	for _, id := range servers {
+		entry, _ := c.catalog.Last(id)
+		speed := 1.0
+		if s := c.lead.speeds[id]; s != nil && s.mean > 0 {
+			speed = mean * (s.answers + prior) / (s.mean*s.answers + mean*prior)
+		}
+		capacities[id] = float64(entry.Slots) * speed
+	}
+	return capacities
+}
+
+// dropMembers forgets instances that have not reported for a while.
+func (c *Conductor) dropMembers(now time.Time) {
+	l := c.lead
+	changed := false
+	for name, r := range l.members {
+		if now.Sub(r.seen) > memberTimeout {
+			klog.InfoS("instance lost", "instance", name, "silent", now.Sub(r.seen))
+			delete(l.members, name)
+			changed = true
+		}
+	}
+	if changed {
+		c.membersChanged(now)
+	}
+}
+
+// membersChanged makes a new list of members.
+func (c *Conductor) membersChanged(now time.Time) {
+	l := c.lead
+	l.version++
+	c.version = l.version
+	c.members = nil
+	for _, r := range l.members {
+		c.members = append(c.members, r.member)
+	}
+	slices.SortFunc(c.members, func(a, b viewer.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	c.dirty = true
+	c.publish(now)
+}
--- /dev/null
+++ b/internal/conductor/peers.go
@@ -0,0 +1,321 @@
+package conductor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+	"github.com/wasabibank/wasabibank/internal/viewer"
+)
+
+// peers are the clients of other instances, by address.
+type peers struct {
+	client  *http.Client
+	clients map[string]herald.Herald
+}
+
+// get returns the client of the instance at address.
+func (p *peers) get(address string) herald.Herald {
+	if p.client == nil {
+		dialer := net.Dialer{Timeout: heartbeatTimeout}
+		p.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+		p.clients = map[string]herald.Herald{}
+	}
+	if p.clients[address] == nil {
+		p.clients[address] = herald.NewHeraldProtobufClient("http://"+address, p.client)
+	}
+	return p.clients[address]
+}
+
+// report sends the heartbeat of this instance to the leader.
+func (c *Conductor) report(now time.Time) {
+	lead, ok := c.elector.Lead()
+	own := lead.Identity.Instance == c.options.Self.Instance
+	if !ok || own || c.reporting || now.Sub(c.reported) < heartbeat {
+		return
+	}
+	c.reporting, c.reported = true, now
+	c.unreported.Add(c.options.Carrier.TakeLoads())
+	loads := c.unreported
+	c.unreported = emptyLoads()
+	request := c.reportRequest(loads)
+	peer := c.peers.get(lead.Identity.Address)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.context, heartbeatTimeout)
+		defer cancel()
+		reply, err := peer.Report(ctx, request)
+		c.post(func(now time.Time) {
+			c.reporting = false
+			if err != nil {
+				refused := errors.Is(err, syscall.ECONNREFUSED)
+				klog.InfoS("leader did not answer", "leader", lead.Identity.Instance, "refused", refused, "error", err)
+				c.elector.Unheard(refused)
+				c.unreported.Add(loads)
+				return
+			}
+			c.takeReply(now, reply)
+		})
+	}()
+}
+
+func (c *Conductor) reportRequest(loads carrier.Loads) *herald.ReportRequest {
+	request := &herald.ReportRequest{
+		Member: c.member(), MapTerm: c.owners.Version().Term, MapSequence: c.owners.Version().Sequence,
+		MembersVersion: c.version,
+	}
+	for service, keys := range loads.Keys {
+		load := &herald.KeyLoad{Service: service}
+		for key, requests := range keys {
+			load.Keys = append(load.Keys, uint32(key))
+			load.Requests = append(load.Requests, uint32(requests))
+		}
+		request.Keys = append(request.Keys, load)
+	}
+	for server, a := range loads.Answers {
+		request.Servers = append(request.Servers, &herald.ServerLoad{
+			Server: server, Answers: uint32(a.Count), WorkMs: uint32(a.Work.Milliseconds()),
+		})
+	}
+	return request
+}
+
+// member returns this instance as the others are to know it.
+func (c *Conductor) member() *herald.Member {
+	self := c.options.Self
+	self.Leaving = c.leaving
+	return encodeMember(self)
+}
+
+func encodeMember(m viewer.Member) *herald.Member {
+	return &herald.Member{
+		Instance: m.Instance, Incarnation: m.Incarnation, Address: m.Address, Domain: m.Domain, Leaving: m.Leaving,
+	}
+}
+
+func decodeMember(m *herald.Member) viewer.Member {
+	return viewer.Member{
+		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Domain: m.GetDomain(),
+		Leaving: m.GetLeaving(),
+	}
+}
+
+// takeReply takes the leader's answer to a report.
+func (c *Conductor) takeReply(now time.Time, reply *herald.ReportReply) {
+	c.elector.Heard(now, reply.GetLeading(), reply.GetTerm(), reply.GetStoreLost())
+	if reply.GetLeading() {
+		c.takeOwners(reply.GetOwners())
+		c.takeMembers(reply.GetMembers())
+	}
+}
+
+// takeOwners applies a change of the map of owners that fits the present one.
+func (c *Conductor) takeOwners(o *herald.Owners) {
+	if o == nil || c.lead != nil {
+		return
+	}
+	version := ranger.Version{Term: o.GetTerm(), Sequence: o.GetSequence()}
+	have := c.owners.Version()
+	if !have.Less(version) {
+		return
+	}
+	segments := herald.DecodeSegments(o.GetServices(), o.GetSegments())
+	if o.GetWhole() {
+		c.owners = (*ranger.Map)(nil).With(version, segments)
+		c.dirty = true
+		return
+	}
+	if have.Term != version.Term || have.Sequence+1 != version.Sequence {
+		return // the next report asks for what is missing
+	}
+	c.owners = c.owners.With(version, segments)
+	c.dirty = true
+}
+
+// takeMembers takes the leader's list of instances.
+func (c *Conductor) takeMembers(list *herald.Members) {
+	if list == nil || c.lead != nil {
+		return
+	}
+	c.version = list.GetVersion()
+	c.members = nil
+	for _, m := range list.GetMembers() {
+		if m.GetInstance() != c.options.Self.Instance {
+			c.members = append(c.members, decodeMember(m))
+		}
+	}
+	c.dirty = true
+}
+
+// publish sends each instance what it does not know yet.
+func (c *Conductor) publish(now time.Time) {
+	for _, r := range c.lead.members {
+		c.publishTo(now, r)
+	}
+}
+
+func (c *Conductor) publishTo(now time.Time, r *registered) {
+	if r.sent {
+		r.again = true
+		return
+	}
+	l := c.lead
+	owners, members := c.newsFor(now, r.known, r.listed)
+	if owners == nil && members == nil {
+		return
+	}
+	r.sent, r.again = true, false
+	request := &herald.PublishRequest{Term: c.elector.Term(), Owners: owners, Members: members}
+	peer := c.peers.get(r.member.Address)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.context, heartbeatTimeout)
+		defer cancel()
+		_, err := peer.Publish(ctx, request)
+		c.post(func(now time.Time) {
+			if c.lead != l {
+				return
+			}
+			r.sent = false
+			if err != nil {
+				klog.InfoS("instance did not take news", "instance", r.member.Instance, "error", err)
+				return // its next report asks for it
+			}
+			if owners != nil {
+				r.known = ranger.Version{Term: owners.GetTerm(), Sequence: owners.GetSequence()}
+			}
+			if members != nil {
+				r.listed = members.GetVersion()
+			}
+			if r.again {
+				c.publishTo(now, r)
+			}
+		})
+	}()
+}
+
+// newsFor returns what an instance with the given versions does not know.
+func (c *Conductor) newsFor(now time.Time, known ranger.Version, listed uint64) (*herald.Owners, *herald.Members) {
+	l := c.lead
+	var members *herald.Members
+	if listed != l.version {
+		members = &herald.Members{Version: l.version, Members: []*herald.Member{c.member()}}
+		for _, r := range l.members {
+			members.Members = append(members.Members, encodeMember(r.member))
+		}
+	}
+	term := c.elector.Term()
+	if known == (ranger.Version{Term: term, Sequence: l.sequence}) {
+		return nil, members
+	}
+	owners := &herald.Owners{Term: term, Sequence: l.sequence}
+	var segments []ranger.Segment
+	if known.Term == term && len(l.deltas) > 0 && known.Sequence+1 >= l.deltas[0].sequence {
+		// Applied one after the other, the changes are one change that follows the last of them.
+		owners.Sequence = known.Sequence + 1
+		for _, d := range l.deltas {
+			if d.sequence == owners.Sequence {
+				segments = d.segments
+			}
+		}
+	} else {
+		owners.Whole = true
+		segments = c.owners.All()
+	}
+	owners.Services, owners.Segments = herald.EncodeSegments(segments)
+	return owners, members
+}
+
+// Report implements herald.Herald.
+func (c *Conductor) Report(ctx context.Context, request *herald.ReportRequest) (*herald.ReportReply, error) {
+	return ask(ctx, c, func(now time.Time) *herald.ReportReply { return c.takeReport(now, request) })
+}
+
+// Publish implements herald.Herald.
+func (c *Conductor) Publish(ctx context.Context, request *herald.PublishRequest) (*herald.PublishReply, error) {
+	return ask(ctx, c, func(now time.Time) *herald.PublishReply {
+		if lead, ok := c.elector.Lead(); !ok || lead.Term <= request.GetTerm() {
+			c.takeOwners(request.GetOwners())
+			c.takeMembers(request.GetMembers())
+		}
+		return &herald.PublishReply{}
+	})
+}
+
+// ask runs answer on the control goroutine.
+func ask[T any](ctx context.Context, c *Conductor, answer func(now time.Time) T) (T, error) {
+	done := make(chan T, 1)
+	select {
+	case c.events <- func(now time.Time) { done <- answer(now) }:
+	case <-ctx.Done():
+		var none T
+		return none, twirp.NewError(twirp.DeadlineExceeded, "instance is busy")
+	}
+	select {
+	case reply := <-done:
+		return reply, nil
+	case <-ctx.Done():
+		var none T
+		return none, twirp.NewError(twirp.DeadlineExceeded, "instance is busy")
+	}
+}
+
+// takeReport takes the report of an instance.
+func (c *Conductor) takeReport(now time.Time, request *herald.ReportRequest) *herald.ReportReply {
+	reply := &herald.ReportReply{
+		Leading: c.lead != nil, Term: c.elector.Term(), StoreLost: c.elector.StoreLost(now),
+	}
+	if c.lead == nil {
+		if lead, ok := c.elector.Lead(); ok {
+			reply.Term = lead.Term
+		}
+		return reply
+	}
+	c.register(now, decodeMember(request.GetMember()))
+	c.learn(decodeLoads(request))
+	known := ranger.Version{Term: request.GetMapTerm(), Sequence: request.GetMapSequence()}
+	if r := c.lead.members[request.GetMember().GetInstance()]; r != nil && !r.sent {
+		r.known, r.listed = known, request.GetMembersVersion()
+	}
+	reply.Owners, reply.Members = c.newsFor(now, known, request.GetMembersVersion())
+	return reply
+}
+
+// register takes note that an instance lives.
+func (c *Conductor) register(now time.Time, m viewer.Member) {
+	l := c.lead
+	r := l.members[m.Instance]
+	if r != nil && r.member == m {
+		r.seen = now
+		return
+	}
+	klog.InfoS("instance", "instance", m.Instance, "address", m.Address, "domain", m.Domain, "leaving", m.Leaving)
+	l.members[m.Instance] = &registered{member: m, seen: now}
+	c.membersChanged(now)
+}
+
+func decodeLoads(request *herald.ReportRequest) carrier.Loads {
+	loads := emptyLoads()
+	for _, k := range request.GetKeys() {
+		keys := map[uint16]int{}
+		for i, key := range k.GetKeys() {
+			if i < len(k.GetRequests()) && key <= ranger.MaxKey {
+				keys[uint16(key)] += int(k.GetRequests()[i])
+			}
+		}
+		loads.Keys[k.GetService()] = keys
+	}
+	for _, s := range request.GetServers() {
+		loads.Answers[s.GetServer()] = carrier.Answers{
+			Count: int(s.GetAnswers()), Work: time.Duration(s.GetWorkMs()) * time.Millisecond,
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/conductor/store.go
@@ -0,0 +1,255 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabibank/wasabibank/internal/elector"
+	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+	"github.com/wasabibank/wasabibank/platform"
+)
+
+const (
+	// topic is where leaders keep their records; its name makes the store keep the newest record of each key.
+	topic   = "keyed.wasabibank"
+	keyLead = "lead"
+	keyPlan = "plan"
+
+	// readWait is how long a read waits for news; the store allows 30 s.
+	readWait = 25 * time.Second
+	// gather is the pause after news, in which more of it comes together into one call.
+	gather = 150 * time.Millisecond
+	// readRetry is the pause after a failed read, doubled up to readRetryMax.
+	readRetry    = 100 * time.Millisecond
+	readRetryMax = 800 * time.Millisecond
+	// comeBack is within which entries that lapsed during an outage of the store come back after it.
+	comeBack = 1800 * time.Millisecond
+)
+
+// watchOperators follows the operators' configuration.
+func (c *Conductor) watchOperators(ctx context.Context) {
+	c.watch(ctx, platform.TopicOperators, func(_ time.Time, _ bool, records []platform.Record) {
+		for _, r := range records {
+			if r.Key != platform.KeyConfig || r.Value == nil {
+				continue
+			}
+			table, err := platform.DecodeConfig(r.Value)
+			if err != nil {
+				klog.InfoS("configuration ignored", "offset", r.Offset, "error", err)
+				continue
+			}
+			if table.Version() <= c.table.Version() {
+				continue
+			}
+			klog.InfoS("configuration in force", "version", table.Version(), "before", c.table.Version(), "offset", r.Offset)
+			c.table = table
+			c.dirty = true
+		}
+	})
+}
+
+// watchServers follows the entries of the backend servers.
+func (c *Conductor) watchServers(ctx context.Context) {
+	c.watch(ctx, platform.TopicServers, func(now time.Time, whole bool, records []platform.Record) {
+		settled := c.troubled[platform.TopicServers].Add(comeBack)
+		present := map[string]bool{}
+		changed := !c.readable
+		for _, r := range records {
+			if r.Value == nil {
+				klog.InfoS("server left", "server", r.Key, "offset", r.Offset)
+				c.catalog.Remove(now, settled, r.Key)
+				changed = true
+				continue
+			}
+			server, err := platform.DecodeServer(r.Key, r.Value)
+			if err != nil {
+				klog.InfoS("entry of server ignored", "server", r.Key, "offset", r.Offset, "error", err)
+				continue
+			}
+			present[r.Key] = true
+			if c.catalog.Put(server) {
+				klog.InfoS("server", "server", r.Key, "service", server.Service, "address", server.Address,
+					"state", server.State.String(), "born", server.Born, "slots", server.Slots, "cold", server.Cold)
+				changed = true
+			}
+		}
+		if whole {
+			c.catalog.Keep(now, settled, present)
+			changed = true
+		}
+		c.readable = true
+		if changed {
+			c.serversChanged(now)
+		}
+	})
+}
+
+// serversChanged passes the servers on to whom they concern.
+func (c *Conductor) serversChanged(now time.Time) {
+	c.dirty = true
+	if c.lead != nil {
+		c.setServers(now)
+	}
+}
+
+// watch reads a topic whole, then its changes, for ever. take runs on the control goroutine; whole says that the records
+// are all there are.
+func (c *Conductor) watch(
+	ctx context.Context, name string, take func(now time.Time, whole bool, records []platform.Record),
+) {
+	from, whole, pause, failed := int64(0), true, readRetry, false
+	for ctx.Err() == nil {
+		records, next, err := c.readTopic(ctx, name, from, whole)
+		if platform.IsErrExpired(err) {
+			whole = true
+			continue
+		}
+		if err != nil {
+			if !failed {
+				klog.InfoS("store lost", "topic", name, "error", err)
+			}
+			failed = true
+			c.post(func(now time.Time) { c.troubled[name] = now })
+			sleep(ctx, pause)
+			pause = min(2*pause, readRetryMax)
+			continue
+		}
+		if failed {
+			klog.InfoS("store is back", "topic", name)
+			c.post(func(now time.Time) { c.troubled[name] = now })
+		}
+		all := whole
+		if all || len(records) > 0 {
+			c.post(func(now time.Time) { take(now, all, records) })
+		}
+		from, whole, pause, failed = next, false, readRetry, false
+		if len(records) > 0 {
+			sleep(ctx, gather)
+		}
+	}
+}
+
+func (c *Conductor) readTopic(
+	ctx context.Context, name string, from int64, whole bool,
+) ([]platform.Record, int64, error) {
+	if whole {
+		return c.options.Store.Newest(ctx, name)
+	}
+	return c.options.Store.Changes(ctx, name, from, readWait)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// call makes the elector's call to the store.
+func (c *Conductor) call(now time.Time, call elector.Call) {
+	switch call := call.(type) {
+	case elector.Read:
+		go c.readLead(call)
+	case elector.Take:
+		member := &herald.Member{
+			Instance: call.Lead.Identity.Instance, Incarnation: call.Lead.Identity.Incarnation,
+			Address: call.Lead.Identity.Address, Domain: c.options.Self.Domain,
+		}
+		go c.append(now, call, keyLead, encode(&herald.Lead{Member: member, Term: call.Lead.Term}), call.At)
+	case elector.Store:
+		go c.append(now, call, keyPlan, c.lead.plans[call.Sequence], call.At)
+	}
+}
+
+// encode returns the wire form of a message.
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic("message can't be encoded: " + err.Error()) // only invalid UTF-8 does this, and names are checked on input
+	}
+	return data
+}
+
+func (c *Conductor) append(sent time.Time, call elector.Call, key string, value []byte, at int64) {
+	offset, err := c.options.Store.Append(c.context, topic, key, value, at)
+	c.post(func(now time.Time) {
+		if err == nil {
+			c.elector.Appended(now, sent, call, offset)
+			return
+		}
+		klog.InfoS("append to store failed", "key", key, "at", at, "error", err)
+		c.elector.Failed(now, call, platform.IsErrRefused(err), platform.IsErrConflict(err))
+	})
+}
+
+func (c *Conductor) readLead(call elector.Call) {
+	records, end, err := c.options.Store.Newest(c.context, topic)
+	c.post(func(now time.Time) {
+		if err != nil {
+			klog.InfoS("reading the leader's record failed", "error", err)
+			c.elector.Failed(now, call, false, false)
+			return
+		}
+		c.takeLead(now, records, end)
+	})
+}
+
+func (c *Conductor) takeLead(now time.Time, records []platform.Record, end int64) {
+	var lead herald.Lead
+	var plan herald.Plan
+	for _, r := range records {
+		var err error
+		switch r.Key {
+		case keyLead:
+			err = proto.Unmarshal(r.Value, &lead)
+		case keyPlan:
+			err = proto.Unmarshal(r.Value, &plan)
+			c.plan = r.Value
+		}
+		if err != nil {
+			klog.InfoS("record in the store can't be read", "key", r.Key, "offset", r.Offset, "error", err)
+		}
+	}
+	stored := uint64(0)
+	if plan.GetTerm() == lead.GetTerm() {
+		stored = plan.GetSequence()
+	}
+	c.elector.WasRead(now, end, elector.Lead{
+		Identity: elector.Identity{
+			Instance: lead.GetMember().GetInstance(), Incarnation: lead.GetMember().GetIncarnation(),
+			Address: lead.GetMember().GetAddress(),
+		},
+		Term: lead.GetTerm(),
+	}, stored)
+}
+
+// encodePlan returns the record of a plan.
+func encodePlan(term, sequence uint64, holdings []granter.Holding) []byte {
+	var segments []ranger.Segment
+	for _, h := range holdings {
+		segments = append(segments, ranger.Segment{Service: h.Service, Range: h.Range, Server: h.Server})
+	}
+	services, encoded := herald.EncodeSegments(segments)
+	return encode(&herald.Plan{Term: term, Sequence: sequence, Services: services, Segments: encoded})
+}
+
+// decodePlan returns the holdings of the record of a plan.
+func decodePlan(data []byte) []granter.Holding {
+	var plan herald.Plan
+	if err := proto.Unmarshal(data, &plan); err != nil {
+		klog.InfoS("plan in the store can't be read", "error", err)
+		return nil
+	}
+	var holdings []granter.Holding
+	for _, s := range herald.DecodeSegments(plan.GetServices(), plan.GetSegments()) {
+		holdings = append(holdings, granter.Holding{Service: s.Service, Range: s.Range, Server: s.Server})
+	}
+	return holdings
+}
--- /dev/null
+++ b/internal/edger/edger.go
@@ -0,0 +1,143 @@
+// Package edger assembles an entry instance that runs on the users' platform: its ports, its control side and its
+// traffic side, from start to planned stop.
+package edger
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/conductor"
+	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/spender"
+	"github.com/wasabibank/wasabibank/internal/viewer"
+	"github.com/wasabibank/wasabibank/platform"
+)
+
+const (
+	// leaveFor is how long a stopping instance goes on taking connections: the platform asks for readiness once a second
+	// and takes an instance out of rotation after two misses.
+	leaveFor = 2300 * time.Millisecond
+	// exitMargin is kept of the time until SIGKILL.
+	exitMargin = 500 * time.Millisecond
+	// headerTimeout bounds the head of a request; the platform's clients send theirs within 3 s.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long idle connections are kept, longer than clients reuse them.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the memory limit at which garbage is collected harder.
+	memoryShare = 0.7
+)
+
+// Edger is one entry instance. Use New and Run.
+type Edger struct {
+	settings  platform.Settings
+	carrier   *carrier.Carrier
+	conductor *conductor.Conductor
+	stopping  atomic.Bool
+}
+
+// New returns an instance that does not run yet.
+func New(s platform.Settings) *Edger {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * (1 << 20) * memoryShare))
+	names := carrier.Names{
+		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
+		Signature: platform.HeaderSignature, NotRun: platform.HeaderNotRun, Key: platform.HeaderKey,
+	}
+	budget := spender.New(spender.Settings{
+		Share: s.Bounds.RepeatShare, Extra: s.Bounds.RepeatExtra, Span: s.Bounds.RepeatSpan,
+	})
+	traffic := carrier.New(names, budget)
+	self := viewer.Member{
+		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
+		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
+	}
+	control := conductor.New(conductor.Options{Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic})
+	return &Edger{settings: s, carrier: traffic, conductor: control}
+}
+
+// Run serves until stop ends, then stops without cutting what is in flight.
+func (e *Edger) Run(stop context.Context) error {
+	klog.InfoS("start", "instance", e.settings.Instance, "domain", e.settings.Domain, "clients", e.settings.ClientAddress)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 3)
+	clients := &http.Server{Handler: e.carrier, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	peers := &http.Server{Handler: e.peerHandler(), IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes}
+	ready := &http.Server{Handler: e.readyHandler(), IdleTimeout: idleTimeout}
+	peerAddress := net.JoinHostPort(e.settings.Address, fmt.Sprint(e.settings.PeerPort))
+	for address, server := range map[string]*http.Server{
+		e.settings.ClientAddress: clients, peerAddress: peers, e.settings.ReadyAddress: ready,
+	} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	go e.conductor.Run(ctx)
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	e.leave(clients)
+	klog.InfoS("stop")
+	return nil
+}
+
+// leave ends the work of this instance within the time that the platform grants.
+func (e *Edger) leave(clients *http.Server) {
+	klog.InfoS("stop requested")
+	due := time.Now().Add(e.settings.Bounds.Grace - exitMargin)
+	e.stopping.Store(true)
+	e.carrier.Close()
+	e.conductor.Leave()
+	time.Sleep(leaveFor)
+	ctx, cancel := context.WithDeadline(context.Background(), due)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		klog.InfoS("requests were in flight at the end", "error", err)
+	}
+	// The other instances may still have requests under way to servers that this one fronts.
+	e.carrier.Drain(ctx)
+}
+
+// readyHandler answers the platform's question whether this instance takes new connections.
+func (e *Edger) readyHandler() http.Handler {
+	routes := mux.NewRouter()
+	routes.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if e.stopping.Load() || !e.carrier.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}).Methods(http.MethodGet)
+	return routes
+}
+
+// peerHandler answers other instances: requests that they pass on, and control messages.
+func (e *Edger) peerHandler() http.Handler {
+	control := herald.NewHeraldServer(e.conductor)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Header.Get(carrier.HeaderHop) != "":
+			e.carrier.ServeHop(w, r)
+		case strings.HasPrefix(r.URL.Path, control.PathPrefix()):
+			control.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/elector/elector.go
@@ -0,0 +1,294 @@
+// Package elector decides which instance leads: the one whose record was appended to the store last. It is pure: events
+// and the present time go in, calls to the store come out, one at a time.
+//
+// A leader may act until a time after its last append that the store acknowledged; whoever takes over waits for that
+// time only where it can't reach a backend server itself.
+package elector
+
+import (
+	"time"
+)
+
+// Settings are the times of the lead. Each instance must use the same.
+type Settings struct {
+	// Authority is how long a leader may act after it sent an append that was acknowledged. It covers outages of the
+	// store.
+	Authority time.Duration
+	// Renew is how often a leader appends its record again.
+	Renew time.Duration
+	// Silence is how long neither the leader nor its record may be heard of before another instance takes over. It is
+	// shorter than a grant lasts after its last renewal.
+	Silence time.Duration
+	// Doubt is the silence after which an instance looks for the leader's record in the store.
+	Doubt time.Duration
+	// Retry is the pause after a call that failed.
+	Retry time.Duration
+	// Refusals is how many connections in a row the leader's machine must refuse to be taken for stopped.
+	Refusals int
+	// Jitter spreads the instances that want to take over.
+	Jitter time.Duration
+}
+
+// Identity tells instances and their incarnations apart.
+type Identity struct {
+	Instance    string
+	Incarnation uint64
+	Address     string
+}
+
+// Lead is the record of a leader.
+type Lead struct {
+	Identity Identity
+	Term     uint64
+}
+
+// Call is a call to the store.
+type Call interface{ call() }
+
+// Read asks for the newest records and the end of the topic.
+type Read struct{}
+
+// Take appends the record of this instance, which takes or renews the lead, where the topic ends at At.
+type Take struct {
+	Lead Lead
+	At   int64
+}
+
+// Store appends a plan where the topic ends at At.
+type Store struct {
+	Sequence uint64
+	At       int64
+}
+
+func (Read) call()  {}
+func (Take) call()  {}
+func (Store) call() {}
+
+// Elector is the state of one instance. Use New.
+type Elector struct {
+	settings Settings
+	self     Identity
+	offset   time.Duration // this instance's part of the jitter
+
+	known bool // whether end and lead are those of the store, as far as this instance can tell
+	end   int64
+	lead  Lead
+	term  uint64 // of this instance while it leads, else 0
+
+	calling   bool
+	next      time.Time // earliest time of the next call
+	authority time.Time
+	renew     time.Time
+	plan      uint64 // sequence number of a plan that waits for being stored
+	stored    uint64
+
+	heard     time.Time // last sign of life of the leader
+	refusals  int
+	contact   time.Time // last answer of the store
+	lostStore bool      // the leader says that it can't reach the store
+	took      bool      // a lead was taken since the last call of Took
+	waitUntil time.Time // earliest time of a takeover
+	orphan    bool      // the last leader has surely stopped
+}
+
+// New returns the Elector of an instance. share, from 0 to 1, is its place in the jitter.
+func New(settings Settings, now time.Time, self Identity, share float64) *Elector {
+	return &Elector{
+		settings: settings, self: self, offset: time.Duration(share * float64(settings.Jitter)),
+		next: now, heard: now, contact: now,
+	}
+}
+
+// Lead returns the present leader; ok is false while none is known.
+func (e *Elector) Lead() (lead Lead, ok bool) { return e.lead, e.lead.Identity.Instance != "" }
+
+// Term returns the term of this instance, or 0 while it does not lead.
+func (e *Elector) Term() uint64 { return e.term }
+
+// Active reports whether this instance leads and may give orders at now.
+func (e *Elector) Active(now time.Time) bool { return e.term != 0 && now.Before(e.authority) }
+
+// StoreLost reports whether the store has not answered this instance for a while, in which it was asked.
+func (e *Elector) StoreLost(now time.Time) bool { return now.Sub(e.contact) > e.settings.Silence }
+
+// Took reports, once for each lead taken, that this instance leads, and whether the last leader has surely stopped.
+func (e *Elector) Took() (taken, orphan bool) {
+	taken, e.took = e.took, false
+	return taken, e.orphan
+}
+
+// Want asks for the plan with a sequence number to be stored.
+func (e *Elector) Want(sequence uint64) { e.plan = sequence }
+
+// StoredPlan returns the sequence number of the newest plan of this term that is in the store.
+func (e *Elector) StoredPlan() uint64 { return e.stored }
+
+// Doubt withdraws the right to act until the next append is acknowledged: after this process stood still, or after a
+// server knew of a higher fence.
+func (e *Elector) Doubt(now time.Time) {
+	if e.term == 0 {
+		return
+	}
+	e.authority = time.Time{}
+	e.renew = now
+}
+
+// Heard takes note of an answer of the instance that leads.
+func (e *Elector) Heard(now time.Time, leading bool, term uint64, storeLost bool) {
+	e.refusals = 0
+	if !leading || term != e.lead.Term {
+		// It does not lead, or not in this term: the record that this instance knows is old.
+		e.known = e.known && term == e.lead.Term && leading
+		e.next = later(e.next, now)
+		return
+	}
+	e.heard = now
+	e.lostStore = storeLost
+}
+
+// Unheard takes note of a report that the leader did not answer. refused says that its machine refused the connection.
+func (e *Elector) Unheard(refused bool) {
+	if refused {
+		e.refusals++
+	} else {
+		e.refusals = 0
+	}
+}
+
+// Tick returns the call that is due, or nil.
+func (e *Elector) Tick(now time.Time) Call {
+	if e.calling || now.Before(e.next) {
+		return nil
+	}
+	call := e.due(now)
+	e.calling = call != nil
+	return call
+}
+
+func (e *Elector) due(now time.Time) Call {
+	switch {
+	case !e.known:
+		return Read{}
+	case e.term != 0:
+		return e.serve(now)
+	case e.vacant(now):
+		return e.contend(now)
+	case e.lead.Identity.Instance != "" && now.Sub(e.heard) > e.settings.Doubt:
+		return Read{}
+	}
+	e.waitUntil = time.Time{}
+	return nil
+}
+
+// serve returns the leader's next append.
+func (e *Elector) serve(now time.Time) Call {
+	if e.plan > e.stored && e.Active(now) {
+		return Store{Sequence: e.plan, At: e.end}
+	}
+	if !now.Before(e.renew) {
+		return Take{Lead: Lead{Identity: e.self, Term: e.term}, At: e.end}
+	}
+	return nil
+}
+
+// vacant reports whether the lead is to be taken over.
+func (e *Elector) vacant(now time.Time) bool {
+	switch {
+	case e.lead.Identity.Instance == "":
+		return true
+	case e.lead.Identity.Instance == e.self.Instance:
+		return true // an earlier incarnation of this instance
+	case e.refusals >= e.settings.Refusals:
+		return true
+	case e.lostStore && !e.StoreLost(now):
+		return true
+	}
+	return now.Sub(e.heard) > e.settings.Silence
+}
+
+func (e *Elector) contend(now time.Time) Call {
+	if e.waitUntil.IsZero() {
+		e.waitUntil = now.Add(e.offset)
+	}
+	if now.Before(e.waitUntil) {
+		return nil
+	}
+	return Take{Lead: Lead{Identity: e.self, Term: uint64(e.end) + 1}, At: e.end}
+}
+
+// WasRead takes the answer to a Read: the end of the topic, the record of the leader, whose Term is 0 where there is
+// none, and the sequence number of the plan of this instance's term.
+func (e *Elector) WasRead(now time.Time, end int64, lead Lead, plan uint64) {
+	e.calling, e.contact = false, now
+	e.next = now
+	if end != e.end || !e.known {
+		if lead.Term != e.lead.Term {
+			e.refusals, e.lostStore = 0, false
+			e.waitUntil = time.Time{}
+		}
+		if lead.Term != e.lead.Term || end != e.end {
+			e.heard = now
+		}
+	}
+	e.known, e.end, e.lead = true, end, lead
+	if lead.Term != 0 && lead.Identity.Instance == e.self.Instance && lead.Identity.Incarnation == e.self.Incarnation {
+		e.adopt(now, lead, plan)
+		return
+	}
+	e.term = 0
+	e.next = now.Add(e.settings.Retry)
+}
+
+// adopt takes up a lead whose append got no answer. The right to act begins with the next append that gets one.
+func (e *Elector) adopt(now time.Time, lead Lead, plan uint64) {
+	if e.term != lead.Term {
+		e.term, e.took = lead.Term, true
+		e.plan, e.stored = 0, 0
+	}
+	e.stored = max(e.stored, plan)
+	e.renew = now
+}
+
+// Appended takes the acknowledgement of an append that was sent at sent.
+func (e *Elector) Appended(now, sent time.Time, call Call, offset int64) {
+	e.calling, e.contact = false, now
+	e.end = offset + 1
+	switch c := call.(type) {
+	case Take:
+		if e.term != c.Lead.Term {
+			e.orphan = e.lead.Identity.Instance == "" || e.lead.Identity.Instance == e.self.Instance
+			e.term, e.took = c.Lead.Term, true
+			e.plan, e.stored = 0, 0
+		}
+		e.lead = c.Lead
+		e.refusals, e.lostStore = 0, false
+	case Store:
+		e.stored = max(e.stored, c.Sequence)
+	case Read:
+	}
+	e.authority = sent.Add(e.settings.Authority)
+	e.renew = sent.Add(e.settings.Renew)
+	e.next = now
+}
+
+// Failed takes note of a call that failed. answered says that the store refused it, so that it took no effect.
+func (e *Elector) Failed(now time.Time, call Call, answered, conflict bool) {
+	e.calling = false
+	if conflict {
+		e.contact = now
+		e.known = false
+		e.next = now
+		return
+	}
+	if _, read := call.(Read); !read && !answered {
+		e.known = false
+	}
+	e.next = now.Add(e.settings.Retry)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -14,6 +14,8 @@
 	defaultConnections    = 64
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 30 * time.Second
+
+	probes = 3 // without an answer after which a connection fails
 )
 
 // Options are the settings of a Pool. A zero field stands for its default; a nil TLS is a plain connection.
@@ -23,6 +25,9 @@
 	ConnectTimeout time.Duration // for the connection and its TLS handshake, and for the wait for a free one
 	IdleTimeout    time.Duration // an idle connection is not used after it
 	TLS            *tls.Config
+	// Probe finds connections that went silent: a connection whose other side acknowledges nothing for three times as
+	// long fails. 0 leaves it to the system's defaults.
+	Probe time.Duration
 }
 
 // Pool holds the persistent connections to one address.
@@ -200,6 +205,12 @@
 		return nil, errTooLate
 	}
 	dialer := net.Dialer{Timeout: timeout, Deadline: deadline}
+	if p.options.Probe > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{
+			Enable: true, Idle: p.options.Probe, Interval: p.options.Probe, Count: probes,
+		}
+		dialer.Control = limitUnacknowledged(probes * p.options.Probe)
+	}
 	plain, err := dialer.DialContext(ctx, "tcp", p.options.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,570 @@
+// Package granter decides which backend server is told to own which keys. It runs on the one instance that leads, and
+// is pure: events and the present time go in, orders come out.
+//
+// It answers the load of moving keys: a range is served by its owner until the release is sent, waits while the owner
+// finishes what runs on it, and is served by the next owner as soon as that one has answered. Exclusive ownership rests
+// on three rules. A range is given to another server only after the last owner answered a release, or after the last
+// grant that may have reached it ran out. What may have reached it includes grants that got no answer, and those of an
+// earlier leader whose authority has not ended. And who may own a range is in the store before the grant is sent.
+package granter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+// Settings are the times of grants. Each instance must use the same.
+type Settings struct {
+	Hold  time.Duration // how long a grant lasts from its arrival
+	Renew time.Duration // between renewals
+	// Margin is added to the time after which a grant has surely run out. It covers the time on the way.
+	Margin time.Duration
+	// Retry is the pause after an order that could not be sent.
+	Retry time.Duration
+}
+
+// clockError is how slow a server's clock may run, in hundredths, by the platform's rules.
+const clockError = 2
+
+// lapse returns after how long a grant that arrived now has surely run out.
+func (s Settings) lapse() time.Duration { return s.Hold + s.Hold*clockError/100 + s.Margin }
+
+// Holding is who may own a range, as the store keeps it.
+type Holding struct {
+	Service string
+	Range   ranger.Range
+	Server  string
+}
+
+// state is where a range stands.
+type state int
+
+const (
+	free      state = iota // nobody owns it
+	planned                // its next owner waits for the store to know of it
+	granting               // its owner has not answered the grant yet
+	held                   // its owner has answered
+	releasing              // its owner was told, or has to be told, to give it up
+)
+
+// holding is a range and its owner.
+type holding struct {
+	Holding
+	id       int
+	state    state
+	fence    uint64
+	handover string
+	target   string // where a released range goes; empty leaves it to placing
+	plan     uint64 // sequence number of the plan that has to be stored before the grant
+
+	calling   bool      // an order is under way
+	next      time.Time // when the next order is due
+	lapses    time.Time // when grants that were answered have surely run out
+	uncertain time.Time // when grants that got no answer have surely run out
+	kept      bool      // it was served by this server before this leader's grant, so that it need not pause
+	failing   bool      // the last order failed
+}
+
+// owned returns when nobody can own the range any more by what has been granted.
+func (h *holding) owned() time.Time {
+	if h.uncertain.After(h.lapses) {
+		return h.uncertain
+	}
+	return h.lapses
+}
+
+// Order is a call to a backend server.
+type Order interface{ order() }
+
+// Grant tells a server that it owns a range.
+type Grant struct {
+	ID       int
+	Server   string
+	Range    ranger.Range
+	Fence    uint64
+	Hold     time.Duration
+	Handover string
+}
+
+// Release tells a server to give a range up.
+type Release struct {
+	ID     int
+	Server string
+	Range  ranger.Range
+	Fence  uint64
+}
+
+func (Grant) order()   {}
+func (Release) order() {}
+
+// Outcome is what came of an order.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	Accepted   Outcome = iota
+	Fenced             // the server has seen a higher fence
+	NotSent            // certainly not received
+	Unanswered         // may have been received, or may be carried out later
+)
+
+// Granter is the state of the leader. Use New.
+type Granter struct {
+	settings    Settings
+	term        uint64
+	count       uint64
+	lastID      int
+	holdings    map[int]*holding
+	servers     map[string]cataloger.Server
+	predecessor time.Time // until when grants of an earlier leader may be in force at servers that this one can't reach
+	plan        uint64    // sequence number of the present plan
+	stored      uint64    // sequence number of the newest plan that is in the store
+	changed     map[int]bool
+}
+
+// New returns the Granter of a leader. holdings is the plan that the store keeps; grants that an earlier leader sent may
+// be in force until predecessor.
+func New(settings Settings, now time.Time, term uint64, holdings []Holding, predecessor time.Time) *Granter {
+	g := &Granter{
+		settings: settings, term: term, holdings: map[int]*holding{}, servers: map[string]cataloger.Server{},
+		predecessor: predecessor, changed: map[int]bool{},
+	}
+	for _, h := range holdings {
+		if h.Server == "" {
+			g.add(&holding{Holding: h, state: free})
+			continue
+		}
+		g.add(&holding{Holding: h, state: granting, fence: g.nextFence(), kept: true, lapses: predecessor, next: now})
+	}
+	return g
+}
+
+func (g *Granter) add(h *holding) *holding {
+	g.lastID++
+	h.id = g.lastID
+	g.holdings[h.id] = h
+	g.changed[h.id] = true
+	return h
+}
+
+// fenceBits is how many grants one term has room for; a leader sends a few dozen a second at most.
+const fenceBits = 24
+
+// nextFence returns a number above every one that this or an earlier leader has used.
+func (g *Granter) nextFence() uint64 {
+	g.count++
+	return g.term<<fenceBits | g.count
+}
+
+// SetServers records the servers of the services that are divided by key, and starts what follows from the change: a
+// service without a plan gets one, and what servers that leave own is released.
+func (g *Granter) SetServers(now time.Time, keyed []string, servers []cataloger.Server) {
+	old := g.servers
+	g.servers = map[string]cataloger.Server{}
+	for _, s := range servers {
+		if slices.Contains(keyed, s.Service) {
+			g.servers[s.ID] = s
+		}
+	}
+	for _, service := range keyed {
+		g.divide(service)
+	}
+	for _, h := range g.ordered() {
+		s, known := g.servers[h.Server]
+		if before, was := old[h.Server]; known && was && s.Born > before.Born {
+			g.reborn(now, h)
+		}
+		if (!known || s.State != cataloger.Ready) && (h.state == held || h.state == granting) {
+			g.release(now, h, "")
+		}
+	}
+}
+
+// reborn takes note that the server of h started anew: its new incarnation owns nothing until it gets a higher fence.
+func (g *Granter) reborn(now time.Time, h *holding) {
+	if h.state != held && h.state != granting {
+		return
+	}
+	h.state, h.kept, h.handover = granting, false, ""
+	h.fence = g.nextFence()
+	h.next = now
+	g.changed[h.id] = true
+}
+
+// divide plans a service that has no plan: equal ranges over its ready servers, which nobody owned before.
+func (g *Granter) divide(service string) {
+	for _, h := range g.holdings {
+		if h.Service == service {
+			return
+		}
+	}
+	ready := g.ready(service)
+	if len(ready) == 0 {
+		return
+	}
+	g.plan++
+	for i, r := range ranger.Divide(len(ready)) {
+		g.add(&holding{
+			Holding: Holding{Service: service, Range: r, Server: ready[i]}, state: planned, plan: g.plan,
+			fence: g.nextFence(),
+		})
+	}
+}
+
+// ready returns the ids of the servers of a service that may own keys, in order.
+func (g *Granter) ready(service string) []string {
+	var ids []string
+	for id, s := range g.servers {
+		if s.Service == service && s.State == cataloger.Ready {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ordered returns the holdings in order of their ids, so that the same events always give the same orders.
+func (g *Granter) ordered() []*holding {
+	all := make([]*holding, 0, len(g.holdings))
+	for _, h := range g.holdings {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b *holding) int { return a.id - b.id })
+	return all
+}
+
+// Move starts to move a range, which must lie within one holding, to the server to. It reports whether it did: a range
+// whose owner has an order under way is left alone.
+func (g *Granter) Move(now time.Time, service string, r ranger.Range, to string) bool {
+	for _, h := range g.holdings {
+		if h.Service != service || !h.settled() || h.Server == to || now.Before(h.uncertain) {
+			continue
+		}
+		if h.Range.First <= r.First && r.Last <= h.Range.Last {
+			g.release(now, g.cut(h, r), to)
+			return true
+		}
+	}
+	return false
+}
+
+// cut splits h so that r is a holding of its own, and returns that one. The parts keep the fence of the whole.
+func (g *Granter) cut(h *holding, r ranger.Range) *holding {
+	if h.Range.First < r.First {
+		left := *h
+		left.Range.Last = r.First - 1
+		g.add(&left)
+	}
+	if h.Range.Last > r.Last {
+		right := *h
+		right.Range.First = r.Last + 1
+		g.add(&right)
+	}
+	h.Range = r
+	g.changed[h.id] = true
+	return h
+}
+
+func (g *Granter) release(now time.Time, h *holding, to string) {
+	h.state, h.target, h.next, h.failing, h.handover = releasing, to, now, false, ""
+	g.changed[h.id] = true
+}
+
+// Tick returns the orders that are due, and frees the ranges whose last grants have run out.
+func (g *Granter) Tick(now time.Time) []Order {
+	g.join()
+	var orders []Order
+	for _, h := range g.ordered() {
+		g.settle(now, h)
+		if h.calling || now.Before(h.next) {
+			continue
+		}
+		switch h.state {
+		case granting, held:
+			orders = append(orders, g.grant(now, h))
+		case releasing:
+			h.calling = true
+			orders = append(orders, Release{ID: h.id, Server: h.Server, Range: h.Range, Fence: h.fence})
+		case free, planned:
+		}
+	}
+	return orders
+}
+
+func (g *Granter) grant(now time.Time, h *holding) Order {
+	h.calling = true
+	h.next = now.Add(g.settings.Renew)
+	order := Grant{ID: h.id, Server: h.Server, Range: h.Range, Fence: h.fence, Hold: g.settings.Hold}
+	if h.state == granting {
+		order.Handover = h.handover
+	}
+	return order
+}
+
+// settle moves h on where time alone or the store decides.
+func (g *Granter) settle(now time.Time, h *holding) {
+	lapsed := !now.Before(h.owned()) && !h.calling
+	switch h.state {
+	case held:
+		if h.failing && lapsed {
+			g.free(h, "")
+		}
+	case granting:
+		if h.failing && lapsed {
+			g.free(h, "")
+		}
+	case releasing:
+		if lapsed {
+			g.free(h, h.handover)
+		}
+	case planned:
+		if h.plan <= g.stored && lapsed {
+			h.state, h.next = granting, now
+			g.changed[h.id] = true
+		}
+	case free:
+	}
+	if h.state == free {
+		g.place(h)
+	}
+}
+
+// free takes note that nobody owns h.
+func (g *Granter) free(h *holding, handover string) {
+	h.state, h.handover, h.failing, h.kept = free, handover, false, false
+	g.changed[h.id] = true
+}
+
+// place gives a free range to its target, or to the ready server with the fewest keys.
+func (g *Granter) place(h *holding) {
+	ready := g.ready(h.Service)
+	if len(ready) == 0 {
+		return
+	}
+	to := h.target
+	if !slices.Contains(ready, to) {
+		to = g.fewest(h, ready)
+	}
+	g.plan++
+	h.Server, h.target, h.state, h.plan = to, "", planned, g.plan
+	h.fence = g.nextFence()
+	g.changed[h.id] = true
+}
+
+// fewest returns the one of ready with the fewest ranges and, among those, the fewest keys; not the last owner of h,
+// unless it is the only one.
+func (g *Granter) fewest(h *holding, ready []string) string {
+	type stock struct{ ranges, keys int }
+	stocks := map[string]stock{}
+	for _, other := range g.holdings {
+		if other != h {
+			s := stocks[other.Server]
+			stocks[other.Server] = stock{s.ranges + 1, s.keys + other.Range.Len()}
+		}
+	}
+	return slices.MinFunc(ready, func(a, b string) int {
+		if (a == h.Server) != (b == h.Server) {
+			if a == h.Server {
+				return 1
+			}
+			return -1
+		}
+		if d := stocks[a].ranges - stocks[b].ranges; d != 0 {
+			return d
+		}
+		return stocks[a].keys - stocks[b].keys
+	})
+}
+
+// join makes one holding of neighbours that the same server has held for a while, so that one order renews both.
+func (g *Granter) join() {
+	all := g.ordered()
+	slices.SortFunc(all, func(a, b *holding) int {
+		if a.Service != b.Service {
+			if a.Service < b.Service {
+				return -1
+			}
+			return 1
+		}
+		return int(a.Range.First) - int(b.Range.First)
+	})
+	for i := 1; i < len(all); i++ {
+		a, b := all[i-1], all[i]
+		near := a.Service == b.Service && a.Server == b.Server && int(a.Range.Last)+1 == int(b.Range.First)
+		if !near || !a.settled() || !b.settled() {
+			continue
+		}
+		b.Range.First = a.Range.First
+		b.fence = g.nextFence()
+		b.lapses, b.uncertain = later(a.lapses, b.lapses), later(a.uncertain, b.uncertain)
+		if a.next.Before(b.next) {
+			b.next = a.next
+		}
+		delete(g.holdings, a.id)
+		delete(g.changed, a.id)
+	}
+}
+
+func (h *holding) settled() bool { return h.state == held && !h.calling && !h.failing }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Granted takes the outcome of a Grant.
+func (g *Granter) Granted(now time.Time, order Grant, outcome Outcome) {
+	h, ok := g.holdings[order.ID]
+	if !ok {
+		return
+	}
+	h.calling = false
+	if outcome == Accepted || outcome == Unanswered {
+		g.extend(now, h, outcome)
+	}
+	if h.state != granting && h.state != held {
+		return
+	}
+	switch outcome {
+	case Accepted:
+		if h.state == granting {
+			h.state = held
+			g.changed[h.id] = true
+		}
+		h.failing, h.kept, h.handover = false, false, ""
+	case Fenced, Unanswered:
+		h.failing = true
+		h.fence = g.nextFence()
+		h.next = now
+		if outcome == Fenced {
+			h.next = now.Add(g.settings.Retry)
+		}
+	case NotSent:
+		h.failing = true
+		h.fence = g.nextFence() // the server may be a new incarnation
+		h.next = now.Add(g.settings.Retry)
+	}
+}
+
+func (g *Granter) extend(now time.Time, h *holding, outcome Outcome) {
+	end := now.Add(g.settings.lapse())
+	switch {
+	case outcome == Unanswered:
+		h.uncertain = later(h.uncertain, end)
+	case h.kept:
+		// From now on the server refuses what an earlier leader sends, but for what it has received already.
+		h.lapses, h.uncertain = end, end
+	default:
+		h.lapses = later(h.lapses, end)
+	}
+}
+
+// Released takes the outcome of a Release.
+func (g *Granter) Released(now time.Time, order Release, outcome Outcome, handover string) {
+	h, ok := g.holdings[order.ID]
+	if !ok || h.state != releasing {
+		return
+	}
+	h.calling = false
+	if outcome != Accepted {
+		h.next = now.Add(g.settings.Retry)
+		return
+	}
+	// The server has given up what it was granted, but a grant without an answer may still be carried out.
+	h.lapses = time.Time{}
+	h.next = h.uncertain.Add(g.settings.lapse())
+	if !now.Before(h.uncertain) {
+		g.free(h, handover)
+		g.place(h)
+		return
+	}
+	h.handover = handover
+}
+
+// Plan returns the plan to store, and its sequence number; stale is false where the store has it already.
+func (g *Granter) Plan() (holdings []Holding, sequence uint64, stale bool) {
+	if g.plan <= g.stored {
+		return nil, g.stored, false
+	}
+	for _, h := range g.ordered() {
+		owned := h.Holding
+		if h.state == free {
+			owned.Server = ""
+		}
+		holdings = append(holdings, owned)
+	}
+	return holdings, g.plan, true
+}
+
+// Stored takes note that the plan with a sequence number is in the store.
+func (g *Granter) Stored(sequence uint64) { g.stored = max(g.stored, sequence) }
+
+// Delta returns the segments that changed since the last call.
+func (g *Granter) Delta(now time.Time) []ranger.Segment {
+	var segments []ranger.Segment
+	for _, h := range g.ordered() {
+		if g.changed[h.id] {
+			segments = append(segments, g.segment(now, h))
+		}
+	}
+	clear(g.changed)
+	return segments
+}
+
+// Segments returns the segments of all ranges.
+func (g *Granter) Segments(now time.Time) []ranger.Segment {
+	var segments []ranger.Segment
+	for _, h := range g.ordered() {
+		segments = append(segments, g.segment(now, h))
+	}
+	return segments
+}
+
+func (g *Granter) segment(now time.Time, h *holding) ranger.Segment {
+	s := ranger.Segment{Service: h.Service, Range: h.Range, Server: h.Server}
+	s.Moving = h.state != held && !(h.state == granting && h.kept)
+	if h.state == releasing && !g.reachable(h.Server) {
+		s.Pause = uint32(max(0, h.owned().Sub(now).Milliseconds()))
+	}
+	return s
+}
+
+// reachable reports whether the server of a range that is being released is expected to answer.
+func (g *Granter) reachable(server string) bool {
+	for _, h := range g.holdings {
+		if h.Server == server && h.failing {
+			return false
+		}
+	}
+	return true
+}
+
+// Held returns the ranges that servers hold and that may be moved, with their owners.
+func (g *Granter) Held(service string) []Holding {
+	var list []Holding
+	for _, h := range g.ordered() {
+		if h.Service == service && h.settled() {
+			list = append(list, h.Holding)
+		}
+	}
+	return list
+}
+
+// Moves returns how many ranges are between two owners.
+func (g *Granter) Moves() int {
+	count := 0
+	for _, h := range g.holdings {
+		if h.state != held {
+			count++
+		}
+	}
+	return count
+}
+
+// Ready returns the ids of the servers of a service that may own keys, in order.
+func (g *Granter) Ready(service string) []string { return g.ready(service) }
--- /dev/null
+++ b/internal/herald/segments.go
@@ -0,0 +1,40 @@
+// Package herald holds the messages between entry instances on the platform, and the records that leaders keep in its
+// store.
+package herald
+
+import (
+	"slices"
+
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+// EncodeSegments returns the names of the services and the segments that refer to them.
+func EncodeSegments(segments []ranger.Segment) (services []string, encoded []*Segment) {
+	for _, s := range segments {
+		at := slices.Index(services, s.Service)
+		if at < 0 {
+			at = len(services)
+			services = append(services, s.Service)
+		}
+		encoded = append(encoded, &Segment{
+			Service: uint32(at), First: uint32(s.Range.First), Last: uint32(s.Range.Last), Server: s.Server,
+			Moving: s.Moving, PauseMs: s.Pause,
+		})
+	}
+	return services, encoded
+}
+
+// DecodeSegments is the inverse of EncodeSegments. Segments that are no ranges of a named service are left out.
+func DecodeSegments(services []string, encoded []*Segment) []ranger.Segment {
+	var segments []ranger.Segment
+	for _, s := range encoded {
+		if int(s.GetService()) >= len(services) || s.GetFirst() > s.GetLast() || s.GetLast() > ranger.MaxKey {
+			continue
+		}
+		segments = append(segments, ranger.Segment{
+			Service: services[s.GetService()], Server: s.GetServer(), Moving: s.GetMoving(), Pause: s.GetPauseMs(),
+			Range: ranger.Range{First: uint16(s.GetFirst()), Last: uint16(s.GetLast())},
+		})
+	}
+	return segments
+}
--- /dev/null
+++ b/internal/scribe/scribe.go
@@ -0,0 +1,81 @@
+// Package scribe writes the structured log of an instance to standard output, without ever blocking who logs.
+package scribe
+
+import (
+	"flag"
+	"io"
+	"sync/atomic"
+
+	"k8s.io/klog/v2"
+)
+
+// pending is how many lines may wait to be written; further ones are dropped and counted.
+const pending = 2048
+
+// Scribe is a writer that never blocks. Use New.
+type Scribe struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// New returns a Scribe that writes to w.
+func New(w io.Writer) *Scribe {
+	s := &Scribe{lines: make(chan []byte, pending), done: make(chan struct{})}
+	go s.run(w)
+	return s
+}
+
+// Write implements io.Writer. A line that finds the buffer full is dropped.
+func (s *Scribe) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (s *Scribe) Dropped() int64 { return s.dropped.Load() }
+
+// Close writes what waits. Nothing may be written after it.
+func (s *Scribe) Close() {
+	close(s.lines)
+	<-s.done
+}
+
+// run writes the lines that wait together, which saves system calls.
+func (s *Scribe) run(w io.Writer) {
+	defer close(s.done)
+	for line := range s.lines {
+		for more := true; more && len(line) < 64<<10; {
+			select {
+			case next, ok := <-s.lines:
+				line, more = append(line, next...), ok
+			default:
+				more = false
+			}
+		}
+		if _, err := w.Write(line); err != nil {
+			s.dropped.Add(1)
+		}
+	}
+}
+
+// Attach makes klog write to s alone.
+func (s *Scribe) Attach() error {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	if err := flags.Set("logtostderr", "false"); err != nil {
+		return err
+	}
+	if err := flags.Set("one_output", "true"); err != nil {
+		return err
+	}
+	if err := flags.Set("stderrthreshold", "FATAL"); err != nil {
+		return err
+	}
+	klog.SetOutput(s)
+	return nil
+}
--- /dev/null
+++ b/internal/viewer/viewer.go
@@ -0,0 +1,155 @@
+// Package viewer is the immutable picture of the system that traffic reads: routes, backend servers, owners of keys, and
+// the instances, with the rule by which these share the work of fronting servers.
+package viewer
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+// Member is an entry instance.
+type Member struct {
+	Instance    string
+	Incarnation uint64
+	Address     string // where other instances reach it
+	Domain      string
+	Leaving     bool
+}
+
+// Pool names a set of servers with one queue: a server of a keyed service, or the servers of another service in a
+// failure domain.
+type Pool struct {
+	Service string
+	Server  string // empty for a service without keys
+	Domain  string
+}
+
+// View is what an instance knows. All of it is immutable.
+type View struct {
+	Self    Member
+	Table   *matcher.Table
+	Owners  *ranger.Map
+	Members []Member // without Self; in order of their names
+	servers map[string]cataloger.Server
+	pools   map[Pool][]cataloger.Server
+	domains map[string][]string // of each service, those with ready servers, the one with the most first
+}
+
+// New returns a View.
+func New(
+	self Member, table *matcher.Table, servers []cataloger.Server, owners *ranger.Map, members []Member,
+) *View {
+	v := &View{
+		Self: self, Table: table, Owners: owners, Members: members,
+		servers: map[string]cataloger.Server{}, pools: map[Pool][]cataloger.Server{}, domains: map[string][]string{},
+	}
+	for _, s := range servers {
+		v.servers[s.ID] = s
+		if s.State != cataloger.Ready {
+			continue
+		}
+		p := Pool{Service: s.Service, Domain: s.Domain}
+		v.pools[p] = append(v.pools[p], s)
+		if len(v.pools[p]) == 1 {
+			v.domains[s.Service] = append(v.domains[s.Service], s.Domain)
+		}
+	}
+	for service, list := range v.domains {
+		slices.SortStableFunc(list, func(a, b string) int {
+			return len(v.pools[Pool{Service: service, Domain: b}]) - len(v.pools[Pool{Service: service, Domain: a}])
+		})
+	}
+	return v
+}
+
+// Server returns the server with an id, whatever its state.
+func (v *View) Server(id string) (cataloger.Server, bool) {
+	s, ok := v.servers[id]
+	return s, ok
+}
+
+// Servers returns the servers of a pool that may get requests. A server that owns keys gets requests for them until they
+// are taken from it, whatever its state.
+func (v *View) Servers(p Pool) []cataloger.Server {
+	if p.Server == "" {
+		return v.pools[p]
+	}
+	if s, ok := v.servers[p.Server]; ok {
+		return []cataloger.Server{s}
+	}
+	return nil
+}
+
+// KeyPool returns the pool of a server that owns keys; ok is false where the server is unknown.
+func (v *View) KeyPool(server string) (Pool, bool) {
+	s, ok := v.servers[server]
+	return Pool{Service: s.Service, Server: s.ID, Domain: s.Domain}, ok
+}
+
+// Pools returns the pools of a service without keys in the order in which a request that entered here tries them: its
+// own failure domain first.
+func (v *View) Pools(service string) []Pool {
+	var pools []Pool
+	own := Pool{Service: service, Domain: v.Self.Domain}
+	if len(v.pools[own]) > 0 {
+		pools = append(pools, own)
+	}
+	for _, d := range v.domains[service] {
+		if d != v.Self.Domain {
+			pools = append(pools, Pool{Service: service, Domain: d})
+		}
+	}
+	return pools
+}
+
+// Front returns the instance that keeps the queue of a pool: the one of the pool's failure domain with the highest hash,
+// so that each instance that knows the same members picks the same one. Members for which avoid is true, and those that
+// leave, are passed over; without any in the domain, all others are asked, then this instance.
+func (v *View) Front(p Pool, avoid func(instance string) bool) Member {
+	best, found := v.highest(p, true, avoid)
+	if !found {
+		best, found = v.highest(p, false, avoid)
+	}
+	if !found {
+		return v.Self
+	}
+	return best
+}
+
+func (v *View) highest(p Pool, inDomain bool, avoid func(instance string) bool) (Member, bool) {
+	var best Member
+	var most uint64
+	found := false
+	consider := func(m Member) {
+		if m.Leaving || (inDomain && m.Domain != p.Domain) {
+			return
+		}
+		if rank := rank(p, m.Instance); !found || rank > most {
+			best, most, found = m, rank, true
+		}
+	}
+	consider(v.Self)
+	for _, m := range v.Members {
+		if !avoid(m.Instance) {
+			consider(m)
+		}
+	}
+	return best, found
+}
+
+// rank returns the weight of an instance for a pool.
+func rank(p Pool, instance string) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{p.Service, p.Server, p.Domain, instance} {
+		_, _ = h.Write([]byte(part)) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	sum := h.Sum64()
+	sum ^= sum >> 33 // the last bytes reach only the low bits of an FNV hash
+	sum *= 0xff51afd7ed558ccd
+	return sum ^ sum>>33
+}
