--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -46,19 +46,30 @@
 	servers map[string]Server
 	missing map[string]time.Time // until when the entry of a server that is missing may come back
 	last    map[string]Server    // the newest entry of each server that was ever known
+	leaving map[string]time.Time // when a server that drains is to be taken as gone
 }
 
-// Put records an entry. It reports whether anything but its age changed.
-func (c *Catalog) Put(s Server) bool {
+// Put records an entry. It reports whether anything but its age changed. A server that drains is taken as gone after
+// drain.
+func (c *Catalog) Put(now time.Time, drain time.Duration, s Server) bool {
 	if c.servers == nil {
 		c.servers = map[string]Server{}
 		c.last = map[string]Server{}
+		c.leaving = map[string]time.Time{}
 	}
 	delete(c.missing, s.ID)
 	old, known := c.servers[s.ID]
 	if known && s.Born < old.Born {
 		return false
 	}
+	switch {
+	case s.State != Draining:
+		delete(c.leaving, s.ID)
+	case c.leaving[s.ID].IsZero():
+		c.leaving[s.ID] = now.Add(drain)
+	case known && old.State == Gone:
+		s.State = Gone
+	}
 	c.servers[s.ID] = s
 	c.last[s.ID] = s
 	return !known || old != s
@@ -77,8 +88,13 @@
 		c.missing[id] = settled
 		return
 	}
+	c.drop(id)
+}
+
+func (c *Catalog) drop(id string) {
 	delete(c.servers, id)
 	delete(c.missing, id)
+	delete(c.leaving, id)
 }
 
 // Keep removes every server whose id is not in present, as a whole reading of the store shows it.
@@ -90,13 +106,20 @@
 	}
 }
 
-// Expire drops the servers whose entries did not come back in time. It reports whether any was dropped.
+// Expire drops the servers whose entries did not come back in time, and takes those as gone that have drained for long
+// enough. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	changed := false
 	for id, until := range c.missing {
 		if !now.Before(until) {
-			delete(c.missing, id)
-			delete(c.servers, id)
+			c.drop(id)
+			changed = true
+		}
+	}
+	for id, until := range c.leaving {
+		if s := c.servers[id]; s.State == Draining && !now.Before(until) {
+			s.State = Gone
+			c.servers[id] = s
 			changed = true
 		}
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -58,6 +58,8 @@
 	Self    viewer.Member
 	Store   *platform.Store
 	Carrier *carrier.Carrier
+	// Drain is after how long a server that drains is sent nothing more, whoever owns its keys then.
+	Drain time.Duration
 }
 
 // Conductor is the control side of an instance. Use New and Run.
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -72,7 +72,7 @@
 				continue
 			}
 			present[r.Key] = true
-			if c.catalog.Put(server) {
+			if c.catalog.Put(now, c.options.Drain, server) {
 				klog.InfoS("server", "server", r.Key, "service", server.Service, "address", server.Address,
 					"state", server.State.String(), "born", server.Born, "slots", server.Slots, "cold", server.Cold)
 				changed = true
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -30,6 +30,9 @@
 	leaveFor = 2300 * time.Millisecond
 	// exitMargin is kept of the time until SIGKILL.
 	exitMargin = 500 * time.Millisecond
+	// drainMargin is kept of the time in which a leaving server may still get requests: for the way of the news, which are
+	// gathered for 150 ms, and for requests under way.
+	drainMargin = 600 * time.Millisecond
 	// headerTimeout bounds the head of a request; the platform's clients send theirs within 3 s.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long idle connections are kept, longer than clients reuse them.
@@ -63,7 +66,9 @@
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
 	}
-	control := conductor.New(conductor.Options{Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic})
+	control := conductor.New(conductor.Options{
+		Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic, Drain: s.Bounds.Drain - drainMargin,
+	})
 	return &Edger{settings: s, carrier: traffic, conductor: control}
 }
 
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -171,6 +171,8 @@
 		return Read{}
 	case e.term != 0:
 		return e.serve(now)
+	case e.lostStore && e.StoreLost(now):
+		return Read{} // whether this instance reaches the store that the leader does not reach
 	case e.vacant(now):
 		return e.contend(now)
 	case e.lead.Identity.Instance != "" && now.Sub(e.heard) > e.settings.Doubt:
@@ -200,7 +202,7 @@
 		return true // an earlier incarnation of this instance
 	case e.refusals >= e.settings.Refusals:
 		return true
-	case e.lostStore && !e.StoreLost(now):
+	case e.lostStore:
 		return true
 	}
 	return now.Sub(e.heard) > e.settings.Silence
@@ -280,10 +282,13 @@
 		e.next = now
 		return
 	}
+	e.next = now.Add(e.settings.Retry)
+	if _, read := call.(Read); read && e.known {
+		e.next = now.Add(e.settings.Doubt) // it only looks whether the store is back
+	}
 	if _, read := call.(Read); !read && !answered {
 		e.known = false
 	}
-	e.next = now.Add(e.settings.Retry)
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/elector/elector_test.go
@@ -0,0 +1,178 @@
+package elector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	times = Settings{
+		Authority: 20 * time.Second, Renew: time.Second, Silence: 2 * time.Second, Doubt: 900 * time.Millisecond,
+		Retry: 250 * time.Millisecond, Refusals: 2, Jitter: 200 * time.Millisecond,
+	}
+	self  = Identity{Instance: "self", Incarnation: 1, Address: "self:1"}
+	other = Identity{Instance: "other", Incarnation: 2, Address: "other:1"}
+)
+
+// at returns the time after start.
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// follower returns an Elector that follows other, heard of at start.
+func follower() *Elector {
+	e := New(times, start, self, 0)
+	_ = e.Tick(start)
+	e.WasRead(start, 5, Lead{Identity: other, Term: 3}, 0)
+	e.Heard(start, true, 3, false)
+	return e
+}
+
+// leader returns an Elector that took the lead at start.
+func leader() *Elector {
+	e := New(times, start, self, 0)
+	_ = e.Tick(start)
+	e.WasRead(start, 0, Lead{}, 0)
+	take := e.Tick(at(times.Retry))
+	e.Appended(start, start, take, 0)
+	return e
+}
+
+func TestFirstInstanceTakesTheLead(t *testing.T) {
+	is := is.New(t)
+	e := New(times, start, self, 0)
+	is.Equal(e.Tick(start), Read{})
+	is.Equal(e.Tick(at(time.Second)), nil) // one call at a time
+	e.WasRead(start, 0, Lead{}, 0)
+	take := e.Tick(at(times.Retry))
+	is.Equal(take, Take{Lead: Lead{Identity: self, Term: 1}, At: 0})
+	is.True(!e.Active(at(times.Retry)))
+	e.Appended(at(time.Second), at(times.Retry), take, 0)
+	taken, orphan := e.Took()
+	is.True(taken)
+	is.True(orphan)
+	is.True(e.Active(at(times.Authority))) // counted from sending
+	is.True(!e.Active(at(times.Retry + times.Authority)))
+}
+
+func TestTakeover(t *testing.T) {
+	tests := map[string]struct {
+		happens func(e *Elector)
+		after   time.Duration
+		want    Call
+	}{
+		"heard": {
+			happens: func(e *Elector) { e.Heard(at(1500*time.Millisecond), true, 3, false) },
+			after:   2200 * time.Millisecond, want: nil,
+		},
+		"silent, looked for in the store first": {
+			happens: func(*Elector) {}, after: time.Second, want: Read{},
+		},
+		"silent for long": {
+			happens: func(*Elector) {}, after: 2100 * time.Millisecond, want: Take{Lead: Lead{Identity: self, Term: 6}, At: 5},
+		},
+		"silent, but its record was renewed": {
+			happens: func(e *Elector) { e.WasRead(at(1900*time.Millisecond), 6, Lead{Identity: other, Term: 3}, 0) },
+			after:   2500 * time.Millisecond, want: nil,
+		},
+		"refused once": {
+			happens: func(e *Elector) { e.Unheard(true) }, after: 500 * time.Millisecond, want: nil,
+		},
+		"refused twice": {
+			happens: func(e *Elector) { e.Unheard(true); e.Unheard(true) }, after: 500 * time.Millisecond,
+			want: Take{Lead: Lead{Identity: self, Term: 6}, At: 5},
+		},
+		"refused, then silent": {
+			happens: func(e *Elector) { e.Unheard(true); e.Unheard(false); e.Unheard(true) }, after: 500 * time.Millisecond,
+			want: nil,
+		},
+		"leader has lost the store, this instance asks first whether it reaches it": {
+			happens: func(e *Elector) { e.Heard(at(10*time.Second), true, 3, true) }, after: 10 * time.Second, want: Read{},
+		},
+		"leader has lost the store, this instance reaches it": {
+			happens: func(e *Elector) {
+				e.Heard(at(10*time.Second), true, 3, true)
+				e.WasRead(at(10*time.Second), 5, Lead{Identity: other, Term: 3}, 0)
+			},
+			after: 10300 * time.Millisecond, want: Take{Lead: Lead{Identity: self, Term: 6}, At: 5},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := follower()
+			test.happens(e)
+			_ = e.Tick(at(test.after)) // starts the jitter, which is 0 here
+			if test.want != nil {
+				e.calling = false
+			}
+			is.Equal(e.Tick(at(test.after)), test.want)
+		})
+	}
+}
+
+func TestLeaderIsDeposed(t *testing.T) {
+	is := is.New(t)
+	e := leader()
+	call := e.Tick(at(1100 * time.Millisecond))
+	is.Equal(call, Take{Lead: Lead{Identity: self, Term: 1}, At: 1})
+	e.Failed(at(1200*time.Millisecond), call, false, true)
+	is.Equal(e.Tick(at(1200*time.Millisecond)), Read{})
+	e.WasRead(at(1200*time.Millisecond), 2, Lead{Identity: other, Term: 2}, 0)
+	is.Equal(e.Term(), uint64(0))
+	is.True(!e.Active(at(1200 * time.Millisecond)))
+}
+
+func TestAppendWithoutAnswerIsLookedUp(t *testing.T) {
+	tests := map[string]struct {
+		end  int64
+		lead Lead
+		term uint64
+	}{
+		"it was done":          {end: 1, lead: Lead{Identity: self, Term: 1}, term: 1},
+		"it was not done":      {end: 0, lead: Lead{}, term: 0},
+		"another was faster":   {end: 1, lead: Lead{Identity: other, Term: 1}, term: 0},
+		"an earlier life took": {end: 1, lead: Lead{Identity: Identity{Instance: "self", Incarnation: 9}, Term: 1}, term: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := New(times, start, self, 0)
+			_ = e.Tick(start)
+			e.WasRead(start, 0, Lead{}, 0)
+			take := e.Tick(at(time.Second))
+			e.Failed(at(2*time.Second), take, false, false)
+			is.Equal(e.Tick(at(3*time.Second)), Read{})
+			e.WasRead(at(3*time.Second), test.end, test.lead, 0)
+			is.Equal(e.Term(), test.term)
+			is.True(!e.Active(at(3 * time.Second))) // not before an append was acknowledged
+		})
+	}
+}
+
+func TestDoubtEndsTheRightToAct(t *testing.T) {
+	is := is.New(t)
+	e := leader()
+	is.True(e.Active(at(500 * time.Millisecond)))
+	e.Doubt(at(500 * time.Millisecond))
+	is.True(!e.Active(at(500 * time.Millisecond)))
+	call := e.Tick(at(500 * time.Millisecond))
+	is.Equal(call, Take{Lead: Lead{Identity: self, Term: 1}, At: 1})
+	e.Appended(at(510*time.Millisecond), at(500*time.Millisecond), call, 1)
+	is.True(e.Active(at(510 * time.Millisecond)))
+}
+
+func TestPlanIsStoredOnlyWithTheRightToAct(t *testing.T) {
+	is := is.New(t)
+	e := leader()
+	e.Want(4)
+	call := e.Tick(at(100 * time.Millisecond))
+	is.Equal(call, Store{Sequence: 4, At: 1})
+	is.Equal(e.StoredPlan(), uint64(0))
+	e.Appended(at(110*time.Millisecond), at(100*time.Millisecond), call, 1)
+	is.Equal(e.StoredPlan(), uint64(4))
+	e.Want(5)
+	e.Doubt(at(200 * time.Millisecond))
+	is.Equal(e.Tick(at(200*time.Millisecond)), Take{Lead: Lead{Identity: self, Term: 1}, At: 2})
+}
--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -73,21 +73,21 @@
 }
 
 // Servers returns the servers of a pool that may get requests. A server that owns keys gets requests for them until they
-// are taken from it, whatever its state.
+// are taken from it, also while it drains.
 func (v *View) Servers(p Pool) []cataloger.Server {
 	if p.Server == "" {
 		return v.pools[p]
 	}
-	if s, ok := v.servers[p.Server]; ok {
+	if s, ok := v.servers[p.Server]; ok && s.State != cataloger.Gone {
 		return []cataloger.Server{s}
 	}
 	return nil
 }
 
-// KeyPool returns the pool of a server that owns keys; ok is false where the server is unknown.
+// KeyPool returns the pool of a server that owns keys; ok is false where the server is unknown or gone.
 func (v *View) KeyPool(server string) (Pool, bool) {
 	s, ok := v.servers[server]
-	return Pool{Service: s.Service, Server: s.ID, Domain: s.Domain}, ok
+	return Pool{Service: s.Service, Server: s.ID, Domain: s.Domain}, ok && s.State != cataloger.Gone
 }
 
 // Pools returns the pools of a service without keys in the order in which a request that entered here tries them: its
