--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,144 @@
+package balancer
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+// play sends requests to skewed keys for a while and carries moves out at once; it returns the load of the busiest
+// server over the mean, for its capacity, in the last part of the time.
+func play(seed int64, capacities []float64, draw func(r *rand.Rand, at time.Duration) uint16, length time.Duration) float64 {
+	random := rand.New(rand.NewSource(seed))
+	var load Load
+	var owners [ranger.MaxKey + 1]int
+	for i, r := range ranger.Divide(len(capacities)) {
+		for key := int(r.First); key <= int(r.Last); key++ {
+			owners[key] = i
+		}
+	}
+	name := func(i int) string { return fmt.Sprintf("s%02d", i) }
+	named := map[string]float64{}
+	index := map[string]int{}
+	for i, c := range capacities {
+		named[name(i)], index[name(i)] = c, i
+	}
+	counts := make([]float64, len(capacities))
+	const rate = 90 // a second
+	for at := time.Duration(0); at < length; at += 250 * time.Millisecond {
+		now := time.Unix(1000, 0).Add(at)
+		for range rate / 4 {
+			key := draw(random, at)
+			load.Add(key, 1)
+			if at >= length/2 {
+				counts[owners[key]]++
+			}
+		}
+		load.Fade(now)
+		var held []granter.Holding
+		for key := 0; key <= ranger.MaxKey; {
+			end := key
+			for end < ranger.MaxKey && owners[end+1] == owners[key] {
+				end++
+			}
+			held = append(held, granter.Holding{Range: ranger.Range{First: uint16(key), Last: uint16(end)}, Server: name(owners[key])})
+			key = end + 1
+		}
+		for _, m := range Plan(&load, held, named, 4) {
+			for key := int(m.Range.First); key <= int(m.Range.Last); key++ {
+				owners[key] = index[m.To]
+			}
+		}
+	}
+	total, capacity, most := 0.0, 0.0, 0.0
+	for i, c := range capacities {
+		total += counts[i]
+		capacity += c
+		most = max(most, counts[i]/c)
+	}
+	return most / (total / capacity)
+}
+
+func same(count int) []float64 {
+	list := make([]float64, count)
+	for i := range list {
+		list[i] = 2
+	}
+	return list
+}
+
+// skewed draws a quarter of the requests from a sixteenth of the keys.
+func skewed(r *rand.Rand, _ time.Duration) uint16 {
+	if r.Intn(4) == 0 {
+		return uint16(20000 + r.Intn(4096))
+	}
+	return uint16(r.Intn(ranger.MaxKey + 1))
+}
+
+// TestBusiestServerStaysNearTheMean holds the target of 1.6 for the busiest server over the mean.
+func TestBusiestServerStaysNearTheMean(t *testing.T) {
+	const target = 1.6
+	tests := map[string]struct {
+		capacities []float64
+		draw       func(r *rand.Rand, at time.Duration) uint16
+	}{
+		"even":         {capacities: same(16), draw: func(r *rand.Rand, _ time.Duration) uint16 { return uint16(r.Intn(ranger.MaxKey + 1)) }},
+		"skewed":       {capacities: same(16), draw: skewed},
+		"mixed speeds": {capacities: []float64{1.4, 1.4, 1.4, 1.4, 2, 2, 2, 2, 3.2, 3.2, 3.2, 3.2}, draw: skewed},
+		"hot area moves": {capacities: same(16), draw: func(r *rand.Rand, at time.Duration) uint16 {
+			if r.Intn(10) < 4 {
+				return uint16(30000 + 5000*int(at/(30*time.Second)) + r.Intn(200))
+			}
+			return skewed(r, at)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sum := 0.0
+			const runs = 10
+			for seed := range int64(runs) {
+				sum += play(seed, test.capacities, test.draw, 60*time.Second)
+			}
+			t.Logf("busiest over mean: %.2f", sum/runs)
+			is.True(sum/runs < target)
+		})
+	}
+}
+
+// TestOneHotKeyIsLeftAlone: a key can't be divided, so its server is freed of everything else instead.
+func TestOneHotKeyIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	hot := func(r *rand.Rand, at time.Duration) uint16 {
+		if r.Intn(4) == 0 {
+			return 12345
+		}
+		return uint16(r.Intn(ranger.MaxKey + 1))
+	}
+	is.True(play(1, same(8), hot, 60*time.Second) < 0.25*8*1.2)
+}
+
+func TestJoiningServerGetsKeysWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	var load Load
+	held := []granter.Holding{{Range: ranger.Range{First: 0, Last: ranger.MaxKey}, Server: "old"}}
+	moves := Plan(&load, held, map[string]float64{"old": 2, "new": 2}, 4)
+	is.Equal(moves, []Move{{Range: ranger.Range{First: 32768, Last: ranger.MaxKey}, From: "old", To: "new"}})
+}
+
+func TestFade(t *testing.T) {
+	is := is.New(t)
+	var load Load
+	now := time.Unix(1000, 0)
+	load.Fade(now)
+	load.Add(7, 8)
+	load.Fade(now.Add(halfLife))
+	is.True(math.Abs(load.Total()-4) < 0.01)
+}
--- /dev/null
+++ b/internal/granter/granter_test.go
@@ -0,0 +1,112 @@
+package granter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+// seeds is how many runs each check has.
+const seeds = 200
+
+// TestOneOwnerUnderFaults plays crashes, restarts, moves, lost and late orders, leaving servers and leaders that don't
+// know that they were replaced. Afterwards every key is served again.
+func TestOneOwnerUnderFaults(t *testing.T) {
+	for seed := range int64(seeds) {
+		w := newWorld(seed, 5, flaws{})
+		w.run(40*time.Second, 3)
+		if w.breach != "" {
+			t.Fatalf("seed %d: %s", seed, w.breach)
+		}
+		for _, s := range w.servers {
+			s.up, s.entry.State = true, cataloger.Ready
+		}
+		w.tellServers()
+		w.run(30*time.Second, 0)
+		if w.breach != "" || w.unserved() > 0 {
+			t.Fatalf("seed %d: %s; %d keys unserved at the end", seed, w.breach, w.unserved())
+		}
+	}
+}
+
+// TestChecksSeeFlaws takes single mechanisms away; the same runs must then show a breach.
+func TestChecksSeeFlaws(t *testing.T) {
+	tests := map[string]flaws{
+		"an order without an answer counts as not sent": {trustsSilence: true},
+		"an earlier leader counts as stopped":           {forgetsLeader: true},
+		"grants before the plan is stored":              {grantsUnstored: true},
+		"grants are taken to end early":                 {shortLapse: true},
+		"servers ignore fences":                         {ignoresFencing: true},
+		"a server's new incarnation is not seen":        {keepsReborn: true},
+		"a release without an answer counts as done":    {releasesBlindly: true},
+	}
+	for name, f := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(seeds) {
+				w := newWorld(seed, 5, f)
+				w.run(40*time.Second, 3)
+				if w.breach != "" {
+					t.Logf("seed %d: %s", seed, w.breach)
+					return
+				}
+			}
+			t.Fatal("no breach")
+		})
+	}
+}
+
+func TestMoveKeepsItsHandover(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, flaws{})
+	w.run(time.Second, 0)
+	g := w.leaders[0].granter
+	r := ranger.Range{First: 100, Last: 200}
+	is.True(g.Move(w.now, service, r, "s1"))
+	orders := g.Tick(w.now)
+	release := orders[len(orders)-1].(Release)
+	is.Equal(release.Range, r)
+	is.Equal(release.Server, "s0")
+	g.Released(w.now, release, Accepted, "state")
+	_, sequence, stale := g.Plan()
+	is.True(stale)
+	for _, o := range g.Tick(w.now) {
+		if grant, ok := o.(Grant); ok {
+			is.True(grant.Server != "s1" || grant.Range != r) // the store does not know yet
+		}
+	}
+	g.Stored(sequence)
+	var given Grant
+	for _, o := range g.Tick(w.now) {
+		if grant, ok := o.(Grant); ok && grant.Range == r {
+			given = grant
+		}
+	}
+	is.Equal(given.Server, "s1")
+	is.Equal(given.Handover, "state")
+	is.True(given.Fence > release.Fence)
+}
+
+func TestTakeoverServesOnWithoutAGap(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 4, flaws{})
+	w.run(5*time.Second, 0)
+	is.Equal(w.unserved(), 0)
+	w.elect()
+	for range 100 {
+		w.run(step, 0)
+		is.Equal(w.unserved(), 0)
+	}
+}
+
+func TestLostServerIsReplacedAfterItsHold(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 4, flaws{})
+	w.run(5*time.Second, 0)
+	w.servers[2].up = false
+	w.run(testTimes.lapse()+testTimes.Renew+time.Second, 0)
+	is.Equal(w.unserved(), 0)
+}
--- /dev/null
+++ b/internal/granter/world_test.go
@@ -0,0 +1,382 @@
+package granter
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/ranger"
+)
+
+var (
+	epoch     = time.Unix(1000, 0)
+	testTimes = Settings{Hold: 4 * time.Second, Renew: 1200 * time.Millisecond, Margin: 100 * time.Millisecond, Retry: 200 * time.Millisecond}
+)
+
+const (
+	service   = "desk"
+	authority = 8 * time.Second // of a leader after its last append
+	step      = 50 * time.Millisecond
+	checked   = 16 // keys that are looked at, evenly spread
+)
+
+// flaws switch single mechanisms off, so that each check is seen to fail without what it checks.
+type flaws struct {
+	trustsSilence   bool // takes an order without an answer for one that was not sent
+	forgetsLeader   bool // takes an earlier leader for stopped
+	grantsUnstored  bool // grants before the store knows the plan
+	shortLapse      bool // waits only for the hold, as if clocks were exact and nothing were late
+	ignoresFencing  bool // servers do not compare fences, which the real ones do
+	keepsReborn     bool // does not see that a server started anew
+	releasesBlindly bool // takes a release without an answer for done
+}
+
+// ownership is a grant at a server.
+type ownership struct {
+	r     ranger.Range
+	fence uint64
+	until time.Time
+}
+
+// fakeServer keeps what a backend server keeps. Its clock runs 2 % slow.
+type fakeServer struct {
+	entry cataloger.Server
+	up    bool
+	held  []ownership
+	seen  map[int]uint64 // highest fence by checked key
+	late  []lateGrant
+}
+
+type lateGrant struct {
+	at, arrived time.Time
+	grant       Grant
+}
+
+func checkedKey(i int) uint16 { return uint16(i * (ranger.MaxKey + 1) / checked) }
+
+// take carries out a grant that arrived at arrived.
+func (s *fakeServer) take(now, arrived time.Time, g Grant, checks bool) bool {
+	for i := range checked {
+		if g.Range.Has(checkedKey(i)) && s.seen[i] > g.Fence && checks {
+			return false
+		}
+	}
+	for i := range checked {
+		if g.Range.Has(checkedKey(i)) {
+			s.seen[i] = max(s.seen[i], g.Fence)
+		}
+	}
+	s.drop(g.Range)
+	if until := arrived.Add(g.Hold + g.Hold*2/100); until.After(now) {
+		s.held = append(s.held, ownership{r: g.Range, fence: g.Fence, until: until})
+	}
+	return true
+}
+
+// drop takes a range out of what the server holds.
+func (s *fakeServer) drop(r ranger.Range) {
+	var kept []ownership
+	for _, h := range s.held {
+		if !h.r.Overlaps(r) {
+			kept = append(kept, h)
+			continue
+		}
+		if h.r.First < r.First {
+			left := h
+			left.r.Last = r.First - 1
+			kept = append(kept, left)
+		}
+		if h.r.Last > r.Last {
+			right := h
+			right.r.First = r.Last + 1
+			kept = append(kept, right)
+		}
+	}
+	s.held = kept
+}
+
+func (s *fakeServer) owns(now time.Time, key uint16) bool {
+	return s.up && slices.ContainsFunc(s.held, func(h ownership) bool { return h.r.Has(key) && now.Before(h.until) })
+}
+
+// fakeLeader is a granter that may act until its authority ends.
+type fakeLeader struct {
+	granter *Granter
+	term    uint64
+	until   time.Time
+	cutOff  bool      // can't append any more, but still gives orders
+	misses  string    // a server that it can't reach
+	missing time.Time // until when
+}
+
+func (l *fakeLeader) cannotReach(now time.Time, server string) bool {
+	return server == l.misses && now.Before(l.missing)
+}
+
+// world plays leaders, servers, the store and time.
+type world struct {
+	random  *rand.Rand
+	flaws   flaws
+	now     time.Time
+	servers []*fakeServer
+	leaders []*fakeLeader
+	plan    []Holding // in the store
+	term    uint64
+	breach  string
+	fences  map[int]map[string]uint64 // highest fence by checked key and server incarnation
+}
+
+func newWorld(seed int64, servers int, f flaws) *world {
+	w := &world{random: rand.New(rand.NewSource(seed)), flaws: f, now: epoch, fences: map[int]map[string]uint64{}}
+	for i := range servers {
+		w.servers = append(w.servers, &fakeServer{
+			entry: cataloger.Server{ID: fmt.Sprint("s", i), Service: service, Slots: 2, Born: 1}, up: true, seen: map[int]uint64{},
+		})
+	}
+	w.elect()
+	return w
+}
+
+// elect makes a new leader; the last one may live on without knowing.
+func (w *world) elect() {
+	predecessor := w.now
+	for _, l := range w.leaders {
+		l.cutOff = true
+		if l.until.After(predecessor) && !w.flaws.forgetsLeader {
+			predecessor = l.until
+		}
+	}
+	w.term++
+	settings := testTimes
+	if w.flaws.shortLapse {
+		settings.Margin = -settings.Hold/2 - settings.Hold*clockError/100
+	}
+	predecessor = predecessor.Add(settings.lapse())
+	l := &fakeLeader{term: w.term, until: w.now.Add(authority)}
+	if len(w.leaders) > 0 && w.chance(40) {
+		l.misses = w.servers[w.random.Intn(len(w.servers))].entry.ID
+		l.missing = w.now.Add(10 * time.Second)
+	}
+	l.granter = New(settings, w.now, w.term, slices.Clone(w.plan), predecessor)
+	w.leaders = append(w.leaders, l)
+	l.granter.SetServers(w.now, []string{service}, w.entries())
+}
+
+func (w *world) entries() []cataloger.Server {
+	var list []cataloger.Server
+	for _, s := range w.servers {
+		if s.entry.State != cataloger.Gone {
+			list = append(list, s.entry)
+		}
+	}
+	return list
+}
+
+func (w *world) chance(percent int) bool { return w.random.Intn(100) < percent }
+
+// run plays for a while with faults of the given chance in percent, then checks at each step.
+func (w *world) run(length time.Duration, faults int) {
+	for end := w.now.Add(length); w.now.Before(end) && w.breach == ""; {
+		w.now = w.now.Add(step)
+		if w.chance(faults) {
+			w.disturb()
+		}
+		for _, s := range w.servers {
+			w.applyLate(s)
+		}
+		for _, l := range w.leaders {
+			w.act(l, faults)
+		}
+		w.check()
+	}
+}
+
+// disturb brings about one trouble.
+func (w *world) disturb() {
+	s := w.servers[w.random.Intn(len(w.servers))]
+	switch w.random.Intn(10) {
+	case 0: // crash, and back later under the same id
+		s.up = !s.up
+		s.held, s.seen, s.late = nil, map[int]uint64{}, nil
+		s.entry.Born++
+		w.tellServers()
+	case 1:
+		if len(w.entries()) > 3 {
+			s.entry.State = cataloger.Draining
+			w.tellServers()
+		}
+	case 2:
+		s.entry.State = cataloger.Ready
+		w.tellServers()
+	case 3:
+		w.elect()
+	default:
+		w.move()
+	}
+}
+
+func (w *world) tellServers() {
+	if w.flaws.keepsReborn {
+		return
+	}
+	for _, l := range w.leaders {
+		l.granter.SetServers(w.now, []string{service}, w.entries())
+	}
+}
+
+// move asks the present leader to move a part of a range.
+func (w *world) move() {
+	l := w.leaders[len(w.leaders)-1]
+	owned := l.granter.Held(service)
+	if len(owned) == 0 {
+		return
+	}
+	h := owned[w.random.Intn(len(owned))]
+	r := h.Range
+	if w.chance(70) && r.Len() > 2 {
+		r.Last = r.First + uint16(w.random.Intn(r.Len()))
+	}
+	l.granter.Move(w.now, service, r, w.servers[w.random.Intn(len(w.servers))].entry.ID)
+}
+
+func (w *world) applyLate(s *fakeServer) {
+	var rest []lateGrant
+	for _, g := range s.late {
+		if w.now.Before(g.at) {
+			rest = append(rest, g)
+			continue
+		}
+		s.take(w.now, g.arrived, g.grant, !w.flaws.ignoresFencing)
+	}
+	s.late = rest
+}
+
+// act stores the leader's plan and carries out its orders.
+func (w *world) act(l *fakeLeader, faults int) {
+	if !l.cutOff {
+		l.until = w.now.Add(authority)
+		if holdings, sequence, stale := l.granter.Plan(); stale && (w.flaws.grantsUnstored || !w.chance(faults*5)) {
+			if !w.flaws.grantsUnstored || w.chance(50) {
+				w.plan = holdings
+			}
+			l.granter.Stored(sequence)
+		}
+	}
+	if !w.now.Before(l.until) {
+		return
+	}
+	for _, order := range l.granter.Tick(w.now) {
+		switch o := order.(type) {
+		case Grant:
+			outcome := w.grant(l, o, faults)
+			if outcome == Fenced && l.cutOff {
+				l.until = w.now // the elector withdraws its right to act until an append is acknowledged
+			}
+			l.granter.Granted(w.now, o, outcome)
+		case Release:
+			outcome, handover := w.release(l, o, faults)
+			l.granter.Released(w.now, o, outcome, handover)
+		}
+	}
+}
+
+func (w *world) server(id string) *fakeServer {
+	for _, s := range w.servers {
+		if s.entry.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) grant(l *fakeLeader, o Grant, faults int) Outcome {
+	s := w.server(o.Server)
+	switch {
+	case !s.up || l.cannotReach(w.now, o.Server) || w.chance(faults):
+		return NotSent
+	case w.chance(faults * 2): // no answer: done at once, later or never
+		if w.chance(60) {
+			delay := time.Duration(2+w.random.Intn(10)) * time.Second
+			s.late = append(s.late, lateGrant{at: w.now.Add(delay / 4), arrived: w.now, grant: o})
+		} else if w.chance(50) {
+			s.take(w.now, w.now, o, !w.flaws.ignoresFencing)
+		}
+		if w.flaws.trustsSilence {
+			return NotSent
+		}
+		return Unanswered
+	}
+	if !s.take(w.now, w.now, o, !w.flaws.ignoresFencing) {
+		return Fenced
+	}
+	w.rising(s, o)
+	return Accepted
+}
+
+// rising checks that an owner's fence is above all that other owners of the key had.
+func (w *world) rising(s *fakeServer, o Grant) {
+	name := fmt.Sprint(s.entry.ID, "/", s.entry.Born)
+	for i := range checked {
+		if !o.Range.Has(checkedKey(i)) {
+			continue
+		}
+		for other, fence := range w.fences[i] {
+			if other != name && fence >= o.Fence && s.owns(w.now, checkedKey(i)) {
+				w.breach = fmt.Sprintf("key %d: fence %d at %s, after %d at %s", checkedKey(i), o.Fence, name, fence, other)
+			}
+		}
+		if w.fences[i] == nil {
+			w.fences[i] = map[string]uint64{}
+		}
+		w.fences[i][name] = max(w.fences[i][name], o.Fence)
+	}
+}
+
+func (w *world) release(l *fakeLeader, o Release, faults int) (Outcome, string) {
+	s := w.server(o.Server)
+	if !s.up || l.cannotReach(w.now, o.Server) || w.chance(faults) {
+		return NotSent, ""
+	}
+	if w.chance(faults * 2) {
+		if w.chance(50) {
+			s.drop(o.Range)
+		}
+		if w.flaws.releasesBlindly {
+			return Accepted, ""
+		}
+		return Unanswered, ""
+	}
+	s.drop(o.Range)
+	return Accepted, "handover"
+}
+
+// check looks for keys with two owners.
+func (w *world) check() {
+	for i := range checked {
+		key := checkedKey(i)
+		var owners []string
+		for _, s := range w.servers {
+			if s.owns(w.now, key) {
+				owners = append(owners, s.entry.ID)
+			}
+		}
+		if len(owners) > 1 {
+			w.breach = fmt.Sprintf("%v: key %d has owners %v", w.now.Sub(epoch), key, owners)
+		}
+	}
+}
+
+// unserved returns how many of the checked keys the present leader's owner does not hold.
+func (w *world) unserved() int {
+	count := 0
+	segments := (*ranger.Map)(nil).With(ranger.Version{}, w.leaders[len(w.leaders)-1].granter.Segments(w.now))
+	for i := range checked {
+		s, ok := segments.Find(service, checkedKey(i))
+		if !ok || s.Moving || !w.server(s.Server).owns(w.now, checkedKey(i)) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/matcher/matcher_test.go
@@ -0,0 +1,56 @@
+package matcher
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRoute(t *testing.T) {
+	table := NewTable(7, []Service{{Name: "b", Keyed: true}, {Name: "a", Keyed: true}, {Name: "c"}}, []Route{
+		{Name: "short", Host: "one.example", Prefix: "/a/"},
+		{Name: "long", Host: "one.example", Prefix: "/a/b/"},
+		{Name: "other", Host: "two.example", Prefix: "/"},
+	}, Limits{})
+	tests := map[string]struct{ host, path, want string }{
+		"short":          {host: "one.example", path: "/a/x", want: "short"},
+		"long":           {host: "one.example", path: "/a/b/x", want: "long"},
+		"not a segment":  {host: "one.example", path: "/ab", want: ""},
+		"without slash":  {host: "one.example", path: "/a", want: ""},
+		"with port":      {host: "one.example:80", path: "/a/x", want: "short"},
+		"capitals":       {host: "ONE.example", path: "/a/x", want: "short"},
+		"everything":     {host: "two.example", path: "/whatever", want: "other"},
+		"unknown host":   {host: "three.example", path: "/a/x", want: ""},
+		"no path at all": {host: "one.example", path: "", want: ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := table.Route(test.host, test.path)
+			is.Equal(ok, test.want != "")
+			if ok {
+				is.Equal(r.Name, test.want)
+			}
+		})
+	}
+	is := is.New(t)
+	is.Equal(table.KeyedServices(), []string{"a", "b"})
+	is.Equal(table.Version(), uint64(7))
+	is.Equal((*Table)(nil).Version(), uint64(0))
+}
+
+func TestSplitterKeepsToWeights(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	r := &Route{Name: "r", Parts: []Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "none", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range 200 {
+		counts[s.Pick(r)]++
+		if i%10 == 9 {
+			is.Equal(counts["b"], (i+1)/10) // in every ten requests
+		}
+	}
+	is.Equal(counts["a"], 180)
+	is.Equal(counts["none"], 0)
+	is.Equal(s.Pick(&Route{Name: "one", Parts: []Part{{Service: "c"}}}), "c")
+}
--- /dev/null
+++ b/internal/ranger/ranger_test.go
@@ -0,0 +1,77 @@
+package ranger
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func segment(first, last uint16, server string) Segment {
+	return Segment{Service: "desk", Range: Range{First: first, Last: last}, Server: server}
+}
+
+func TestWith(t *testing.T) {
+	tests := map[string]struct {
+		changes []Segment
+		want    []Segment
+	}{
+		"empty":            {},
+		"one":              {changes: []Segment{segment(0, MaxKey, "a")}, want: []Segment{segment(0, MaxKey, "a")}},
+		"middle":           {changes: []Segment{segment(0, 9, "a"), segment(3, 5, "b")}, want: []Segment{segment(0, 2, "a"), segment(3, 5, "b"), segment(6, 9, "a")}},
+		"back":             {changes: []Segment{segment(0, 9, "a"), segment(3, 5, "b"), segment(3, 5, "a")}, want: []Segment{segment(0, 9, "a")}},
+		"over a border":    {changes: []Segment{segment(0, 4, "a"), segment(5, 9, "b"), segment(3, 6, "c")}, want: []Segment{segment(0, 2, "a"), segment(3, 6, "c"), segment(7, 9, "b")}},
+		"first after last": {changes: []Segment{segment(5, 9, "a"), segment(0, 4, "b")}, want: []Segment{segment(0, 4, "b"), segment(5, 9, "a")}},
+		"whole":            {changes: []Segment{segment(0, 4, "a"), segment(5, 9, "b"), segment(0, 9, "c")}, want: []Segment{segment(0, 9, "c")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := (*Map)(nil).With(Version{Term: 1}, test.changes)
+			is.Equal(m.Segments("desk"), test.want)
+		})
+	}
+}
+
+// TestWithAgainstArray compares the map with one owner a key.
+func TestWithAgainstArray(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m *Map
+		var want [MaxKey + 1]string
+		for i := range rapid.IntRange(0, 30).Draw(t, "changes") {
+			first := rapid.Uint16().Draw(t, "first")
+			last := rapid.Uint16Range(first, MaxKey).Draw(t, "last")
+			server := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")
+			m = m.With(Version{Sequence: uint64(i)}, []Segment{segment(first, last, server)})
+			for key := int(first); key <= int(last); key++ {
+				want[key] = server
+			}
+		}
+		for key := range want {
+			if s, ok := m.Find("desk", uint16(key)); ok != (want[key] != "") || s.Server != want[key] {
+				t.Fatalf("key %d: %q instead of %q", key, s.Server, want[key])
+			}
+		}
+	})
+}
+
+func TestDivide(t *testing.T) {
+	for _, count := range []int{1, 3, 16, 215} {
+		is := is.New(t)
+		ranges := Divide(count)
+		is.Equal(len(ranges), count)
+		next := 0
+		for _, r := range ranges {
+			is.Equal(int(r.First), next)
+			next = int(r.Last) + 1
+		}
+		is.Equal(next, MaxKey+1)
+	}
+}
+
+func TestVersionsAreOrderedByTermFirst(t *testing.T) {
+	is := is.New(t)
+	is.True(Version{Term: 1, Sequence: 9}.Less(Version{Term: 2, Sequence: 1}))
+	is.True(Version{Term: 2, Sequence: 1}.Less(Version{Term: 2, Sequence: 2}))
+	is.True(!Version{Term: 2, Sequence: 2}.Less(Version{Term: 2, Sequence: 2}))
+}
--- /dev/null
+++ b/internal/scribe/scribe_test.go
@@ -0,0 +1,50 @@
+package scribe
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, err := s.Write([]byte(line))
+		is.NoErr(err)
+	}
+	s.Close()
+	is.Equal(out.String(), "one\ntwo\nthree\n")
+	is.Equal(s.Dropped(), int64(0))
+}
+
+// blocked is a reader's end that takes nothing until it is opened.
+type blocked struct {
+	open  chan struct{}
+	lines int
+}
+
+// Write implements io.Writer.
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.open
+	b.lines += strings.Count(string(p), "\n")
+	return len(p), nil
+}
+
+func TestNobodyWaitsForAReaderThatIsStuck(t *testing.T) {
+	is := is.New(t)
+	out := &blocked{open: make(chan struct{})}
+	s := New(out)
+	const written = 3 * pending
+	for range written {
+		_, err := s.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	close(out.open)
+	s.Close()
+	is.True(s.Dropped() > 0)
+	is.Equal(int64(out.lines)+s.Dropped(), int64(written))
+}
--- /dev/null
+++ b/internal/spender/spender_test.go
@@ -0,0 +1,61 @@
+package spender
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestBudgetOverAllInstances draws loads and repeats as often as allowed; in no span may all instances together pass the
+// limit of the service.
+func TestBudgetOverAllInstances(t *testing.T) {
+	settings := Settings{Share: 0.2, Extra: 56, Span: 10 * time.Second}
+	for seed := range int64(20) {
+		is := is.New(t)
+		random := rand.New(rand.NewSource(seed))
+		members := 1 + random.Intn(12)
+		var all []*Budget
+		for range members {
+			all = append(all, New(settings))
+		}
+		var requests, repeats []time.Duration
+		for at := time.Duration(0); at < 60*time.Second; at += 10 * time.Millisecond {
+			now := time.Unix(1000, 0).Add(at)
+			b := all[random.Intn(members)]
+			if random.Float64() < 0.5 {
+				b.Request(now, "s", members)
+				requests = append(requests, at)
+			}
+			for _, b := range all {
+				if b.Repeat(now, "s", members) {
+					repeats = append(repeats, at)
+				}
+			}
+		}
+		for _, start := range repeats {
+			within := func(list []time.Duration) float64 {
+				count := 0.0
+				for _, at := range list {
+					if at >= start && at < start+settings.Span {
+						count++
+					}
+				}
+				return count
+			}
+			if start+settings.Span <= 60*time.Second {
+				is.True(within(repeats) <= settings.Share*within(requests)+settings.Extra)
+			}
+		}
+	}
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	b := New(Settings{Share: 0.2, Extra: 2, Span: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	is.True(b.Repeat(now, "a", 1))
+	is.True(!b.Repeat(now, "a", 1))
+	is.True(b.Repeat(now, "b", 1))
+}
