--- a/cmd/edge.go
+++ b/cmd/edge.go
@@ -73,7 +73,7 @@
 			klog.InfoS("settings reloaded") // none of them changes while an instance runs
 		}
 	}()
-	if err := edger.New(settings).Run(stop); err != nil && err != http.ErrServerClosed {
+	if err := edger.New(settings, log).Run(stop); err != nil && err != http.ErrServerClosed {
 		klog.InfoS("stopped", "error", err)
 		return ExitFailure
 	}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -15,6 +15,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/spender"
 	"github.com/wasabibank/wasabibank/internal/viewer"
@@ -50,6 +51,7 @@
 	view     atomic.Pointer[viewer.View]
 	changed  atomic.Pointer[chan struct{}] // closed when the view changes
 	budget   *spender.Budget
+	meter    *meter.Meter
 	splitter matcher.Splitter
 	closing  atomic.Bool // answers ask clients to close their connections
 
@@ -81,10 +83,10 @@
 	result result
 }
 
-// New returns a Carrier.
-func New(names Names, budget *spender.Budget) *Carrier {
+// New returns a Carrier that counts in m.
+func New(names Names, budget *spender.Budget, m *meter.Meter) *Carrier {
 	c := &Carrier{
-		names: names, budget: budget,
+		names: names, budget: budget, meter: m,
 		pools: map[viewer.Pool]*pool{}, servers: map[string]*exchanger.Pool{}, peers: map[string]*exchanger.Pool{},
 		suspects: map[string]time.Time{}, loads: newLoads(),
 	}
@@ -166,14 +168,19 @@
 }
 
 func (c *Carrier) busy() bool {
+	running, waiting := c.Load()
+	return running+waiting > 0
+}
+
+// Load returns how many requests run at the servers that are fronted here, and how many wait for them.
+func (c *Carrier) Load() (running, waiting int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.pools {
-		if p.queue.Running()+p.queue.Waiting() > 0 {
-			return true
-		}
+		running += p.queue.Running()
+		waiting += p.queue.Waiting()
 	}
-	return false
+	return running, waiting
 }
 
 // Close makes further answers ask clients to close their connections.
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/spender"
 	"github.com/wasabibank/wasabibank/internal/viewer"
@@ -89,7 +90,7 @@
 // setup is a Carrier whose only server is b, for keys 0 to 999 of the keyed service and for all of the other.
 func setup(t *testing.T, b *backend, members ...viewer.Member) *Carrier {
 	t.Helper()
-	c := New(testNames, spender.New(spender.Settings{Share: 0.2, Extra: 100, Span: 10 * time.Second}))
+	c := New(testNames, spender.New(spender.Settings{Share: 0.2, Extra: 100, Span: 10 * time.Second}), meter.New())
 	route := func(name string, repeatable bool, service string) matcher.Route {
 		return matcher.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Repeatable: repeatable, Timeout: 2 * time.Second,
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 )
 
@@ -50,6 +52,7 @@
 // serveClient answers a client's request.
 func (c *Carrier) serveClient(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	c.meter.Count(meter.RequestsReceived)
 	v := c.view.Load()
 	if v == nil || v.Table == nil {
 		c.refuse(w, r, now, http.StatusServiceUnavailable, "no_configuration", unknownPause)
@@ -113,7 +116,9 @@
 	for round := 1; ; round++ {
 		r := c.attempt(ctx, j, spilled)
 		if r.sent {
-			j.arrivals++
+			if j.arrivals++; j.arrivals > 1 {
+				c.meter.Count(meter.RequestsRepeated)
+			}
 			if j.arrivals > 1 && !c.mayRepeatAgain(j) {
 				return r
 			}
@@ -264,6 +269,7 @@
 		body = nil
 		w.Header().Set("Content-Length", "0")
 	}
+	c.count(time.Since(began), status, res)
 	w.WriteHeader(status)
 	_, err := w.Write(body)
 	v := c.view.Load()
@@ -273,6 +279,24 @@
 		"took", time.Since(began), "retry_after", res.retryAfter, "write_error", err)
 }
 
+// count counts a final answer.
+func (c *Carrier) count(took time.Duration, status int, res result) {
+	c.meter.ObserveRequest(took)
+	reason, _, _ := strings.Cut(res.reason, ":")
+	switch {
+	case res.outcome == answered:
+		c.meter.Count(meter.RequestsAnswered)
+	case status == http.StatusServiceUnavailable:
+		c.meter.Count(meter.RequestsNotRun)
+		c.meter.CountRefusal(reason)
+	default:
+		c.meter.Count(meter.RequestsUnknown)
+	}
+	if res.reason == reasonClientLeft {
+		c.meter.Count(meter.RequestsCancelled)
+	}
+}
+
 // minPause is the shortest advice of when to come back.
 const minPause = 50 * time.Millisecond
 
@@ -283,6 +307,8 @@
 func (c *Carrier) refuse(
 	w http.ResponseWriter, r *http.Request, began time.Time, status int, reason string, pause time.Duration,
 ) {
+	c.meter.Count(meter.RequestsNotRun)
+	c.meter.CountRefusal(reason)
 	if pause > 0 {
 		w.Header().Set("Retry-After", seconds(pause))
 	}
--- a/internal/carrier/front.go
+++ b/internal/carrier/front.go
@@ -198,14 +198,14 @@
 	case !own:
 		return result{outcome: broken, sent: true, reason: "answer_to_another_request"}
 	case header.Get(c.names.NotRun) != "" || status == http.StatusMisdirectedRequest:
-		return result{outcome: rejected, sent: true, status: status, reason: "server_rejected_" + strconv.Itoa(status)}
+		return result{outcome: rejected, sent: true, status: status, reason: "server_rejected: " + strconv.Itoa(status)}
 	case status < http.StatusOK || (status < http.StatusMultipleChoices && !signed):
 		return result{outcome: broken, sent: true, reason: "answer_without_signature"}
 	case header.Get("Content-Encoding") != "":
 		return result{outcome: broken, sent: true, reason: "encoded_answer"}
 	case promisesNotRun(status) && !j.repeatable:
 		// The status would tell the client that the request did not run, which the server has not said.
-		return result{outcome: broken, sent: true, reason: "status_without_promise_" + strconv.Itoa(status)}
+		return result{outcome: broken, sent: true, reason: "status_without_promise: " + strconv.Itoa(status)}
 	}
 	return r
 }
--- a/internal/carrier/hop.go
+++ b/internal/carrier/hop.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 )
@@ -120,6 +121,7 @@
 		}
 		return result{outcome: unreached, front: front.Instance, reason: "no_front: " + err.Error()}
 	}
+	c.meter.Count(meter.RequestsForwarded)
 	request := j.outgoing(front.Address)
 	request.Header.Set(HeaderHop, j.hop(now))
 	sending := ctx
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -16,6 +16,7 @@
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 	"github.com/wasabibank/wasabibank/platform"
@@ -58,6 +59,7 @@
 	Self    viewer.Member
 	Store   *platform.Store
 	Carrier *carrier.Carrier
+	Meter   *meter.Meter
 	// Drain is after how long a server that drains is sent nothing more, whoever owns its keys then.
 	Drain time.Duration
 }
@@ -215,6 +217,8 @@
 	servers := c.catalog.Servers()
 	self := c.options.Self
 	self.Leaving = c.leaving
+	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
+	c.options.Meter.Set(meter.RosterSize, int64(len(c.members)+1))
 	c.options.Carrier.SetView(time.Now(), viewer.New(self, c.table, servers, c.owners, c.members))
 	inUse := map[string]bool{}
 	for _, s := range servers {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -12,6 +12,7 @@
 	"github.com/wasabibank/wasabibank/internal/balancer"
 	"github.com/wasabibank/wasabibank/internal/carrier"
 	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 )
@@ -113,12 +114,14 @@
 	l := c.lead
 	switch o := order.(type) {
 	case granter.Grant:
+		c.options.Meter.Count(meter.GrantsSent)
 		address := c.address(o.Server)
 		go func() {
 			outcome, err := c.orders.Grant(c.context, time.Now(), address, o)
 			c.post(func(now time.Time) { c.granted(now, l, o, outcome, err) })
 		}()
 	case granter.Release:
+		c.options.Meter.Count(meter.RevokesSent)
 		address := c.address(o.Server)
 		klog.InfoS("range released", "server", o.Server, "range", o.Range.String(), "fence", o.Fence)
 		go func() {
@@ -145,7 +148,11 @@
 }
 
 func (c *Conductor) granted(now time.Time, l *lead, o granter.Grant, outcome granter.Outcome, err error) {
+	if outcome == granter.Fenced {
+		c.options.Meter.Count(meter.GrantsRefused)
+	}
 	if outcome != granter.Accepted {
+		c.options.Meter.Count(meter.GrantsFailed)
 		klog.InfoS("grant failed", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
 			"outcome", int(outcome), "error", err)
 	}
@@ -176,6 +183,7 @@
 		}
 		for _, m := range balancer.Plan(load, l.granter.Held(service), c.capacities(ready), limit) {
 			started := l.granter.Move(now, service, m.Range, m.To)
+			c.options.Meter.Count(meter.MovesStarted)
 			klog.InfoS("range to move", "service", service, "range", m.Range.String(), "from", m.From, "to", m.To,
 				"started", started, "requests", int(load.Total()))
 		}
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/carrier"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 )
@@ -49,6 +50,7 @@
 	c.unreported = emptyLoads()
 	request := c.reportRequest(loads)
 	peer := c.peers.get(lead.Identity.Address)
+	c.options.Meter.Count(meter.ExchangesSent)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.context, heartbeatTimeout)
 		defer cancel()
@@ -56,6 +58,7 @@
 		c.post(func(now time.Time) {
 			c.reporting = false
 			if err != nil {
+				c.options.Meter.Count(meter.ExchangesFailed)
 				refused := errors.Is(err, syscall.ECONNREFUSED)
 				klog.InfoS("leader did not answer", "leader", lead.Identity.Instance, "refused", refused, "error", err)
 				c.elector.Unheard(refused)
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -10,6 +10,7 @@
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/platform"
 )
@@ -105,11 +106,14 @@
 	from, whole, pause, failed := int64(0), true, readRetry, false
 	for ctx.Err() == nil {
 		records, next, err := c.readTopic(ctx, name, from, whole)
+		c.options.Meter.Count(meter.LogReads)
 		if platform.IsErrExpired(err) {
+			c.options.Meter.Count(meter.LogGaps)
 			whole = true
 			continue
 		}
 		if err != nil {
+			c.options.Meter.Count(meter.LogReadsFailed)
 			if !failed {
 				klog.InfoS("store lost", "topic", name, "error", err)
 			}
@@ -178,12 +182,14 @@
 }
 
 func (c *Conductor) append(sent time.Time, call elector.Call, key string, value []byte, at int64) {
+	c.options.Meter.Count(meter.Appends)
 	offset, err := c.options.Store.Append(c.context, topic, key, value, at)
 	c.post(func(now time.Time) {
 		if err == nil {
 			c.elector.Appended(now, sent, call, offset)
 			return
 		}
+		c.options.Meter.Count(meter.AppendsFailed)
 		klog.InfoS("append to store failed", "key", key, "at", at, "error", err)
 		c.elector.Failed(now, call, platform.IsErrRefused(err), platform.IsErrConflict(err))
 	})
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -19,6 +19,8 @@
 	"github.com/wasabibank/wasabibank/internal/carrier"
 	"github.com/wasabibank/wasabibank/internal/conductor"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/scribe"
 	"github.com/wasabibank/wasabibank/internal/spender"
 	"github.com/wasabibank/wasabibank/internal/viewer"
 	"github.com/wasabibank/wasabibank/platform"
@@ -39,6 +41,9 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// metricsPort and metricsPath are where the counters are shown, as deploy/system.toml says.
+	metricsPort = "9464"
+	metricsPath = "/metrics"
 	// memoryShare is the part of the memory limit at which garbage is collected harder.
 	memoryShare = 0.7
 )
@@ -48,11 +53,13 @@
 	settings  platform.Settings
 	carrier   *carrier.Carrier
 	conductor *conductor.Conductor
+	meter     *meter.Meter
+	log       *scribe.Scribe
 	stopping  atomic.Bool
 }
 
-// New returns an instance that does not run yet.
-func New(s platform.Settings) *Edger {
+// New returns an instance that does not run yet, and whose log is written by log.
+func New(s platform.Settings, log *scribe.Scribe) *Edger {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * (1 << 20) * memoryShare))
 	names := carrier.Names{
 		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
@@ -61,15 +68,17 @@
 	budget := spender.New(spender.Settings{
 		Share: s.Bounds.RepeatShare, Extra: s.Bounds.RepeatExtra, Span: s.Bounds.RepeatSpan,
 	})
-	traffic := carrier.New(names, budget)
+	counters := meter.New()
+	traffic := carrier.New(names, budget, counters)
 	self := viewer.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
 	}
 	control := conductor.New(conductor.Options{
-		Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic, Drain: s.Bounds.Drain - drainMargin,
+		Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic, Meter: counters,
+		Drain: s.Bounds.Drain - drainMargin,
 	})
-	return &Edger{settings: s, carrier: traffic, conductor: control}
+	return &Edger{settings: s, carrier: traffic, conductor: control, meter: counters, log: log}
 }
 
 // Run serves until stop ends, then stops without cutting what is in flight.
@@ -77,13 +86,15 @@
 	klog.InfoS("start", "instance", e.settings.Instance, "domain", e.settings.Domain, "clients", e.settings.ClientAddress)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	clients := &http.Server{Handler: e.carrier, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	peers := &http.Server{Handler: e.peerHandler(), IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes}
 	ready := &http.Server{Handler: e.readyHandler(), IdleTimeout: idleTimeout}
+	metrics := &http.Server{Handler: e.metricsHandler(), IdleTimeout: idleTimeout}
 	peerAddress := net.JoinHostPort(e.settings.Address, fmt.Sprint(e.settings.PeerPort))
 	for address, server := range map[string]*http.Server{
 		e.settings.ClientAddress: clients, peerAddress: peers, e.settings.ReadyAddress: ready,
+		net.JoinHostPort(e.settings.Address, metricsPort): metrics,
 	} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -132,6 +143,19 @@
 	return routes
 }
 
+// metricsHandler shows the counters, with what is only known now.
+func (e *Edger) metricsHandler() http.Handler {
+	routes := mux.NewRouter()
+	routes.HandleFunc(metricsPath, func(w http.ResponseWriter, r *http.Request) {
+		running, waiting := e.carrier.Load()
+		e.meter.Set(meter.RequestsRunning, int64(running))
+		e.meter.Set(meter.RequestsWaiting, int64(waiting))
+		e.meter.Set(meter.LogLinesDropped, e.log.Dropped())
+		e.meter.ServeHTTP(w, r)
+	}).Methods(http.MethodGet)
+	return routes
+}
+
 // peerHandler answers other instances: requests that they pass on, and control messages.
 func (e *Edger) peerHandler() http.Handler {
 	control := herald.NewHeraldServer(e.conductor)
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -71,8 +71,9 @@
 	OwnedPartitions
 	RequestsRunning
 	RequestsWaiting
+	LogLinesDropped
 
-	gaugeCount = int(RequestsWaiting) + 1
+	gaugeCount = int(LogLinesDropped) + 1
 )
 
 // Timer names one timer of a Meter.
@@ -155,6 +156,7 @@
 	OwnedPartitions: {"owned_partitions", "Partitions owned by the backend servers that this instance fronts."},
 	RequestsRunning: {"requests_running", "Requests sent to backend servers and not yet answered."},
 	RequestsWaiting: {"requests_waiting", "Requests that wait for a slot of a backend server."},
+	LogLinesDropped: {"log_lines_dropped", "Lines of the log that were dropped because its reader was too slow."},
 }
 
 var timerDescriptions = [timerCount]Description{
--- a/internal/meter/reasons.go
+++ b/internal/meter/reasons.go
@@ -10,6 +10,9 @@
 	"no_such_service", "method_not_allowed", "no_route", "moved", "draining", "unreachable",
 	"server_refused", "expired", "overloaded", "queue_full", "caller_rate", "caller_concurrent",
 	"broken", "timeout", "repeat",
+	"no_configuration", "no_service", "bad_time_left", "no_server", "owner_lost", "keys_moving", "keys_moved",
+	"keys_not_here", "no_turn_in_time", "time_up_in_queue", "time_up", "client_left", "server_gone", "no_connection",
+	"no_front", "not_sent", "not_sent_to_front", "server_rejected", "front_has_no_configuration",
 }
 
 // serverReasons are the reasons for which backend servers refuse requests.
