Fewer control bytes, strict admission under overload, deposed leaders told, silent servers found sooner

Now one whose answer would be late is refused on arrival while its servers are fully used. - Requests sent to servers that had gone silent waited for their own deadline: found after 0.75 s now, then tried with one request at a time, and nothing waits for a server that stayed silent. - Each move sent four changes of the map to every instance; now those that traffic can see, gathered for 60 ms.

Ruled out: a shorter authority of leaders, because an outage of the store of that length would then stop every renewal.

Tests that failed before: TestLeaderThatIsToldStopsWithoutTheStore, TestPredecessorThatStopsFreesItsServers, TestServerThatStaysSilentIsNotWaitedFor, TestShows.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -24,8 +24,10 @@
 const (
 	// connectTimeout bounds a connection to a server or an instance; they are at most 20 ms away.
 	connectTimeout = 300 * time.Millisecond
-	// probe finds connections that went silent within three times as long.
-	probe = 400 * time.Millisecond
+	// probe finds connections to instances that went silent within three times as long. A server's silence blocks its
+	// slots, so it is looked for sooner; servers and their fronts share a failure domain.
+	probe       = 400 * time.Millisecond
+	serverProbe = 250 * time.Millisecond
 	// serverIdle is how long a connection to a server is kept; servers close idle ones after 10 s.
 	serverIdle = 6 * time.Second
 	// peerIdle is how long a connection to an instance is kept; instances close idle ones after a minute.
@@ -228,7 +230,7 @@
 	if p == nil {
 		p = exchanger.New(exchanger.Options{
 			Address: address, Connections: slots + spareConnections, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle,
-			Probe: probe,
+			Probe: serverProbe,
 		})
 		c.servers[address] = p
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -39,6 +40,8 @@
 	balance = 250 * time.Millisecond
 	// movesAtOnce is the part of a service's servers whose ranges may be moved at the same time.
 	movesAtOnce = 4
+	// together is the time in which changes of the map are gathered; requests for keys that move wait as long at most.
+	together = 60 * time.Millisecond
 	// kept is how many changes of the map the leader keeps to send instead of the whole.
 	kept = 64
 )
@@ -89,6 +92,7 @@
 	orders     platform.Orders
 	lead       *lead // nil while this instance does not lead
 	troubled   map[string]time.Time
+	helpers    atomic.Pointer[[]string] // addresses of other instances
 }
 
 // lead is what only a leader has.
@@ -101,7 +105,12 @@
 	loads    map[string]*balancer.Load
 	speeds   map[string]*speed
 	balanced time.Time
-	plans    map[uint64][]byte
+	// published is when the members were last told what has changed; unpublished says that there is something newer.
+	published   time.Time
+	unpublished bool
+	plans       map[uint64][]byte
+	// predecessor is the leader before this one, while it may still give orders.
+	predecessor elector.Identity
 }
 
 // delta is one change of the map.
@@ -136,6 +145,7 @@
 		ticked:     now,
 		unreported: emptyLoads(),
 		troubled:   map[string]time.Time{},
+		peers:      newPeers(),
 	}
 }
 
@@ -205,12 +215,17 @@
 	c.report(now)
 	if c.dirty {
 		c.dirty = false
-		c.show()
+		var helpers []string
+		for _, m := range c.members {
+			helpers = append(helpers, m.Address)
+		}
+		c.helpers.Store(&helpers)
+		c.renew()
 	}
 }
 
-// show hands a new view to traffic.
-func (c *Conductor) show() {
+// renew hands a new view to traffic.
+func (c *Conductor) renew() {
 	if c.table == nil || !c.readable {
 		return
 	}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/balancer"
 	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
@@ -19,10 +20,10 @@
 
 // follow takes up or lays down the lead.
 func (c *Conductor) follow(now time.Time) {
-	taken, orphan := c.elector.Took()
+	taken, predecessor := c.elector.Took()
 	switch {
 	case taken && c.elector.Term() != 0:
-		c.takeUp(now, orphan)
+		c.takeUp(now, predecessor)
 	case c.elector.Term() == 0 && c.lead != nil:
 		klog.InfoS("lead lost", "term", c.owners.Version().Term)
 		c.lead = nil
@@ -30,10 +31,10 @@
 	}
 }
 
-// takeUp starts to lead. orphan says that the last leader has surely stopped.
-func (c *Conductor) takeUp(now time.Time, orphan bool) {
+// takeUp starts to lead after another leader, or after none that may still give orders.
+func (c *Conductor) takeUp(now time.Time, before elector.Identity) {
 	predecessor := now
-	if !orphan {
+	if before.Instance != "" {
 		predecessor = now.Add(LeadTimes.Authority)
 	}
 	predecessor = predecessor.Add(GrantTimes.Hold + GrantTimes.Margin)
@@ -42,11 +43,17 @@
 		predecessor = now
 	}
 	term := c.elector.Term()
-	klog.InfoS("lead taken", "term", term, "predecessor_stopped", orphan, "ranges", len(holdings))
+	klog.InfoS("lead taken", "term", term, "before", before.Instance, "ranges", len(holdings))
 	c.lead = &lead{
 		granter: granter.New(GrantTimes, now, term, holdings, predecessor),
 		members: map[string]*registered{}, version: c.version + 1, loads: map[string]*balancer.Load{},
-		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{},
+		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{}, predecessor: before,
+	}
+	if before.Instance != "" && !slices.ContainsFunc(c.members, func(m viewer.Member) bool { return m.Instance == before.Instance }) {
+		// It has to learn that it was replaced, whether it reports here or not.
+		c.lead.members[before.Instance] = &registered{
+			member: viewer.Member{Instance: before.Instance, Incarnation: before.Incarnation, Address: before.Address}, seen: now,
+		}
 	}
 	for _, m := range c.members {
 		c.lead.members[m.Instance] = &registered{member: m, seen: now}
@@ -82,7 +89,19 @@
 		c.storePlan()
 		c.balance(now)
 	}
-	if changed := l.granter.Delta(now); len(changed) > 0 {
+	c.show(now)
+}
+
+// show publishes what has changed for traffic. Changes shortly after one another go out together.
+func (c *Conductor) show(now time.Time) {
+	l := c.lead
+	var changed []ranger.Segment
+	for _, s := range l.granter.Delta(now) {
+		if !c.owners.Shows(s) {
+			changed = append(changed, s)
+		}
+	}
+	if len(changed) > 0 {
 		l.sequence++
 		l.deltas = append(l.deltas, delta{sequence: l.sequence, segments: changed})
 		if len(l.deltas) > kept {
@@ -90,6 +109,9 @@
 		}
 		c.owners = c.owners.With(ranger.Version{Term: c.elector.Term(), Sequence: l.sequence}, changed)
 		c.dirty = true
+		l.unpublished = true
+	}
+	if l.unpublished && now.Sub(l.published) >= together {
 		c.publish(now)
 	}
 }
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -12,10 +12,12 @@
 	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/carrier"
+	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/ranger"
 	"github.com/wasabibank/wasabibank/internal/viewer"
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // peers are the clients of other instances, by address.
@@ -24,13 +26,17 @@
 	clients map[string]herald.Herald
 }
 
-// get returns the client of the instance at address.
+func newPeers() peers {
+	dialer := net.Dialer{Timeout: heartbeatTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	return peers{client: &http.Client{Transport: transport}, clients: map[string]herald.Herald{}}
+}
+
+// http returns the HTTP client, which any goroutine may use.
+func (p *peers) http() *http.Client { return p.client }
+
+// get returns the client of the instance at address. Only the control goroutine calls it.
 func (p *peers) get(address string) herald.Herald {
-	if p.client == nil {
-		dialer := net.Dialer{Timeout: heartbeatTimeout}
-		p.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
-		p.clients = map[string]herald.Herald{}
-	}
 	if p.clients[address] == nil {
 		p.clients[address] = herald.NewHeraldProtobufClient("http://"+address, p.client)
 	}
@@ -113,13 +119,21 @@
 
 // takeReply takes the leader's answer to a report.
 func (c *Conductor) takeReply(now time.Time, reply *herald.ReportReply) {
-	c.elector.Heard(now, reply.GetLeading(), reply.GetTerm(), reply.GetStoreLost())
+	c.elector.Heard(now, reply.GetLeading(), reply.GetStoreLost())
+	c.told(now, reply.GetLead())
 	if reply.GetLeading() {
 		c.takeOwners(reply.GetOwners())
 		c.takeMembers(reply.GetMembers())
 	}
 }
 
+// told takes note of a lead that another instance knows of.
+func (c *Conductor) told(now time.Time, lead *herald.Lead) {
+	if lead.GetTerm() != 0 {
+		c.elector.Told(now, decodeLead(lead))
+	}
+}
+
 // takeOwners applies a change of the map of owners that fits the present one.
 func (c *Conductor) takeOwners(o *herald.Owners) {
 	if o == nil || c.lead != nil {
@@ -136,7 +150,7 @@
 		c.dirty = true
 		return
 	}
-	if have.Term != version.Term || have.Sequence+1 != version.Sequence {
+	if have.Term != version.Term || have.Sequence < o.GetBase() {
 		return // the next report asks for what is missing
 	}
 	c.owners = c.owners.With(version, segments)
@@ -160,6 +174,7 @@
 
 // publish sends each instance what it does not know yet.
 func (c *Conductor) publish(now time.Time) {
+	c.lead.published, c.lead.unpublished = now, false
 	for _, r := range c.lead.members {
 		c.publishTo(now, r)
 	}
@@ -176,12 +191,12 @@
 		return
 	}
 	r.sent, r.again = true, false
-	request := &herald.PublishRequest{Term: c.elector.Term(), Owners: owners, Members: members}
+	request := &herald.PublishRequest{Lead: c.knownLead(), Owners: owners, Members: members}
 	peer := c.peers.get(r.member.Address)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.context, heartbeatTimeout)
 		defer cancel()
-		_, err := peer.Publish(ctx, request)
+		reply, err := peer.Publish(ctx, request)
 		c.post(func(now time.Time) {
 			if c.lead != l {
 				return
@@ -191,6 +206,7 @@
 				klog.InfoS("instance did not take news", "instance", r.member.Instance, "error", err)
 				return // its next report asks for it
 			}
+			l.hears(now, reply)
 			if owners != nil {
 				r.known = ranger.Version{Term: owners.GetTerm(), Sequence: owners.GetSequence()}
 			}
@@ -204,6 +220,18 @@
 	}()
 }
 
+// hears takes note of who answered a publication: an earlier leader that has stepped down, or started anew, gives no
+// orders any more.
+func (l *lead) hears(now time.Time, reply *herald.PublishReply) {
+	member := reply.GetMember()
+	same := member.GetInstance() == l.predecessor.Instance
+	if same && (!reply.GetLeading() || member.GetIncarnation() != l.predecessor.Incarnation) {
+		klog.InfoS("earlier leader has stopped", "instance", l.predecessor.Instance)
+		l.predecessor = elector.Identity{}
+		l.granter.PredecessorStopped(now)
+	}
+}
+
 // newsFor returns what an instance with the given versions does not know.
 func (c *Conductor) newsFor(now time.Time, known ranger.Version, listed uint64) (*herald.Owners, *herald.Members) {
 	l := c.lead
@@ -218,14 +246,12 @@
 	if known == (ranger.Version{Term: term, Sequence: l.sequence}) {
 		return nil, members
 	}
-	owners := &herald.Owners{Term: term, Sequence: l.sequence}
+	owners := &herald.Owners{Term: term, Sequence: l.sequence, Base: known.Sequence}
 	var segments []ranger.Segment
 	if known.Term == term && len(l.deltas) > 0 && known.Sequence+1 >= l.deltas[0].sequence {
-		// Applied one after the other, the changes are one change that follows the last of them.
-		owners.Sequence = known.Sequence + 1
 		for _, d := range l.deltas {
-			if d.sequence == owners.Sequence {
-				segments = d.segments
+			if d.sequence > known.Sequence {
+				segments = append(segments, d.segments...)
 			}
 		}
 	} else {
@@ -244,14 +270,80 @@
 // Publish implements herald.Herald.
 func (c *Conductor) Publish(ctx context.Context, request *herald.PublishRequest) (*herald.PublishReply, error) {
 	return ask(ctx, c, func(now time.Time) *herald.PublishReply {
-		if lead, ok := c.elector.Lead(); !ok || lead.Term <= request.GetTerm() {
+		c.told(now, request.GetLead())
+		c.follow(now)
+		if lead, ok := c.elector.Lead(); ok && lead.Term == request.GetLead().GetTerm() {
 			c.takeOwners(request.GetOwners())
 			c.takeMembers(request.GetMembers())
 		}
-		return &herald.PublishReply{}
+		return &herald.PublishReply{Member: c.member(), Leading: c.lead != nil}
 	})
 }
 
+// Fetch implements herald.Herald.
+func (c *Conductor) Fetch(ctx context.Context, request *herald.FetchRequest) (*herald.FetchReply, error) {
+	records, next, err := c.readStore(ctx, request.GetTopic(), request.GetFrom(), request.GetWhole(), 0)
+	if platform.IsErrExpired(err) {
+		return &herald.FetchReply{Expired: true}, nil
+	}
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	reply := &herald.FetchReply{Next: next}
+	for _, r := range records {
+		reply.Records = append(reply.Records, &herald.Record{Key: r.Key, Value: r.Value, Gone: r.Value == nil, Offset: r.Offset})
+	}
+	return reply, nil
+}
+
+// fetch reads a topic through another instance.
+func (c *Conductor) fetch(
+	ctx context.Context, address, topic string, from int64, whole bool,
+) ([]platform.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	peer := herald.NewHeraldProtobufClient("http://"+address, c.peers.http())
+	reply, err := peer.Fetch(ctx, &herald.FetchRequest{Topic: topic, From: from, Whole: whole})
+	if err != nil {
+		return nil, from, errors.Wrap(err, "fetch through another instance")
+	}
+	if reply.GetExpired() {
+		return nil, from, platform.ErrExpired{}
+	}
+	var records []platform.Record
+	for _, r := range reply.GetRecords() {
+		record := platform.Record{Key: r.GetKey(), Offset: r.GetOffset()}
+		if !r.GetGone() {
+			record.Value = r.GetValue()
+		}
+		records = append(records, record)
+	}
+	return records, reply.GetNext(), nil
+}
+
+// knownLead returns the newest lead that this instance knows of.
+func (c *Conductor) knownLead() *herald.Lead {
+	lead, ok := c.elector.Lead()
+	if !ok {
+		return nil
+	}
+	return encodeLead(lead, "")
+}
+
+func encodeLead(lead elector.Lead, domain string) *herald.Lead {
+	return &herald.Lead{Term: lead.Term, Member: &herald.Member{
+		Instance: lead.Identity.Instance, Incarnation: lead.Identity.Incarnation, Address: lead.Identity.Address,
+		Domain: domain,
+	}}
+}
+
+func decodeLead(lead *herald.Lead) elector.Lead {
+	return elector.Lead{Term: lead.GetTerm(), Identity: elector.Identity{
+		Instance: lead.GetMember().GetInstance(), Incarnation: lead.GetMember().GetIncarnation(),
+		Address: lead.GetMember().GetAddress(),
+	}}
+}
+
 // ask runs answer on the control goroutine.
 func ask[T any](ctx context.Context, c *Conductor, answer func(now time.Time) T) (T, error) {
 	done := make(chan T, 1)
@@ -273,12 +365,9 @@
 // takeReport takes the report of an instance.
 func (c *Conductor) takeReport(now time.Time, request *herald.ReportRequest) *herald.ReportReply {
 	reply := &herald.ReportReply{
-		Leading: c.lead != nil, Term: c.elector.Term(), StoreLost: c.elector.StoreLost(now),
+		Leading: c.lead != nil, Lead: c.knownLead(), StoreLost: c.elector.StoreLost(now),
 	}
 	if c.lead == nil {
-		if lead, ok := c.elector.Lead(); ok {
-			reply.Term = lead.Term
-		}
 		return reply
 	}
 	c.register(now, decodeMember(request.GetMember()))
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -98,53 +98,83 @@
 	}
 }
 
+// watcher is where the reading of a topic stands.
+type watcher struct {
+	name  string
+	from  int64
+	whole bool // what comes next are all records, not changes
+	lost  bool // the store did not answer the last call
+	pause time.Duration
+	tries int
+}
+
 // watch reads a topic whole, then its changes, for ever. take runs on the control goroutine; whole says that the records
-// are all there are.
+// are all there are. While the store does not answer, it reads through other instances, which may reach it.
 func (c *Conductor) watch(
 	ctx context.Context, name string, take func(now time.Time, whole bool, records []platform.Record),
 ) {
-	from, whole, pause, failed := int64(0), true, readRetry, false
+	w := &watcher{name: name, whole: true, pause: readRetry}
 	for ctx.Err() == nil {
-		records, next, err := c.readTopic(ctx, name, from, whole)
-		c.options.Meter.Count(meter.LogReads)
-		if platform.IsErrExpired(err) {
+		records, next, err := c.read(ctx, w)
+		switch {
+		case platform.IsErrExpired(err):
 			c.options.Meter.Count(meter.LogGaps)
-			whole = true
-			continue
-		}
-		if err != nil {
+			w.whole = true
+		case err != nil:
 			c.options.Meter.Count(meter.LogReadsFailed)
-			if !failed {
-				klog.InfoS("store lost", "topic", name, "error", err)
+			sleep(ctx, w.pause)
+			w.pause = min(2*w.pause, readRetryMax)
+		default:
+			whole := w.whole
+			w.from, w.whole = next, false
+			if whole || len(records) > 0 {
+				c.post(func(now time.Time) { take(now, whole, records) })
+			}
+			if w.lost {
+				sleep(ctx, readRetryMax)
+			} else if len(records) > 0 {
+				sleep(ctx, gather)
 			}
-			failed = true
-			c.post(func(now time.Time) { c.troubled[name] = now })
-			sleep(ctx, pause)
-			pause = min(2*pause, readRetryMax)
-			continue
-		}
-		if failed {
-			klog.InfoS("store is back", "topic", name)
-			c.post(func(now time.Time) { c.troubled[name] = now })
-		}
-		all := whole
-		if all || len(records) > 0 {
-			c.post(func(now time.Time) { take(now, all, records) })
 		}
-		from, whole, pause, failed = next, false, readRetry, false
-		if len(records) > 0 {
-			sleep(ctx, gather)
+	}
+}
+
+// read reads what is next from the store or, where that fails, through another instance.
+func (c *Conductor) read(ctx context.Context, w *watcher) ([]platform.Record, int64, error) {
+	c.options.Meter.Count(meter.LogReads)
+	wait := readWait
+	if w.lost {
+		wait = 0
+	}
+	records, next, err := c.readStore(ctx, w.name, w.from, w.whole, wait)
+	if err == nil || platform.IsErrExpired(err) {
+		if w.lost {
+			klog.InfoS("store is back", "topic", w.name)
+			c.post(func(now time.Time) { c.troubled[w.name] = now })
 		}
+		w.lost, w.pause = false, readRetry
+		return records, next, err
 	}
+	if !w.lost {
+		klog.InfoS("store lost", "topic", w.name, "error", err)
+	}
+	w.lost = true
+	c.post(func(now time.Time) { c.troubled[w.name] = now })
+	helpers := c.helpers.Load()
+	if helpers == nil || len(*helpers) == 0 {
+		return nil, 0, err
+	}
+	w.tries++
+	return c.fetch(ctx, (*helpers)[w.tries%len(*helpers)], w.name, w.from, w.whole)
 }
 
-func (c *Conductor) readTopic(
-	ctx context.Context, name string, from int64, whole bool,
+func (c *Conductor) readStore(
+	ctx context.Context, name string, from int64, whole bool, wait time.Duration,
 ) ([]platform.Record, int64, error) {
 	if whole {
 		return c.options.Store.Newest(ctx, name)
 	}
-	return c.options.Store.Changes(ctx, name, from, readWait)
+	return c.options.Store.Changes(ctx, name, from, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -162,11 +192,7 @@
 	case elector.Read:
 		go c.readLead(call)
 	case elector.Take:
-		member := &herald.Member{
-			Instance: call.Lead.Identity.Instance, Incarnation: call.Lead.Identity.Incarnation,
-			Address: call.Lead.Identity.Address, Domain: c.options.Self.Domain,
-		}
-		go c.append(now, call, keyLead, encode(&herald.Lead{Member: member, Term: call.Lead.Term}), call.At)
+		go c.append(now, call, keyLead, encode(encodeLead(call.Lead, c.options.Self.Domain)), call.At)
 	case elector.Store:
 		go c.append(now, call, keyPlan, c.lead.plans[call.Sequence], call.At)
 	}
@@ -227,13 +253,7 @@
 	if plan.GetTerm() == lead.GetTerm() {
 		stored = plan.GetSequence()
 	}
-	c.elector.WasRead(now, end, elector.Lead{
-		Identity: elector.Identity{
-			Instance: lead.GetMember().GetInstance(), Incarnation: lead.GetMember().GetIncarnation(),
-			Address: lead.GetMember().GetAddress(),
-		},
-		Term: lead.GetTerm(),
-	}, stored)
+	c.elector.WasRead(now, end, decodeLead(&lead), stored)
 }
 
 // encodePlan returns the record of a plan.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -88,7 +88,7 @@
 	lostStore bool      // the leader says that it can't reach the store
 	took      bool      // a lead was taken since the last call of Took
 	waitUntil time.Time // earliest time of a takeover
-	orphan    bool      // the last leader has surely stopped
+	before    Identity  // the leader before this instance, where it may still give orders
 }
 
 // New returns the Elector of an instance. share, from 0 to 1, is its place in the jitter.
@@ -111,10 +111,11 @@
 // StoreLost reports whether the store has not answered this instance for a while, in which it was asked.
 func (e *Elector) StoreLost(now time.Time) bool { return now.Sub(e.contact) > e.settings.Silence }
 
-// Took reports, once for each lead taken, that this instance leads, and whether the last leader has surely stopped.
-func (e *Elector) Took() (taken, orphan bool) {
+// Took reports, once for each lead taken, that this instance leads, and which leader before it may still give orders. An
+// earlier incarnation of this instance has surely stopped.
+func (e *Elector) Took() (taken bool, before Identity) {
 	taken, e.took = e.took, false
-	return taken, e.orphan
+	return taken, e.before
 }
 
 // Want asks for the plan with a sequence number to be stored.
@@ -133,19 +134,28 @@
 	e.renew = now
 }
 
-// Heard takes note of an answer of the instance that leads.
-func (e *Elector) Heard(now time.Time, leading bool, term uint64, storeLost bool) {
+// Heard takes note of an answer of the instance that led last, as far as this one knew. leading says that it still does.
+func (e *Elector) Heard(now time.Time, leading, storeLost bool) {
 	e.refusals = 0
-	if !leading || term != e.lead.Term {
-		// It does not lead, or not in this term: the record that this instance knows is old.
-		e.known = e.known && term == e.lead.Term && leading
-		e.next = later(e.next, now)
+	if !leading {
+		e.known = false // the record that this instance knows is old
 		return
 	}
 	e.heard = now
 	e.lostStore = storeLost
 }
 
+// Told takes note of a lead that another instance knows of. A newer one than this instance's own ends its lead at once,
+// also while it can't reach the store.
+func (e *Elector) Told(now time.Time, lead Lead) {
+	if lead.Term <= e.lead.Term || lead.Identity == e.self {
+		return
+	}
+	e.lead, e.term = lead, 0
+	e.known = false // the end of the topic has moved
+	e.heard, e.refusals, e.lostStore, e.waitUntil = now, 0, false, time.Time{}
+}
+
 // Unheard takes note of a report that the leader did not answer. refused says that its machine refused the connection.
 func (e *Elector) Unheard(refused bool) {
 	if refused {
@@ -167,21 +177,28 @@
 
 func (e *Elector) due(now time.Time) Call {
 	switch {
-	case !e.known:
+	case !e.known && (e.term != 0 || e.quiet(now)):
 		return Read{}
 	case e.term != 0:
 		return e.serve(now)
 	case e.lostStore && e.StoreLost(now):
 		return Read{} // whether this instance reaches the store that the leader does not reach
+	case e.vacant(now) && !e.known:
+		return Read{}
 	case e.vacant(now):
 		return e.contend(now)
-	case e.lead.Identity.Instance != "" && now.Sub(e.heard) > e.settings.Doubt:
+	case e.quiet(now):
 		return Read{}
 	}
 	e.waitUntil = time.Time{}
 	return nil
 }
 
+// quiet reports whether no leader is known that was heard of just now.
+func (e *Elector) quiet(now time.Time) bool {
+	return e.lead.Identity.Instance == "" || now.Sub(e.heard) > e.settings.Doubt
+}
+
 // serve returns the leader's next append.
 func (e *Elector) serve(now time.Time) Call {
 	if e.plan > e.stored && e.Active(now) {
@@ -232,9 +249,10 @@
 			e.heard = now
 		}
 	}
+	before := e.lead.Identity
 	e.known, e.end, e.lead = true, end, lead
 	if lead.Term != 0 && lead.Identity.Instance == e.self.Instance && lead.Identity.Incarnation == e.self.Incarnation {
-		e.adopt(now, lead, plan)
+		e.adopt(now, before, plan)
 		return
 	}
 	e.term = 0
@@ -242,15 +260,23 @@
 }
 
 // adopt takes up a lead whose append got no answer. The right to act begins with the next append that gets one.
-func (e *Elector) adopt(now time.Time, lead Lead, plan uint64) {
-	if e.term != lead.Term {
-		e.term, e.took = lead.Term, true
-		e.plan, e.stored = 0, 0
+func (e *Elector) adopt(now time.Time, before Identity, plan uint64) {
+	if e.term != e.lead.Term {
+		e.begin(e.lead.Term, before)
 	}
 	e.stored = max(e.stored, plan)
 	e.renew = now
 }
 
+// begin starts to lead after another leader.
+func (e *Elector) begin(term uint64, before Identity) {
+	e.term, e.took, e.before = term, true, before
+	if before.Instance == e.self.Instance {
+		e.before = Identity{}
+	}
+	e.plan, e.stored = 0, 0
+}
+
 // Appended takes the acknowledgement of an append that was sent at sent.
 func (e *Elector) Appended(now, sent time.Time, call Call, offset int64) {
 	e.calling, e.contact = false, now
@@ -258,9 +284,7 @@
 	switch c := call.(type) {
 	case Take:
 		if e.term != c.Lead.Term {
-			e.orphan = e.lead.Identity.Instance == "" || e.lead.Identity.Instance == e.self.Instance
-			e.term, e.took = c.Lead.Term, true
-			e.plan, e.stored = 0, 0
+			e.begin(c.Lead.Term, e.lead.Identity)
 		}
 		e.lead = c.Lead
 		e.refusals, e.lostStore = 0, false
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -25,7 +25,7 @@
 	e := New(times, start, self, 0)
 	_ = e.Tick(start)
 	e.WasRead(start, 5, Lead{Identity: other, Term: 3}, 0)
-	e.Heard(start, true, 3, false)
+	e.Heard(start, true, false)
 	return e
 }
 
@@ -49,9 +49,9 @@
 	is.Equal(take, Take{Lead: Lead{Identity: self, Term: 1}, At: 0})
 	is.True(!e.Active(at(times.Retry)))
 	e.Appended(at(time.Second), at(times.Retry), take, 0)
-	taken, orphan := e.Took()
+	taken, before := e.Took()
 	is.True(taken)
-	is.True(orphan)
+	is.Equal(before, Identity{})
 	is.True(e.Active(at(times.Authority))) // counted from sending
 	is.True(!e.Active(at(times.Retry + times.Authority)))
 }
@@ -63,7 +63,7 @@
 		want    Call
 	}{
 		"heard": {
-			happens: func(e *Elector) { e.Heard(at(1500*time.Millisecond), true, 3, false) },
+			happens: func(e *Elector) { e.Heard(at(1500*time.Millisecond), true, false) },
 			after:   2200 * time.Millisecond, want: nil,
 		},
 		"silent, looked for in the store first": {
@@ -88,11 +88,11 @@
 			want: nil,
 		},
 		"leader has lost the store, this instance asks first whether it reaches it": {
-			happens: func(e *Elector) { e.Heard(at(10*time.Second), true, 3, true) }, after: 10 * time.Second, want: Read{},
+			happens: func(e *Elector) { e.Heard(at(10*time.Second), true, true) }, after: 10 * time.Second, want: Read{},
 		},
 		"leader has lost the store, this instance reaches it": {
 			happens: func(e *Elector) {
-				e.Heard(at(10*time.Second), true, 3, true)
+				e.Heard(at(10*time.Second), true, true)
 				e.WasRead(at(10*time.Second), 5, Lead{Identity: other, Term: 3}, 0)
 			},
 			after: 10300 * time.Millisecond, want: Take{Lead: Lead{Identity: self, Term: 6}, At: 5},
@@ -151,6 +151,21 @@
 	}
 }
 
+// TestTakeoverWithoutAnswerKnowsItsPredecessor: the record of the lead was appended, but the answer was lost.
+func TestTakeoverWithoutAnswerKnowsItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	e := follower()
+	e.Unheard(true)
+	e.Unheard(true)
+	take := e.Tick(at(300 * time.Millisecond))
+	e.Failed(at(time.Second), take, false, false)
+	is.Equal(e.Tick(at(2*time.Second)), Read{})
+	e.WasRead(at(2*time.Second), 6, Lead{Identity: self, Term: 6}, 0)
+	taken, before := e.Took()
+	is.True(taken)
+	is.Equal(before, other)
+}
+
 func TestDoubtEndsTheRightToAct(t *testing.T) {
 	is := is.New(t)
 	e := leader()
@@ -176,3 +191,28 @@
 	e.Doubt(at(200 * time.Millisecond))
 	is.Equal(e.Tick(at(200*time.Millisecond)), Take{Lead: Lead{Identity: self, Term: 1}, At: 2})
 }
+
+// TestLeaderThatIsToldStopsWithoutTheStore: a leader that was cut off from the store learns from another instance that it
+// was replaced.
+func TestLeaderThatIsToldStopsWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	e := leader()
+	e.Told(at(time.Second), Lead{Identity: other, Term: 7})
+	is.True(!e.Active(at(time.Second)))
+	is.Equal(e.Term(), uint64(0))
+	lead, _ := e.Lead()
+	is.Equal(lead.Identity, other)
+	is.Equal(e.Tick(at(time.Second)), nil) // it was just heard of
+	e.Told(at(time.Second), Lead{Identity: Identity{Instance: "third"}, Term: 6})
+	lead, _ = e.Lead()
+	is.Equal(lead.Identity, other) // an older lead changes nothing
+	is.Equal(e.Tick(at(time.Second+times.Silence)), Read{})
+}
+
+// TestFormerLeaderIsNotAskedAgain: an instance that no longer leads makes its followers look for its successor.
+func TestFormerLeaderIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	e := follower()
+	e.Heard(at(100*time.Millisecond), false, false)
+	is.Equal(e.Tick(at(times.Doubt+time.Millisecond)), Read{})
+}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -236,6 +236,16 @@
 	return all
 }
 
+// PredecessorStopped takes note that no earlier leader gives orders any more. What it sent before may still arrive.
+func (g *Granter) PredecessorStopped(now time.Time) {
+	end := now.Add(g.settings.lapse())
+	for _, h := range g.holdings {
+		if h.kept && end.Before(h.lapses) {
+			h.lapses = end
+		}
+	}
+}
+
 // Move starts to move a range, which must lie within one holding, to the server to. It reports whether it did: a range
 // whose owner has an order under way is left alone.
 func (g *Granter) Move(now time.Time, service string, r ranger.Range, to string) bool {
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -110,3 +110,28 @@
 	w.run(testTimes.lapse()+testTimes.Renew+time.Second, 0)
 	is.Equal(w.unserved(), 0)
 }
+
+// TestPredecessorThatStopsFreesItsServers: a server that the new leader can't reach waits for the old one's authority to
+// end, or for the news that it has stopped.
+func TestPredecessorThatStopsFreesItsServers(t *testing.T) {
+	for name, told := range map[string]bool{"stopped": true, "not known": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plan := []Holding{{Service: service, Range: ranger.Range{Last: ranger.MaxKey}, Server: "dead"}}
+			g := New(testTimes, epoch, 2, plan, epoch.Add(time.Minute))
+			g.SetServers(epoch, []string{service}, []cataloger.Server{{ID: "dead", Service: service}, {ID: "live", Service: service}})
+			if told {
+				g.PredecessorStopped(epoch)
+			}
+			for now := epoch; now.Before(epoch.Add(20 * time.Second)); now = now.Add(step) {
+				for _, o := range g.Tick(now) {
+					if grant, ok := o.(Grant); ok && grant.Server == "dead" {
+						g.Granted(now, grant, NotSent)
+					}
+				}
+			}
+			segments := g.Segments(epoch)
+			is.Equal(segments[0].Server == "live", told)
+		})
+	}
+}
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -96,6 +96,7 @@
 	failures int           // in a row
 	ejected  time.Time     // left out until
 	ejection time.Duration
+	trial    bool // back after an ejection, and tried with one request first
 	gone     bool // not offered anything, and dropped when nothing runs on it
 }
 
@@ -175,7 +176,7 @@
 	total := 0
 	for _, s := range q.servers {
 		if s.usable(now) {
-			total += s.slots
+			total += s.room()
 		}
 	}
 	return total
@@ -183,6 +184,14 @@
 
 func (s *server) usable(now time.Time) bool { return !s.gone && !now.Before(s.ejected) }
 
+// room returns how many requests the server may run at once.
+func (s *server) room() int {
+	if s.trial {
+		return 1
+	}
+	return s.slots
+}
+
 // Offer decides on a new request.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.count(now, r)
@@ -231,7 +240,7 @@
 func (q *Queue) pick(now time.Time, avoid string) *server {
 	var best *server
 	for _, s := range q.servers {
-		if !s.usable(now) || s.running >= s.slots {
+		if !s.usable(now) || s.running >= s.room() {
 			continue
 		}
 		if best == nil || s.better(best, avoid) {
@@ -265,7 +274,7 @@
 	case Answered:
 		q.learn(className, took)
 		s.learn(took)
-		s.failures, s.ejection = 0, 0
+		s.failures, s.ejection, s.trial = 0, 0, false
 	case Rejected, Failed:
 		s.failures++
 		if s.failures >= failuresToEject {
@@ -289,6 +298,7 @@
 	s.ejection = min(max(ejection, 2*s.ejection), ejectionMax)
 	s.ejected = now.Add(s.ejection)
 	s.failures = failuresToEject - 1 // one more failure after it takes the server out again
+	s.trial = true
 }
 
 func (q *Queue) learn(name string, took time.Duration) {
@@ -353,10 +363,27 @@
 	return given
 }
 
+// back returns when the first server that is left out is tried again.
+func (q *Queue) back(now time.Time) time.Time {
+	first := now.Add(ejectionMax)
+	for _, s := range q.servers {
+		if !s.gone && s.ejected.Before(first) {
+			first = s.ejected
+		}
+	}
+	return first
+}
+
+// end returns when a request with so much work ahead of it would be answered.
+func (q *Queue) end(now time.Time, ahead, need time.Duration) time.Time {
+	return now.Add(ahead/time.Duration(max(1, q.slots(now))) + need)
+}
+
 // reaches reports whether a request with so much work ahead of it ends within its limit.
 func (q *Queue) reaches(now time.Time, w *waiting, ahead time.Duration, slots int, need time.Duration) bool {
 	if slots == 0 {
-		return now.Add(ejection + need).Before(w.Limit)
+		back := q.back(now)
+		return back.Sub(now) <= ejection && back.Add(need).Before(w.Limit)
 	}
 	start := ahead / time.Duration(slots)
 	if q.late(now, w) {
@@ -386,6 +413,9 @@
 	for _, w := range q.waiting {
 		need := q.service(w.Request)
 		if w == added {
+			if q.load >= crowded && q.end(now, ahead, need).After(w.Objective) {
+				return false // late answers would make those behind them late as well
+			}
 			return q.reaches(now, w, ahead, q.slots(now), need)
 		}
 		ahead += need
@@ -439,7 +469,7 @@
 	}
 	slots := q.slots(now)
 	if slots == 0 {
-		return ejection
+		return max(minRetry, q.back(now).Sub(now))
 	}
 	return min(max(minRetry, total/time.Duration(slots)), maxRetry)
 }
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -132,3 +132,26 @@
 	q.SetServers(start, nil)
 	is.True(q.Empty())
 }
+
+// TestServerThatStaysSilentIsNotWaitedFor: after its second ejection nothing waits for the only server, and clients hear
+// when it is tried again.
+func TestServerThatStaysSilentIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{}
+	q.SetServers(start, []Server{{ID: "a", Slots: 3}})
+	for range failuresToEject {
+		is.Equal(q.Offer(start, request(1, 9000, 9000)), Start{Server: "a"})
+	}
+	for range failuresToEject {
+		q.Done(start, "a", "c", Failed, 0)
+	}
+	is.Equal(q.Offer(start, request(1, 9000, 9000)), Wait{Ticket: 1}) // it may be a hiccup
+	back := start.Add(ejection)
+	is.Equal(q.Expire(back).Started, []Started{{Ticket: 1, Server: "a"}})
+	_, waits := q.Offer(back, request(1, 9000, 9000)).(Wait)
+	is.True(waits) // one request at a time after an ejection
+	change := q.Done(back, "a", "c", Failed, 0)
+	is.Equal(len(change.GivenUp), 1)
+	is.Equal(change.GivenUp[0].RetryAfter, 2*ejection)
+	is.Equal(q.Offer(back, request(1, 9000, 9000)), Refuse{RetryAfter: 2 * ejection})
+}
--- a/internal/ranger/ranger.go
+++ b/internal/ranger/ranger.go
@@ -97,6 +97,19 @@
 	return all
 }
 
+// Shows reports whether the map tells traffic the same of a whole range as s: the same owner that serves it, or that it is
+// between two owners for as long.
+func (m *Map) Shows(s Segment) bool {
+	have, ok := m.Find(s.Service, s.Range.First)
+	if !ok || have.Range.Last < s.Range.Last || have.Moving != s.Moving {
+		return false
+	}
+	if s.Moving {
+		return have.Pause == s.Pause
+	}
+	return have.Server == s.Server
+}
+
 // With returns a map in which the changed segments replace what they overlap.
 func (m *Map) With(version Version, changed []Segment) *Map {
 	next := &Map{version: version, services: map[string][]Segment{}}
--- a/internal/ranger/ranger_test.go
+++ b/internal/ranger/ranger_test.go
@@ -75,3 +75,32 @@
 	is.True(Version{Term: 2, Sequence: 1}.Less(Version{Term: 2, Sequence: 2}))
 	is.True(!Version{Term: 2, Sequence: 2}.Less(Version{Term: 2, Sequence: 2}))
 }
+
+func TestShows(t *testing.T) {
+	moving := segment(10, 19, "b")
+	moving.Moving = true
+	m := (*Map)(nil).With(Version{}, []Segment{segment(0, 9, "a"), moving})
+	elsewhere := moving
+	elsewhere.Server = "c"
+	paused := moving
+	paused.Pause = 500
+	tests := map[string]struct {
+		segment Segment
+		want    bool
+	}{
+		"same":               {segment: segment(0, 9, "a"), want: true},
+		"a part":             {segment: segment(3, 5, "a"), want: true},
+		"other owner":        {segment: segment(3, 5, "b")},
+		"over a border":      {segment: segment(5, 12, "a")},
+		"between, elsewhere": {segment: elsewhere, want: true},
+		"between, paused":    {segment: paused},
+		"served again":       {segment: segment(10, 19, "b")},
+		"unknown":            {segment: segment(20, 29, "a")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(m.Shows(test.segment), test.want)
+		})
+	}
+}
