Keys of a lost server: clients hear at once when to come back; shorter instrumented slice of the outage table

Cause: a request for keys that were being taken from a server that does not answer waited for its whole time and was then refused (reason keys_moving): the release had cleared the mark by which traffic would have been told. Now a release that fails publishes how long the last grant may last, by the clock of the instance that reads it, and requests that can't wait so long are refused on arrival with that time. Test: TestUnansweredReleaseTellsHowLongItTakes failed before.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -171,9 +171,8 @@
 				return result{}, true
 			}
 		}
-		pause := time.Duration(segment.Pause) * time.Millisecond
-		if now.Add(pause).After(j.limit) {
-			return result{outcome: refused, reason: "owner_lost", retryAfter: pause}, false
+		if segment.Until.After(j.limit) {
+			return result{outcome: refused, reason: "owner_lost", retryAfter: segment.Until.Sub(now)}, false
 		}
 		timer := time.NewTimer(j.limit.Sub(now))
 		select {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -102,6 +102,7 @@
 		}
 	}
 	if len(changed) > 0 {
+		ranger.Timed(time.Now(), changed)
 		l.sequence++
 		l.deltas = append(l.deltas, delta{sequence: l.sequence, segments: changed})
 		if len(l.deltas) > kept {
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -145,6 +145,7 @@
 		return
 	}
 	segments := herald.DecodeSegments(o.GetServices(), o.GetSegments())
+	ranger.Timed(time.Now(), segments)
 	if o.GetWhole() {
 		c.owners = (*ranger.Map)(nil).With(version, segments)
 		c.dirty = true
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -314,10 +314,3 @@
 		e.known = false
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/faulter/outage_test.go
+++ b/internal/faulter/outage_test.go
@@ -54,6 +54,9 @@
 		"10 min, both lost":     {length: 10 * time.Minute, instance: true, server: true},
 	}
 	for name, c := range cases {
+		if stride > 1 && c.length > 10*time.Second {
+			continue // part of the whole table, which runs without the race detector
+		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -483,6 +483,10 @@
 	h.calling = false
 	if outcome != Accepted {
 		h.next = now.Add(g.settings.Retry)
+		if !h.failing {
+			h.failing = true
+			g.changed[h.id] = true // traffic is told how long the range will not be served
+		}
 		return
 	}
 	// The server has given up what it was granted, but a grant without an answer may still be carried out.
@@ -538,22 +542,12 @@
 func (g *Granter) segment(now time.Time, h *holding) ranger.Segment {
 	s := ranger.Segment{Service: h.Service, Range: h.Range, Server: h.Server}
 	s.Moving = h.state != held && !(h.state == granting && h.kept)
-	if h.state == releasing && !g.reachable(h.Server) {
+	if h.state == releasing && h.failing {
 		s.Pause = uint32(max(0, h.owned().Sub(now).Milliseconds()))
 	}
 	return s
 }
 
-// reachable reports whether the server of a range that is being released is expected to answer.
-func (g *Granter) reachable(server string) bool {
-	for _, h := range g.holdings {
-		if h.Server == server && h.failing {
-			return false
-		}
-	}
-	return true
-}
-
 // Held returns the ranges that servers hold and that may be moved, with their owners.
 func (g *Granter) Held(service string) []Holding {
 	var list []Holding
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -135,3 +135,20 @@
 		})
 	}
 }
+
+// TestUnansweredReleaseTellsHowLongItTakes: traffic must be able to refuse at once what would wait for a lost server.
+func TestUnansweredReleaseTellsHowLongItTakes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, flaws{})
+	w.run(time.Second, 0)
+	g := w.leaders[0].granter
+	r := ranger.Range{First: 100, Last: 200}
+	is.True(g.Move(w.now, service, r, "s1"))
+	g.Delta(w.now)
+	orders := g.Tick(w.now)
+	g.Released(w.now, orders[len(orders)-1].(Release), NotSent, "")
+	changed := g.Delta(w.now)
+	is.Equal(len(changed), 1)
+	is.True(changed[0].Moving)
+	is.True(changed[0].Pause > 2000 && changed[0].Pause <= uint32(testTimes.lapse().Milliseconds()))
+}
--- a/internal/ranger/ranger.go
+++ b/internal/ranger/ranger.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // MaxKey is the largest key.
@@ -35,6 +36,17 @@
 	// Pause is how many milliseconds after its publication a range that is Moving is expected to be served again; 0 is
 	// unknown or soon.
 	Pause uint32
+	// Until is when that is by this instance's clock; zero where Pause is 0. It is not sent to others.
+	Until time.Time
+}
+
+// Timed sets Until of the segments that pause, for traffic that reads them from now on.
+func Timed(now time.Time, segments []Segment) {
+	for i := range segments {
+		if pause := segments[i].Pause; pause > 0 {
+			segments[i].Until = now.Add(time.Duration(pause) * time.Millisecond)
+		}
+	}
 }
 
 // Version orders maps: by the term of the instance that published them, then by its count of changes.
@@ -163,7 +175,7 @@
 func appendJoined(list []Segment, s Segment) []Segment {
 	if len(list) > 0 {
 		last := &list[len(list)-1]
-		same := last.Server == s.Server && last.Moving == s.Moving && last.Pause == s.Pause
+		same := last.Server == s.Server && last.Moving == s.Moving && last.Pause == s.Pause && last.Until.Equal(s.Until)
 		if same && int(last.Range.Last)+1 == int(s.Range.First) {
 			last.Range.Last = s.Range.Last
 			return list
