One instance of a domain reads the store for the others; the hottest key goes to the fastest server

An instance that was cut off looked for the store in rounds of up to 3.5 s (2 s for the read, 0.7 s through another instance, 0.8 s pause), so that after the cut it handled requests by an old configuration for longer than allowed. A round now takes 1.6 s at most.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -24,6 +24,8 @@
 	noise = 1.0
 	// leastGain is the part of the difference between two servers that a move must even out to be worth its pause.
 	leastGain = 0.1
+	// faster is how much more than its owner a server must carry for a key to move there that is too much for its owner.
+	faster = 1.25
 	// minRate is the count of requests of a service under which nothing is moved.
 	minRate = 20.0
 )
@@ -116,6 +118,9 @@
 		return feedIdle(servers, limit)
 	}
 	slices.SortStableFunc(servers, func(a, b *server) int { return compare(b.per(), a.per()) })
+	if m, ok := upgrade(l, servers, mean); ok {
+		moves = append(moves, m)
+	}
 	for len(moves) < limit {
 		from, to := extremes(servers)
 		if from == nil || to == nil || !worthwhile(from, to, mean) {
@@ -132,6 +137,34 @@
 	return moves
 }
 
+// upgrade returns a move of a key that is more than a fair share for the busiest server, to the server that carries most.
+// The ranges that are there already are moved away from it later, as from any busy server.
+func upgrade(l *Load, servers []*server, mean float64) (Move, bool) {
+	from := servers[0]
+	key, load := from.hottest(l)
+	if load <= mean*from.capacity || load < minRate {
+		return Move{}, false
+	}
+	best := slices.MaxFunc(servers, func(a, b *server) int { return compare(a.capacity, b.capacity) })
+	if best.capacity < faster*from.capacity {
+		return Move{}, false
+	}
+	from.busy, best.busy = true, true
+	return Move{Range: ranger.Range{First: key, Last: key}, From: from.id, To: best.id}, true
+}
+
+// hottest returns the server's key with the most load.
+func (s *server) hottest(l *Load) (key uint16, load float64) {
+	for _, p := range s.ranges {
+		for k := int(p.r.First); k <= int(p.r.Last); k++ {
+			if c := float64(l.counts[k]); c > load {
+				key, load = uint16(k), c
+			}
+		}
+	}
+	return key, load
+}
+
 func compare(a, b float64) int {
 	switch {
 	case a < b:
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -125,6 +125,20 @@
 	is.True(play(1, same(8), hot, 60*time.Second) < 0.25*8*1.2)
 }
 
+// TestKeyThatIsTooMuchGoesToTheFastest: one key brings more than its owner can run, and another server is twice as fast.
+func TestKeyThatIsTooMuchGoesToTheFastest(t *testing.T) {
+	is := is.New(t)
+	var load Load
+	load.Add(500, 200)
+	load.Add(40000, 30)
+	held := []granter.Holding{
+		{Range: ranger.Range{First: 0, Last: 32767}, Server: "slow"}, {Range: ranger.Range{First: 32768, Last: ranger.MaxKey}, Server: "fast"},
+	}
+	moves := Plan(&load, held, map[string]float64{"slow": 2, "fast": 4}, 4)
+	is.Equal(moves, []Move{{Range: ranger.Range{First: 500, Last: 500}, From: "slow", To: "fast"}})
+	is.Equal(len(Plan(&load, held, map[string]float64{"slow": 2, "fast": 2.2}, 4)), 0) // not worth the pause
+}
+
 func TestJoiningServerGetsKeysWithoutLoad(t *testing.T) {
 	is := is.New(t)
 	var load Load
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -92,7 +92,8 @@
 	orders     platform.Orders
 	lead       *lead // nil while this instance does not lead
 	troubled   map[string]time.Time
-	helpers    atomic.Pointer[[]string] // addresses of other instances
+	sources    atomic.Pointer[sources]
+	relay      relay
 }
 
 // lead is what only a leader has.
@@ -150,7 +151,12 @@
 }
 
 // share returns the place of an instance in the jitter of takeovers, from 0 to 1.
-func share(m viewer.Member) float64 { return float64(m.Incarnation/1000%1000) / 1000 }
+// Larger machines come first.
+func share(m viewer.Member) float64 {
+	const largest = 1000 // more capacity does not matter
+	size := 1 - min(float64(m.Capacity)/largest, 1)
+	return 0.7*size + 0.3*float64(m.Incarnation/1000%1000)/1000
+}
 
 func emptyLoads() carrier.Loads {
 	return carrier.Loads{Keys: map[string]map[uint16]int{}, Answers: map[string]carrier.Answers{}}
@@ -215,11 +221,6 @@
 	c.report(now)
 	if c.dirty {
 		c.dirty = false
-		var helpers []string
-		for _, m := range c.members {
-			helpers = append(helpers, m.Address)
-		}
-		c.helpers.Store(&helpers)
 		c.renew()
 	}
 }
@@ -232,9 +233,11 @@
 	servers := c.catalog.Servers()
 	self := c.options.Self
 	self.Leaving = c.leaving
+	view := viewer.New(self, c.table, servers, c.owners, c.members)
+	c.findSources(view)
 	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
 	c.options.Meter.Set(meter.RosterSize, int64(len(c.members)+1))
-	c.options.Carrier.SetView(time.Now(), viewer.New(self, c.table, servers, c.owners, c.members))
+	c.options.Carrier.SetView(time.Now(), view)
 	inUse := map[string]bool{}
 	for _, s := range servers {
 		inUse[s.Address] = true
@@ -242,3 +245,19 @@
 	c.options.Carrier.Forget(inUse)
 	c.orders.Forget(inUse)
 }
+
+// readers names the instance of each failure domain that reads the store for the others.
+const readers = "store readers"
+
+// findSources decides where topics are read.
+func (c *Conductor) findSources(view *viewer.View) {
+	from := &sources{}
+	reader := view.Front(viewer.Pool{Service: readers, Domain: c.options.Self.Domain}, func(string) bool { return false })
+	if reader.Instance != c.options.Self.Instance && reader.Domain == c.options.Self.Domain {
+		from.reader = reader.Address
+	}
+	for _, m := range c.members {
+		from.others = append(from.others, m.Address)
+	}
+	c.sources.Store(from)
+}
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -107,13 +107,14 @@
 func encodeMember(m viewer.Member) *herald.Member {
 	return &herald.Member{
 		Instance: m.Instance, Incarnation: m.Incarnation, Address: m.Address, Domain: m.Domain, Leaving: m.Leaving,
+		Capacity: uint32(m.Capacity),
 	}
 }
 
 func decodeMember(m *herald.Member) viewer.Member {
 	return viewer.Member{
 		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Domain: m.GetDomain(),
-		Leaving: m.GetLeaving(),
+		Leaving: m.GetLeaving(), Capacity: int(m.GetCapacity()),
 	}
 }
 
@@ -283,6 +284,15 @@
 
 // Fetch implements herald.Herald.
 func (c *Conductor) Fetch(ctx context.Context, request *herald.FetchRequest) (*herald.FetchReply, error) {
+	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, relayWait)
+	if !request.GetWhole() {
+		if records, next, ok := c.relay.read(ctx, request.GetTopic(), request.GetFrom(), wait); ok {
+			return encodeRecords(records, next), nil
+		}
+	}
+	if !request.GetStoreLost() {
+		return nil, twirp.NewError(twirp.Unavailable, "records are not here")
+	}
 	records, next, err := c.readStore(ctx, request.GetTopic(), request.GetFrom(), request.GetWhole(), 0)
 	if platform.IsErrExpired(err) {
 		return &herald.FetchReply{Expired: true}, nil
@@ -290,21 +300,27 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
+	return encodeRecords(records, next), nil
+}
+
+func encodeRecords(records []platform.Record, next int64) *herald.FetchReply {
 	reply := &herald.FetchReply{Next: next}
 	for _, r := range records {
 		reply.Records = append(reply.Records, &herald.Record{Key: r.Key, Value: r.Value, Gone: r.Value == nil, Offset: r.Offset})
 	}
-	return reply, nil
+	return reply
 }
 
 // fetch reads a topic through another instance.
 func (c *Conductor) fetch(
-	ctx context.Context, address, topic string, from int64, whole bool,
+	ctx context.Context, address string, request *herald.FetchRequest,
 ) ([]platform.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	from := request.GetFrom()
+	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+heartbeatTimeout)
 	defer cancel()
 	peer := herald.NewHeraldProtobufClient("http://"+address, c.peers.http())
-	reply, err := peer.Fetch(ctx, &herald.FetchRequest{Topic: topic, From: from, Whole: whole})
+	reply, err := peer.Fetch(ctx, request)
 	if err != nil {
 		return nil, from, errors.Wrap(err, "fetch through another instance")
 	}
--- /dev/null
+++ b/internal/conductor/relay_test.go
@@ -0,0 +1,90 @@
+package conductor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/platform"
+)
+
+const servers = platform.TopicServers
+
+func records(from, count int) []platform.Record {
+	var list []platform.Record
+	for i := range count {
+		list = append(list, platform.Record{Key: "k", Offset: int64(from + i)})
+	}
+	return list
+}
+
+func TestRelay(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(r *relay)
+		from    int64
+		ok      bool
+		want    []platform.Record
+		next    int64
+	}{
+		"nothing read yet":  {prepare: func(*relay) {}},
+		"up to date":        {prepare: func(r *relay) { r.add(servers, true, records(0, 3), 7) }, from: 7, ok: true, next: 7},
+		"before the whole":  {prepare: func(r *relay) { r.add(servers, true, records(0, 3), 7) }, from: 6},
+		"ahead of it":       {prepare: func(r *relay) { r.add(servers, true, records(0, 3), 7) }, from: 8},
+		"behind by changes": {prepare: func(r *relay) { r.add(servers, true, nil, 7); r.add(servers, false, records(7, 3), 10) }, from: 8, ok: true, want: records(8, 2), next: 10},
+		"store lost": {prepare: func(r *relay) {
+			r.add(servers, true, nil, 7)
+			r.add(servers, false, records(7, 3), 10)
+			r.lose(servers)
+		}, from: 8},
+		"a gap starts anew": {prepare: func(r *relay) { r.add(servers, true, nil, 7); r.add(servers, false, records(20, 2), 22) }, from: 20},
+		"too far behind": {prepare: func(r *relay) {
+			r.add(servers, true, nil, 0)
+			r.add(servers, false, records(0, tailKept+1), tailKept+1)
+		}, from: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r relay
+			test.prepare(&r)
+			got, next, ok := r.read(context.Background(), servers, test.from, 0)
+			is.Equal(ok, test.ok)
+			is.Equal(len(got), len(test.want))
+			for i := range got {
+				is.Equal(got[i], test.want[i])
+			}
+			is.Equal(next, test.next)
+		})
+	}
+}
+
+func TestRelayWakesWhoWaits(t *testing.T) {
+	tests := map[string]struct {
+		happens func(r *relay)
+		ok      bool
+		count   int
+	}{
+		"news":       {happens: func(r *relay) { r.add(servers, false, records(7, 1), 8) }, ok: true, count: 1},
+		"store lost": {happens: func(r *relay) { r.lose(servers) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r relay
+			r.add(servers, true, nil, 7)
+			type answer struct {
+				count int
+				ok    bool
+			}
+			answers := make(chan answer)
+			go func() {
+				got, _, ok := r.read(context.Background(), servers, 7, time.Minute)
+				answers <- answer{len(got), ok}
+			}()
+			test.happens(&r)
+			is.Equal(<-answers, answer{test.count, test.ok})
+		})
+	}
+}
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -24,10 +24,15 @@
 	// readWait is how long a read waits for news; the store allows 30 s.
 	readWait = 25 * time.Second
 	// gather is the pause after news, in which more of it comes together into one call.
-	gather = 150 * time.Millisecond
-	// readRetry is the pause after a failed read, doubled up to readRetryMax.
+	gather = 250 * time.Millisecond
+	// relayWait is how long another instance may wait for news; a shorter time than a silent one may go unnoticed.
+	relayWait = time.Second
+	// relayRetry is how long an instance reads the store itself after another one failed to hand on what it reads.
+	relayRetry = 3 * time.Second
+	// readRetry is the pause after a failed read, doubled up to readRetryMax. One look at the store, one through another
+	// instance and the pause take 1.6 s, less than the 2 s in which a configuration has to be in force.
 	readRetry    = 100 * time.Millisecond
-	readRetryMax = 800 * time.Millisecond
+	readRetryMax = 400 * time.Millisecond
 	// comeBack is within which entries that lapsed during an outage of the store come back after it.
 	comeBack = 1800 * time.Millisecond
 )
@@ -106,6 +111,8 @@
 	lost  bool // the store did not answer the last call
 	pause time.Duration
 	tries int
+	// direct is until when the store itself is read, after another instance failed to hand it on.
+	direct time.Time
 }
 
 // watch reads a topic whole, then its changes, for ever. take runs on the control goroutine; whole says that the records
@@ -139,12 +146,33 @@
 	}
 }
 
-// read reads what is next from the store or, where that fails, through another instance.
+// sources are where an instance reads topics besides the store itself.
+type sources struct {
+	reader string   // address of the instance that reads the store for this failure domain; empty where it is this one
+	others []string // addresses of all other instances
+}
+
+// read reads what is next: from the instance that reads for this domain, else from the store and, where that fails,
+// through any other instance.
 func (c *Conductor) read(ctx context.Context, w *watcher) ([]platform.Record, int64, error) {
 	c.options.Meter.Count(meter.LogReads)
+	from := c.sources.Load()
+	if from != nil && from.reader != "" && !w.whole && !w.lost && !time.Now().Before(w.direct) {
+		records, next, err := c.fetch(ctx, from.reader, &herald.FetchRequest{
+			Topic: w.name, From: w.from, WaitMs: uint32(relayWait.Milliseconds()),
+		})
+		if err == nil {
+			return records, next, nil
+		}
+		klog.InfoS("topic is not handed on", "topic", w.name, "reader", from.reader, "from", w.from, "error", err)
+		w.direct = time.Now().Add(relayRetry)
+	}
 	wait := readWait
-	if w.lost {
+	switch {
+	case w.lost:
 		wait = 0
+	case !w.direct.IsZero() && from != nil && from.reader != "":
+		wait = relayRetry
 	}
 	records, next, err := c.readStore(ctx, w.name, w.from, w.whole, wait)
 	if err == nil || platform.IsErrExpired(err) {
@@ -153,19 +181,24 @@
 			c.post(func(now time.Time) { c.troubled[w.name] = now })
 		}
 		w.lost, w.pause = false, readRetry
+		if err == nil {
+			c.relay.add(w.name, w.whole, records, next)
+		}
 		return records, next, err
 	}
 	if !w.lost {
 		klog.InfoS("store lost", "topic", w.name, "error", err)
 	}
 	w.lost = true
+	c.relay.lose(w.name)
 	c.post(func(now time.Time) { c.troubled[w.name] = now })
-	helpers := c.helpers.Load()
-	if helpers == nil || len(*helpers) == 0 {
+	if from == nil || len(from.others) == 0 {
 		return nil, 0, err
 	}
 	w.tries++
-	return c.fetch(ctx, (*helpers)[w.tries%len(*helpers)], w.name, w.from, w.whole)
+	return c.fetch(ctx, from.others[w.tries%len(from.others)], &herald.FetchRequest{
+		Topic: w.name, From: w.from, Whole: w.whole, StoreLost: true,
+	})
 }
 
 func (c *Conductor) readStore(
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -73,6 +73,7 @@
 	self := viewer.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
+		Capacity: capacity(s),
 	}
 	control := conductor.New(conductor.Options{
 		Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic, Meter: counters,
@@ -81,6 +82,16 @@
 	return &Edger{settings: s, carrier: traffic, conductor: control, meter: counters, log: log}
 }
 
+// capacity returns what a machine can carry, in thousandths of a core: its share of a core or what its link lets through,
+// whichever is less.
+func capacity(s platform.Settings) int {
+	// A request of 5 kB passes a front's link twice, 0.09 megabits in all, and takes about 0.4 ms of a core, so that a link
+	// of 10 Mbit/s, kept at half, carries as much as 22 thousandths of a core would. Fronts share the link with what clients
+	// bring, which is the same for all machines; seven times that keeps small machines useful without choking them.
+	const perMegabit = 16
+	return max(1, int(min(s.CPUShare*1000, s.LinkMbps*perMegabit)))
+}
+
 // Run serves until stop ends, then stops without cutting what is in flight.
 func (e *Edger) Run(stop context.Context) error {
 	klog.InfoS("start", "instance", e.settings.Instance, "domain", e.settings.Domain, "clients", e.settings.ClientAddress)
--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
@@ -18,6 +19,7 @@
 	Address     string // where other instances reach it
 	Domain      string
 	Leaving     bool
+	Capacity    int // what its machine can carry, relative to others
 }
 
 // Pool names a set of servers with one queue: a server of a keyed service, or the servers of another service in a
@@ -122,13 +124,13 @@
 
 func (v *View) highest(p Pool, inDomain bool, avoid func(instance string) bool) (Member, bool) {
 	var best Member
-	var most uint64
+	var most float64
 	found := false
 	consider := func(m Member) {
 		if m.Leaving || (inDomain && m.Domain != p.Domain) {
 			return
 		}
-		if rank := rank(p, m.Instance); !found || rank > most {
+		if rank := rank(p, m); !found || rank > most {
 			best, most, found = m, rank, true
 		}
 	}
@@ -141,15 +143,18 @@
 	return best, found
 }
 
-// rank returns the weight of an instance for a pool.
-func rank(p Pool, instance string) uint64 {
+// rank returns the weight of an instance for a pool: it is highest for each instance as often as its capacity says
+// (weighted rendezvous hashing).
+func rank(p Pool, m Member) float64 {
 	h := fnv.New64a()
-	for _, part := range []string{p.Service, p.Server, p.Domain, instance} {
+	for _, part := range []string{p.Service, p.Server, p.Domain, m.Instance} {
 		_, _ = h.Write([]byte(part)) // never fails
 		_, _ = h.Write([]byte{0})
 	}
 	sum := h.Sum64()
 	sum ^= sum >> 33 // the last bytes reach only the low bits of an FNV hash
 	sum *= 0xff51afd7ed558ccd
-	return sum ^ sum>>33
+	sum ^= sum >> 33
+	uniform := (float64(sum>>11) + 0.5) / (1 << 53)
+	return -float64(max(1, m.Capacity)) / math.Log(uniform)
 }
--- /dev/null
+++ b/internal/viewer/viewer_test.go
@@ -0,0 +1,94 @@
+package viewer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+)
+
+func nobody(string) bool { return false }
+
+func members(count int, domains ...string) []Member {
+	var list []Member
+	for i := range count {
+		list = append(list, Member{Instance: fmt.Sprint("m", i), Domain: domains[i%len(domains)], Capacity: 320})
+	}
+	return list
+}
+
+func TestEveryInstancePicksTheSameFront(t *testing.T) {
+	is := is.New(t)
+	all := members(8, "a", "b")
+	for server := range 50 {
+		p := Pool{Service: "s", Server: fmt.Sprint(server), Domain: "b"}
+		first := ""
+		for self := range all {
+			var others []Member
+			for i, m := range all {
+				if i != self {
+					others = append(others, m)
+				}
+			}
+			front := New(all[self], nil, nil, nil, others).Front(p, nobody)
+			is.Equal(front.Domain, "b")
+			if first == "" {
+				first = front.Instance
+			}
+			is.Equal(front.Instance, first)
+		}
+	}
+}
+
+func TestFrontsFollowCapacity(t *testing.T) {
+	is := is.New(t)
+	all := members(6, "a")
+	all[2].Capacity = 1600
+	counts := map[string]int{}
+	const pools = 2000
+	for server := range pools {
+		v := New(all[0], nil, nil, nil, all[1:])
+		counts[v.Front(Pool{Service: "s", Server: fmt.Sprint(server), Domain: "a"}, nobody).Instance]++
+	}
+	is.True(counts["m2"] > pools*4/10 && counts["m2"] < pools*6/10) // half of all capacity
+	for _, small := range []string{"m0", "m1", "m3", "m4", "m5"} {
+		is.True(counts[small] > pools*6/100 && counts[small] < pools*14/100)
+	}
+}
+
+func TestFrontPassesOverWhoLeavesOrIsAvoided(t *testing.T) {
+	is := is.New(t)
+	all := members(4, "a", "b") // m0, m2 in a; m1, m3 in b
+	p := Pool{Service: "s", Server: "x", Domain: "b"}
+	v := New(all[0], nil, nil, nil, all[1:])
+	first := v.Front(p, nobody).Instance
+	other := map[string]string{"m1": "m3", "m3": "m1"}[first]
+	is.Equal(v.Front(p, func(name string) bool { return name == first }).Instance, other)
+	none := v.Front(p, func(name string) bool { return name == "m1" || name == "m3" })
+	is.Equal(none.Domain, "a") // the domain has nobody, so any instance
+	for i := range all {
+		all[i].Leaving = true
+	}
+	is.Equal(New(all[0], nil, nil, nil, all[1:]).Front(p, nobody).Instance, "m0")
+}
+
+func TestPoolsStartWithTheOwnDomain(t *testing.T) {
+	is := is.New(t)
+	server := func(id, domain string, state cataloger.State) cataloger.Server {
+		return cataloger.Server{ID: id, Service: "s", Domain: domain, State: state}
+	}
+	v := New(Member{Domain: "a"}, nil, []cataloger.Server{
+		server("1", "b", cataloger.Ready), server("2", "c", cataloger.Ready), server("3", "c", cataloger.Ready),
+		server("4", "a", cataloger.Ready), server("5", "d", cataloger.Draining),
+	}, nil, nil)
+	var domains []string
+	for _, p := range v.Pools("s") {
+		domains = append(domains, p.Domain)
+	}
+	is.Equal(domains, []string{"a", "c", "b"})
+	is.Equal(len(v.Servers(Pool{Service: "s", Server: "5"})), 1) // keeps its keys while it drains
+	_, known := v.KeyPool("6")
+	is.True(!known)
+}
