Reads that wait are broken off when the leader knows more; fronts name new owners; shards and slower reports with size

Now the leader tells with each answer to a report how far it has read. Others believe a reader only while they hear the leader and are not behind it, and break off a waiting read when they were behind twice or hear nothing. The leader itself waits 1 s at most, and a call that takes over 0.3 s puts everybody in doubt.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -56,6 +56,7 @@
 	meter    *meter.Meter
 	splitter matcher.Splitter
 	closing  atomic.Bool // answers ask clients to close their connections
+	turns    atomic.Uint64
 
 	mu       sync.Mutex
 	pools    map[viewer.Pool]*pool
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -234,6 +234,31 @@
 	}
 }
 
+// TestFrontNamesTheNewOwner: the front of a key's old owner knows of a move that this instance has not heard of.
+func TestFrontNamesTheNewOwner(t *testing.T) {
+	is := is.New(t)
+	b, next := startBackend(t, good), startBackend(t, good)
+	front := setup(t, b)
+	peer := httptest.NewServer(http.HandlerFunc(front.ServeHop))
+	defer peer.Close()
+	c := setup(t, b, viewer.Member{Instance: "front", Domain: "d", Address: strings.TrimPrefix(peer.URL, "http://")})
+	servers := []cataloger.Server{
+		{ID: "k", Service: "keyed", Address: b.address, Domain: "d", Slots: 2},
+		{ID: "n", Service: "keyed", Address: next.address, Domain: "d", Slots: 2},
+	}
+	old := c.view.Load()
+	self := viewer.Member{Instance: "self", Domain: "elsewhere"}
+	c.SetView(time.Now(), viewer.New(self, old.Table, servers, old.Owners, old.Members))
+	owners := old.Owners.With(ranger.Version{Term: 1, Sequence: 2}, []ranger.Segment{
+		{Service: "keyed", Range: ranger.Range{First: 0, Last: 999}, Server: "n"},
+	})
+	at := viewer.Member{Instance: "front", Domain: "d"}
+	front.SetView(time.Now(), viewer.New(at, old.Table, servers, owners, nil))
+	is.Equal(ask(c, "POST", "/keyonce/x", "5", "").Code, 200)
+	is.Equal(b.runs.Load(), int64(0))
+	is.Equal(next.runs.Load(), int64(1))
+}
+
 // TestLostFrontIsPassedOver has a front that can't be reached: nothing was sent, so this instance sends it.
 func TestLostFrontIsPassedOver(t *testing.T) {
 	is := is.New(t)
@@ -355,7 +380,7 @@
 			owners: ranger.Version{Term: 3, Sequence: 9}, avoid: "x",
 		},
 		"plain": {
-			service: "s", route: "r", objective: now.Add(-time.Second), limit: now, pool: viewer.Pool{Service: "s", Domain: "d"},
+			service: "s", route: "r", objective: now.Add(-time.Second), limit: now, pool: viewer.Pool{Service: "s", Domain: "d", Shard: 3},
 		},
 	}
 	for name, want := range jobs {
@@ -369,6 +394,7 @@
 	results := map[string]result{
 		"plain":   {outcome: answered, sent: true, server: "k"},
 		"refused": {outcome: refused, retryAfter: 1500 * time.Millisecond, reason: "queue_full"},
+		"moved":   {outcome: moved, server: "n", owners: ranger.Version{Term: 3, Sequence: 9}},
 		"text":    {outcome: broken, sent: true, reason: "read tcp: connection reset"},
 	}
 	for name, want := range results {
@@ -382,7 +408,7 @@
 }
 
 func FuzzDecodeHop(f *testing.F) {
-	f.Add("s k d r 2 true 7 1000 2000 3 9 x", "0 true k 0 -")
+	f.Add("s k d r 2 true 7 1000 2000 3 9 x 1", "0 true k 0 3 9 -")
 	f.Add("", "")
 	f.Fuzz(func(_ *testing.T, hop, outcome string) {
 		var j job
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -77,7 +77,7 @@
 func (c *Carrier) newJob(r *http.Request, now time.Time, v *viewer.View, route *matcher.Route) (*job, int, string) {
 	j := &job{
 		id: r.Header.Get(c.names.RequestID), route: route.Name, priority: route.Priority, repeatable: route.Repeatable,
-		objective: now.Add(route.Objective), limit: now.Add(route.Timeout),
+		objective: now.Add(route.Objective), limit: now.Add(route.Timeout), turn: c.turns.Add(1),
 	}
 	if text := r.Header.Get(c.names.TimeLeft); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
@@ -145,7 +145,7 @@
 		}
 		v = c.view.Load()
 	} else {
-		pools := v.Pools(j.service)
+		pools := v.Pools(j.service, j.turn)
 		if len(pools) == 0 {
 			return result{outcome: refused, reason: "no_server", retryAfter: unknownPause}
 		}
@@ -164,6 +164,13 @@
 	for {
 		news := *c.changed.Load()
 		v := c.view.Load()
+		// A front may know of a change that has not been published to this instance yet.
+		if j.owner != "" && v.Owners.Version().Less(j.owners) {
+			if pool, known := v.KeyPool(j.owner); known {
+				j.pool = pool
+				return result{}, true
+			}
+		}
 		segment, found := v.Owners.Find(j.service, j.key)
 		if found && !segment.Moving {
 			if pool, known := v.KeyPool(segment.Server); known {
@@ -222,7 +229,11 @@
 		*spilled++
 		return true
 	case moved:
-		return c.pause(ctx, j, movePause)
+		if r.server == "" {
+			return c.pause(ctx, j, movePause)
+		}
+		j.owner, j.owners = r.server, r.owners
+		return true
 	case unreached:
 		j.avoid = r.server
 		return !j.keyed || c.pause(ctx, j, movePause)
--- a/internal/carrier/front.go
+++ b/internal/carrier/front.go
@@ -22,6 +22,9 @@
 func (c *Carrier) front(ctx context.Context, j *job) result {
 	server, r, ok := c.await(ctx, j)
 	if !ok {
+		if r.outcome == moved {
+			return c.follow(ctx, j, r)
+		}
 		return r
 	}
 	began := time.Now()
@@ -30,6 +33,18 @@
 	return r
 }
 
+// follow waits until the keys of a job are served again, and names their owner to the instance that passed the job on,
+// which may hear of the move only with its next report.
+func (c *Carrier) follow(ctx context.Context, j *job, r result) result {
+	found := *j
+	found.owner = ""
+	if failed, ok := c.locate(ctx, time.Now(), &found); !ok {
+		return failed
+	}
+	r.server, r.owners = found.pool.Server, found.owners
+	return r
+}
+
 // await waits for a slot of a server of the job's pool; ok is false where there is none, and result says why.
 func (c *Carrier) await(ctx context.Context, j *job) (server string, r result, ok bool) {
 	now := time.Now()
--- a/internal/carrier/hop.go
+++ b/internal/carrier/hop.go
@@ -28,6 +28,12 @@
 // hopSlack is how much longer than the front an instance waits for the front's answer.
 const hopSlack = 30 * time.Millisecond
 
+// outcomeFields is how many fields a result's encode has.
+const outcomeFields = 7
+
+// hopFields is how many fields hop encodes.
+const hopFields = 13
+
 // none stands for an empty field, so that fields can be split at spaces.
 const none = "-"
 
@@ -37,9 +43,9 @@
 	if j.keyed {
 		key = strconv.Itoa(int(j.key))
 	}
-	return fmt.Sprintf("%s %s %s %s %d %t %s %d %d %d %d %s", j.pool.Service, orNone(j.pool.Server), j.pool.Domain, j.route,
+	return fmt.Sprintf("%s %s %s %s %d %t %s %d %d %d %d %s %d", j.pool.Service, orNone(j.pool.Server), j.pool.Domain, j.route,
 		j.priority, j.repeatable, key, j.objective.Sub(now).Milliseconds(), j.limit.Sub(now).Milliseconds(),
-		j.owners.Term, j.owners.Sequence, orNone(j.avoid))
+		j.owners.Term, j.owners.Sequence, orNone(j.avoid), j.pool.Shard)
 }
 
 func orNone(text string) string {
@@ -59,18 +65,18 @@
 // decodeHop sets the fields of the job that hop encodes.
 func (j *job) decodeHop(now time.Time, text string) error {
 	f := strings.Split(text, " ")
-	if len(f) != 12 {
-		return errors.Errorf("%d fields instead of 12", len(f))
+	if len(f) != hopFields {
+		return errors.Errorf("%d fields instead of %d", len(f), hopFields)
 	}
 	numbers := make([]int64, len(f))
-	for _, i := range []int{4, 7, 8, 9, 10} {
+	for _, i := range []int{4, 7, 8, 9, 10, 12} {
 		n, err := strconv.ParseInt(f[i], 10, 64)
 		if err != nil {
 			return errors.Wrap(err, "number")
 		}
 		numbers[i] = n
 	}
-	j.pool = viewer.Pool{Service: f[0], Server: orEmpty(f[1]), Domain: f[2]}
+	j.pool = viewer.Pool{Service: f[0], Server: orEmpty(f[1]), Domain: f[2], Shard: int(numbers[12])}
 	j.service, j.route, j.priority, j.repeatable = f[0], f[3], int(numbers[4]), f[5] == "true"
 	if f[6] != none {
 		key, err := strconv.ParseUint(f[6], 10, 16)
@@ -86,27 +92,35 @@
 	return nil
 }
 
-// encode and decode of the outcome: outcome, whether it may have reached a server, server, milliseconds, reason.
+// encode returns the fields of a result that a front tells besides the answer: outcome, whether it may have reached a
+// server, server, pause in milliseconds, version of the owners, reason.
 func (r result) encode() string {
 	reason, _, _ := strings.Cut(r.reason, "\n")
-	return fmt.Sprintf("%d %t %s %d %s", r.outcome, r.sent, orNone(r.server), r.retryAfter.Milliseconds(), orNone(reason))
+	return fmt.Sprintf("%d %t %s %d %d %d %s", r.outcome, r.sent, orNone(r.server), r.retryAfter.Milliseconds(),
+		r.owners.Term, r.owners.Sequence, orNone(reason))
 }
 
+// decode sets the fields that encode tells.
 func (r *result) decode(text string) error {
-	f := strings.SplitN(text, " ", 5)
-	if len(f) != 5 {
+	f := strings.SplitN(text, " ", outcomeFields)
+	if len(f) != outcomeFields {
 		return errors.New("outcome has too few fields")
 	}
-	kind, err := strconv.Atoi(f[0])
-	if err != nil || kind < 0 || kind > int(cut) {
-		return errors.Errorf("unknown outcome %q", f[0])
+	var numbers [outcomeFields]uint64
+	for _, i := range []int{0, 3, 4, 5} {
+		n, err := strconv.ParseUint(f[i], 10, 63)
+		if err != nil {
+			return errors.Wrap(err, "number")
+		}
+		numbers[i] = n
 	}
-	pause, err := strconv.ParseInt(f[3], 10, 64)
-	if err != nil {
-		return errors.Wrap(err, "pause")
+	if numbers[0] > uint64(cut) {
+		return errors.Errorf("unknown outcome %q", f[0])
 	}
-	r.outcome, r.sent, r.server = outcome(kind), f[1] == "true", orEmpty(f[2])
-	r.retryAfter, r.reason = time.Duration(pause)*time.Millisecond, orEmpty(f[4])
+	r.outcome, r.sent, r.server = outcome(numbers[0]), f[1] == "true", orEmpty(f[2])
+	r.retryAfter = time.Duration(numbers[3]) * time.Millisecond
+	r.owners = ranger.Version{Term: numbers[4], Sequence: numbers[5]}
+	r.reason = orEmpty(f[6])
 	return nil
 }
 
--- a/internal/carrier/job.go
+++ b/internal/carrier/job.go
@@ -28,8 +28,10 @@
 
 	pool     viewer.Pool
 	owners   ranger.Version // version of the map by which pool was chosen
+	owner    string         // server that a front has named as the owner of the key, by the map of version owners
 	avoid    string         // server that has failed this request
 	arrivals int            // times that it may have reached a server
+	turn     uint64         // spreads requests over the pools of a service without keys
 }
 
 // outcome is what is known of a request that was given to a front.
@@ -39,7 +41,7 @@
 	answered  outcome = iota // a server answered
 	rejected                 // it reached a server, which said that it did not run it
 	refused                  // no server can run it in time; it was not sent
-	moved                    // its keys are not at the server; it was not sent
+	moved                    // its keys are not at the server; it was not sent; server is the new owner, where known
 	unreached                // no server could be connected to; it was not sent
 	broken                   // it may have run, and there is no whole answer
 	cut                      // it was not sent before its time was up or its client left
@@ -61,6 +63,7 @@
 	retryAfter time.Duration
 	reason     string // for the log
 	front      string
+	owners     ranger.Version // of the map by which server is the new owner
 }
 
 // notRun reports whether the request has surely not run.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -28,12 +28,17 @@
 	tick = 50 * time.Millisecond
 	// stall is the gap between two ticks after which this process is taken to have stood still.
 	stall = 600 * time.Millisecond
-	// heartbeat is between two reports to the leader.
-	heartbeat = 400 * time.Millisecond
+	// heartbeat is between two reports to the leader while there are few instances; with more of them it grows, so that the
+	// leader answers about 60 reports a second, up to heartbeatMax.
+	heartbeat    = 400 * time.Millisecond
+	heartbeatMax = time.Second
+	// few is how many instances are told at once of each change of the map. With more of them only the fronts of the
+	// servers concerned are; the others hear of it with their next report, and until then from these fronts.
+	few = 16
 	// heartbeatTimeout bounds the answer to a report; the way is 20 ms at most.
 	heartbeatTimeout = 700 * time.Millisecond
-	// memberTimeout is after how long without a report the leader drops an instance.
-	memberTimeout = 1600 * time.Millisecond
+	// memberTimeout is after how many missing reports the leader drops an instance.
+	memberTimeout = 4
 	// releaseLimit bounds the answer to a release, which comes when what runs has ended.
 	releaseLimit = 3 * time.Second
 	// balance is between two looks at the load of servers.
@@ -48,7 +53,7 @@
 
 // LeadTimes are the times of the lead. The silence and one round of grants together are shorter than grants last.
 var LeadTimes = elector.Settings{
-	Authority: 20 * time.Second, Renew: time.Second, Silence: 2200 * time.Millisecond, Doubt: 900 * time.Millisecond,
+	Authority: 20 * time.Second, Renew: time.Second, Silence: 2200 * time.Millisecond, Doubt: 1300 * time.Millisecond,
 	Retry: 250 * time.Millisecond, Refusals: 2, Jitter: 250 * time.Millisecond,
 }
 
@@ -94,6 +99,12 @@
 	troubled   map[string]time.Time
 	sources    atomic.Pointer[sources]
 	relay      relay
+	trust      atomic.Pointer[trust]         // nil while the leader is not heard of
+	doubt      atomic.Pointer[chan struct{}] // closed to break off reads that wait for news
+	leading    atomic.Bool                   // whether lead is not nil, for other goroutines
+	sure       bool                          // whether news would have reached this instance
+	behind     map[string]bool               // topics of which the leader knew more when it answered last
+	view       *viewer.View                  // the newest one that traffic has
 }
 
 // lead is what only a leader has.
@@ -109,6 +120,7 @@
 	// published is when the members were last told what has changed; unpublished says that there is something newer.
 	published   time.Time
 	unpublished bool
+	concerned   map[string]bool // instances that front servers of unpublished changes
 	plans       map[uint64][]byte
 	// predecessor is the leader before this one, while it may still give orders.
 	predecessor elector.Identity
@@ -140,7 +152,7 @@
 func New(o Options) *Conductor {
 	now := clocker.Now()
 	self := elector.Identity{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation, Address: o.Self.Address}
-	return &Conductor{
+	c := &Conductor{
 		options: o, events: make(chan func(time.Time), 256),
 		elector:    elector.New(LeadTimes, now, self, share(o.Self)),
 		ticked:     now,
@@ -148,6 +160,9 @@
 		troubled:   map[string]time.Time{},
 		peers:      newPeers(),
 	}
+	doubt := make(chan struct{})
+	c.doubt.Store(&doubt)
+	return c
 }
 
 // share returns the place of an instance in the jitter of takeovers, from 0 to 1.
@@ -170,6 +185,11 @@
 	}
 }
 
+// interval returns the time between two reports to the leader.
+func (c *Conductor) interval() time.Duration {
+	return min(max(heartbeat, heartbeat*time.Duration(len(c.members)+1)/few), heartbeatMax)
+}
+
 // Run works until ctx ends.
 func (c *Conductor) Run(ctx context.Context) {
 	c.context = ctx
@@ -183,6 +203,9 @@
 			return
 		case event := <-c.events:
 			event(clocker.Now())
+			for len(c.events) > 0 {
+				(<-c.events)(clocker.Now())
+			}
 		case <-ticker.C:
 		}
 		c.step(clocker.Now())
@@ -219,6 +242,7 @@
 		c.rule(now)
 	}
 	c.report(now)
+	c.guardReads(now)
 	if c.dirty {
 		c.dirty = false
 		c.renew()
@@ -234,6 +258,7 @@
 	self := c.options.Self
 	self.Leaving = c.leaving
 	view := viewer.New(self, c.table, servers, c.owners, c.members)
+	c.view = view
 	c.findSources(view)
 	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
 	c.options.Meter.Set(meter.RosterSize, int64(len(c.members)+1))
@@ -252,8 +277,12 @@
 // findSources decides where topics are read.
 func (c *Conductor) findSources(view *viewer.View) {
 	from := &sources{}
-	reader := view.Front(viewer.Pool{Service: readers, Domain: c.options.Self.Domain}, func(string) bool { return false })
-	if reader.Instance != c.options.Self.Instance && reader.Domain == c.options.Self.Domain {
+	// The leader reads for itself, so that one machine that is cut off from the store can't mislead a whole domain.
+	lead, _ := c.elector.Lead()
+	isLeader := func(instance string) bool { return instance == lead.Identity.Instance }
+	reader := view.Front(viewer.Pool{Service: readers, Domain: c.options.Self.Domain}, isLeader)
+	own := reader.Instance == c.options.Self.Instance || isLeader(c.options.Self.Instance)
+	if !own && reader.Domain == c.options.Self.Domain {
 		from.reader = reader.Address
 	}
 	for _, m := range c.members {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -47,7 +47,7 @@
 	c.lead = &lead{
 		granter: granter.New(GrantTimes, now, term, holdings, predecessor),
 		members: map[string]*registered{}, version: c.version + 1, loads: map[string]*balancer.Load{},
-		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{}, predecessor: before,
+		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{}, predecessor: before, concerned: map[string]bool{},
 	}
 	if before.Instance != "" && !slices.ContainsFunc(c.members, func(m viewer.Member) bool { return m.Instance == before.Instance }) {
 		// It has to learn that it was replaced, whether it reports here or not.
@@ -97,9 +97,13 @@
 	l := c.lead
 	var changed []ranger.Segment
 	for _, s := range l.granter.Delta(now) {
-		if !c.owners.Shows(s) {
-			changed = append(changed, s)
+		if c.owners.Shows(s) {
+			continue
 		}
+		changed = append(changed, s)
+		before, _ := c.owners.Find(s.Service, s.Range.First)
+		c.concern(before.Server)
+		c.concern(s.Server)
 	}
 	if len(changed) > 0 {
 		ranger.Timed(time.Now(), changed)
@@ -117,6 +121,16 @@
 	}
 }
 
+// concern notes that the front of a server has to be told at once.
+func (c *Conductor) concern(server string) {
+	if c.view == nil {
+		return
+	}
+	if pool, ok := c.view.KeyPool(server); ok {
+		c.lead.concerned[c.view.Front(pool, func(string) bool { return false }).Instance] = true
+	}
+}
+
 // storePlan asks for the present plan to be stored, and tells the granter what is.
 func (c *Conductor) storePlan() {
 	l := c.lead
@@ -281,7 +295,7 @@
 	l := c.lead
 	changed := false
 	for name, r := range l.members {
-		if now.Sub(r.seen) > memberTimeout {
+		if now.Sub(r.seen) > memberTimeout*c.interval() {
 			klog.InfoS("instance lost", "instance", name, "silent", now.Sub(r.seen))
 			delete(l.members, name)
 			changed = true
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -47,7 +47,7 @@
 func (c *Conductor) report(now time.Time) {
 	lead, ok := c.elector.Lead()
 	own := lead.Identity.Instance == c.options.Self.Instance
-	if !ok || own || c.reporting || now.Sub(c.reported) < heartbeat {
+	if !ok || own || c.reporting || now.Sub(c.reported) < c.interval() {
 		return
 	}
 	c.reporting, c.reported = true, now
@@ -122,7 +122,14 @@
 func (c *Conductor) takeReply(now time.Time, reply *herald.ReportReply) {
 	c.elector.Heard(now, reply.GetLeading(), reply.GetStoreLost())
 	c.told(now, reply.GetLead())
+	c.trust.Store(nil)
+	if reply.GetLeading() && !reply.GetStoreLost() && !reply.GetStoreSlow() {
+		c.trust.Store(&trust{at: now, until: now.Add(c.interval() + trustMargin), ends: reply.GetRead()})
+	}
 	if reply.GetLeading() {
+		if c.sources.Load() == nil || c.sources.Load().reader == "" {
+			c.compare(reply.GetRead())
+		}
 		c.takeOwners(reply.GetOwners())
 		c.takeMembers(reply.GetMembers())
 	}
@@ -177,9 +184,12 @@
 // publish sends each instance what it does not know yet.
 func (c *Conductor) publish(now time.Time) {
 	c.lead.published, c.lead.unpublished = now, false
-	for _, r := range c.lead.members {
-		c.publishTo(now, r)
+	for name, r := range c.lead.members {
+		if len(c.lead.members) < few || c.lead.concerned[name] || r.member.Instance == c.lead.predecessor.Instance {
+			c.publishTo(now, r)
+		}
 	}
+	clear(c.lead.concerned)
 }
 
 func (c *Conductor) publishTo(now time.Time, r *registered) {
@@ -313,11 +323,10 @@
 
 // fetch reads a topic through another instance.
 func (c *Conductor) fetch(
-	ctx context.Context, address string, request *herald.FetchRequest,
+	ctx context.Context, address string, request *herald.FetchRequest, timeout time.Duration,
 ) ([]platform.Record, int64, error) {
 	from := request.GetFrom()
-	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+heartbeatTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	peer := herald.NewHeraldProtobufClient("http://"+address, c.peers.http())
 	reply, err := peer.Fetch(ctx, request)
@@ -383,6 +392,7 @@
 func (c *Conductor) takeReport(now time.Time, request *herald.ReportRequest) *herald.ReportReply {
 	reply := &herald.ReportReply{
 		Leading: c.lead != nil, Lead: c.knownLead(), StoreLost: c.elector.StoreLost(now),
+		StoreSlow: c.elector.Pending(now) > storeSlow, Read: c.relay.ends(),
 	}
 	if c.lead == nil {
 		return reply
--- a/internal/conductor/relay.go
+++ b/internal/conductor/relay.go
@@ -43,6 +43,19 @@
 	t.wake()
 }
 
+// ends returns the offsets after the last records that were read, by topic.
+func (r *relay) ends() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ends := map[string]int64{}
+	for topic, t := range r.tails {
+		if t.live {
+			ends[topic] = t.next
+		}
+	}
+	return ends
+}
+
 // lose takes note that the store does not answer.
 func (r *relay) lose(topic string) {
 	r.mu.Lock()
@@ -103,3 +116,17 @@
 		}
 	}
 }
+
+// trust is why an instance may believe that it would hear through another one of what the store holds. The leader reads
+// the store itself and tells with each answer to a report how far it is, so that a reader that was cut off shows.
+type trust struct {
+	at    time.Time        // of the leader's last answer
+	until time.Time        // the next answer should be here
+	ends  map[string]int64 // offsets after what the leader has read, by topic
+}
+
+// fresh reports whether the leader was heard of lately, so that a reader may be believed.
+func (t *trust) fresh(now time.Time) bool { return t != nil && now.Before(t.until) }
+
+// behind reports whether the leader has read more of a topic.
+func (t *trust) behind(topic string, from int64) bool { return from < t.ends[topic] }
--- a/internal/conductor/relay_test.go
+++ b/internal/conductor/relay_test.go
@@ -88,3 +88,31 @@
 		})
 	}
 }
+
+func TestTrust(t *testing.T) {
+	now := time.Unix(1000, 0)
+	told := &trust{at: now, until: now.Add(time.Second), ends: map[string]int64{servers: 7}}
+	tests := map[string]struct {
+		trust         *trust
+		after         time.Duration
+		from          int64
+		fresh, behind bool
+	}{
+		"leader never heard":          {from: 7},
+		"as far as the leader":        {trust: told, from: 7, fresh: true},
+		"further than the leader":     {trust: told, from: 9, fresh: true},
+		"the leader has read more":    {trust: told, from: 6, fresh: true, behind: true},
+		"leader's answer is overdue":  {trust: told, after: time.Second, from: 7},
+		"leader reads no such topic":  {trust: &trust{until: now.Add(time.Second)}, from: 0, fresh: true},
+		"leader's answer just in due": {trust: told, after: time.Second - 1, from: 7, fresh: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.trust.fresh(now.Add(test.after)), test.fresh)
+			if test.trust != nil {
+				is.Equal(test.trust.behind(servers, test.from), test.behind)
+			}
+		})
+	}
+}
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/wasabibank/wasabibank/internal/clocker"
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/herald"
@@ -21,12 +22,22 @@
 	keyLead = "lead"
 	keyPlan = "plan"
 
-	// readWait is how long a read waits for news; the store allows 30 s.
+	// readWait is how long a read waits for news; the store allows 30 s. A store that fails silently loses such a read
+	// without a trace, so it is broken off when another instance is seen to know more, or the leader is not heard of.
 	readWait = 25 * time.Second
+	// leadWait is the same for the leader, which nobody else can correct.
+	leadWait = time.Second
 	// gather is the pause after news, in which more of it comes together into one call.
 	gather = 250 * time.Millisecond
-	// relayWait is how long another instance may wait for news; a shorter time than a silent one may go unnoticed.
-	relayWait = time.Second
+	// relayWait is how long another instance may wait for news, and relayTimeout how much later its answer may come. They
+	// bound how long it goes unnoticed that the instance that reads for others has stopped.
+	relayWait    = 600 * time.Millisecond
+	relayTimeout = 400 * time.Millisecond
+	// trustMargin is how much later than due the leader's answer to a report may come while readers are believed.
+	trustMargin = 300 * time.Millisecond
+	// storeSlow is how long a call of the leader to the store takes that makes others read the store themselves. The store
+	// answers in 4 ms when calm.
+	storeSlow = 300 * time.Millisecond
 	// relayRetry is how long an instance reads the store itself after another one failed to hand on what it reads.
 	relayRetry = 3 * time.Second
 	// readRetry is the pause after a failed read, doubled up to readRetryMax. One look at the store, one through another
@@ -157,24 +168,19 @@
 func (c *Conductor) read(ctx context.Context, w *watcher) ([]platform.Record, int64, error) {
 	c.options.Meter.Count(meter.LogReads)
 	from := c.sources.Load()
-	if from != nil && from.reader != "" && !w.whole && !w.lost && !time.Now().Before(w.direct) {
-		records, next, err := c.fetch(ctx, from.reader, &herald.FetchRequest{
-			Topic: w.name, From: w.from, WaitMs: uint32(relayWait.Milliseconds()),
-		})
-		if err == nil {
-			return records, next, nil
-		}
-		klog.InfoS("topic is not handed on", "topic", w.name, "reader", from.reader, "from", w.from, "error", err)
-		w.direct = time.Now().Add(relayRetry)
+	if records, next, ok := c.readRelayed(ctx, w, from); ok {
+		return records, next, nil
 	}
 	wait := readWait
 	switch {
 	case w.lost:
 		wait = 0
-	case !w.direct.IsZero() && from != nil && from.reader != "":
-		wait = relayRetry
+	case c.leading.Load():
+		wait = leadWait
+	case from != nil && from.reader != "", !c.trust.Load().fresh(clocker.Now()):
+		wait = relayWait // the leader may soon be heard of again
 	}
-	records, next, err := c.readStore(ctx, w.name, w.from, w.whole, wait)
+	records, next, err := c.readDoubting(ctx, w, wait)
 	if err == nil || platform.IsErrExpired(err) {
 		if w.lost {
 			klog.InfoS("store is back", "topic", w.name)
@@ -198,7 +204,92 @@
 	w.tries++
 	return c.fetch(ctx, from.others[w.tries%len(from.others)], &herald.FetchRequest{
 		Topic: w.name, From: w.from, Whole: w.whole, StoreLost: true,
-	})
+	}, heartbeatTimeout)
+}
+
+// readDoubting reads from the store, and once more without waiting when the wait is broken off by doubt.
+func (c *Conductor) readDoubting(
+	ctx context.Context, w *watcher, wait time.Duration,
+) ([]platform.Record, int64, error) {
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	doubt := *c.doubt.Load()
+	go func() {
+		select {
+		case <-doubt:
+			cancel()
+		case <-waiting.Done():
+		}
+	}()
+	records, next, err := c.readStore(waiting, w.name, w.from, w.whole, wait)
+	if err == nil || waiting.Err() == nil || ctx.Err() != nil {
+		return records, next, err
+	}
+	return c.readStore(ctx, w.name, w.from, w.whole, 0)
+}
+
+// breakOff ends the reads that wait for news.
+func (c *Conductor) breakOff() {
+	next := make(chan struct{})
+	close(*c.doubt.Swap(&next))
+}
+
+// guardReads breaks off reads that wait when this instance may be missing news: it no longer hears the leader, or leads
+// and the store keeps it waiting.
+func (c *Conductor) guardReads(now time.Time) {
+	c.leading.Store(c.lead != nil)
+	sure := c.trust.Load().fresh(now)
+	if c.lead != nil {
+		sure = c.elector.Pending(now) <= storeSlow
+	}
+	if c.sure && !sure {
+		c.breakOff()
+	}
+	c.sure = sure
+}
+
+// compare breaks off reads that wait when the leader has twice in a row known more of a topic than this instance.
+func (c *Conductor) compare(ends map[string]int64) {
+	own := c.relay.ends()
+	behind := map[string]bool{}
+	for topic, end := range ends {
+		if have, ok := own[topic]; ok && have < end {
+			behind[topic] = true
+		}
+	}
+	for topic := range behind {
+		if c.behind[topic] {
+			klog.InfoS("leader knows more", "topic", topic, "here", own[topic], "leader", ends[topic])
+			c.breakOff()
+			behind = nil
+			break
+		}
+	}
+	c.behind = behind
+}
+
+// readRelayed reads from the instance that reads for this domain; ok is false where the store itself has to be read: that
+// instance fails, or it has less than the leader.
+func (c *Conductor) readRelayed(
+	ctx context.Context, w *watcher, from *sources,
+) (records []platform.Record, next int64, ok bool) {
+	trust := c.trust.Load()
+	if from == nil || from.reader == "" || w.whole || w.lost || time.Now().Before(w.direct) || !trust.fresh(clocker.Now()) {
+		return nil, 0, false
+	}
+	behind := trust.behind(w.name, w.from)
+	wait := relayWait
+	if behind {
+		wait = 0
+	}
+	request := &herald.FetchRequest{Topic: w.name, From: w.from, WaitMs: uint32(wait.Milliseconds())}
+	records, next, err := c.fetch(ctx, from.reader, request, wait+relayTimeout)
+	if err != nil {
+		klog.InfoS("topic is not handed on", "topic", w.name, "reader", from.reader, "from", w.from, "error", err)
+		w.direct = time.Now().Add(relayRetry)
+		return nil, 0, false
+	}
+	return records, next, len(records) > 0 || !behind
 }
 
 func (c *Conductor) readStore(
--- a/internal/conductor/store_test.go
+++ b/internal/conductor/store_test.go
@@ -15,4 +15,10 @@
 	is := is.New(t)
 	const bound = 2 * time.Second
 	is.True(platform.LookTimeout+heartbeatTimeout+readRetryMax+gather < bound)
+	// The instance that reads for others stops.
+	is.True(relayWait+relayTimeout+platform.LookTimeout+gather < bound)
+	// It is cut off from the store: the leader's next answer shows that there is more, then the store itself is read.
+	is.True(gather+heartbeatMax+relayWait+relayWait/10 < bound)
+	// The leader is cut off as well: its next append, a renewal apart at most, is noticed to take long.
+	is.True(storeSlow+heartbeat+relayWait < bound)
 }
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -76,6 +76,7 @@
 	term  uint64 // of this instance while it leads, else 0
 
 	calling   bool
+	called    time.Time // when the call that is under way began
 	next      time.Time // earliest time of the next call
 	authority time.Time
 	renew     time.Time
@@ -172,9 +173,18 @@
 	}
 	call := e.due(now)
 	e.calling = call != nil
+	e.called = now
 	return call
 }
 
+// Pending returns how long the call that is under way has taken so far.
+func (e *Elector) Pending(now time.Time) time.Duration {
+	if !e.calling {
+		return 0
+	}
+	return now.Sub(e.called)
+}
+
 func (e *Elector) due(now time.Time) Call {
 	switch {
 	case !e.known && (e.term != 0 || e.quiet(now)):
--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"strconv"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/matcher"
@@ -22,14 +23,19 @@
 	Capacity    int // what its machine can carry, relative to others
 }
 
-// Pool names a set of servers with one queue: a server of a keyed service, or the servers of another service in a
+// Pool names a set of servers with one queue: a server of a keyed service, or some servers of another service in a
 // failure domain.
 type Pool struct {
 	Service string
 	Server  string // empty for a service without keys
 	Domain  string
+	Shard   int // of the domain's servers, for a service without keys
 }
 
+// shardServers is about how many servers of a service without keys share a queue. More servers to a queue waste less of
+// them; fewer spread the work over more fronts.
+const shardServers = 8
+
 // View is what an instance knows. All of it is immutable.
 type View struct {
 	Self    Member
@@ -38,6 +44,7 @@
 	Members []Member // without Self; in order of their names
 	servers map[string]cataloger.Server
 	pools   map[Pool][]cataloger.Server
+	shards  map[Pool]int        // of each service in each domain
 	domains map[string][]string // of each service, those with ready servers, the one with the most first
 }
 
@@ -47,22 +54,32 @@
 ) *View {
 	v := &View{
 		Self: self, Table: table, Owners: owners, Members: members,
-		servers: map[string]cataloger.Server{}, pools: map[Pool][]cataloger.Server{}, domains: map[string][]string{},
+		servers: map[string]cataloger.Server{}, pools: map[Pool][]cataloger.Server{}, shards: map[Pool]int{},
+		domains: map[string][]string{},
 	}
+	ready := map[Pool][]cataloger.Server{}
 	for _, s := range servers {
 		v.servers[s.ID] = s
 		if s.State != cataloger.Ready {
 			continue
 		}
-		p := Pool{Service: s.Service, Domain: s.Domain}
-		v.pools[p] = append(v.pools[p], s)
-		if len(v.pools[p]) == 1 {
+		place := Pool{Service: s.Service, Domain: s.Domain}
+		ready[place] = append(ready[place], s)
+		if len(ready[place]) == 1 {
 			v.domains[s.Service] = append(v.domains[s.Service], s.Domain)
 		}
 	}
+	for place, list := range ready {
+		v.shards[place] = (len(list) + shardServers - 1) / shardServers
+		for i, s := range list {
+			p := place
+			p.Shard = i % v.shards[place]
+			v.pools[p] = append(v.pools[p], s)
+		}
+	}
 	for service, list := range v.domains {
 		slices.SortStableFunc(list, func(a, b string) int {
-			return len(v.pools[Pool{Service: service, Domain: b}]) - len(v.pools[Pool{Service: service, Domain: a}])
+			return len(ready[Pool{Service: service, Domain: b}]) - len(ready[Pool{Service: service, Domain: a}])
 		})
 	}
 	return v
@@ -92,22 +109,30 @@
 	return Pool{Service: s.Service, Server: s.ID, Domain: s.Domain}, ok && s.State != cataloger.Gone
 }
 
-// Pools returns the pools of a service without keys in the order in which a request that entered here tries them: its
-// own failure domain first.
-func (v *View) Pools(service string) []Pool {
-	var pools []Pool
-	own := Pool{Service: service, Domain: v.Self.Domain}
-	if len(v.pools[own]) > 0 {
-		pools = append(pools, own)
-	}
+// Pools returns the pools of a service without keys in the order in which a request that entered here tries them: those
+// of its own failure domain first. turn spreads requests over the pools of a domain.
+func (v *View) Pools(service string, turn uint64) []Pool {
+	pools := v.domainPools(service, v.Self.Domain, turn)
 	for _, d := range v.domains[service] {
 		if d != v.Self.Domain {
-			pools = append(pools, Pool{Service: service, Domain: d})
+			pools = append(pools, v.domainPools(service, d, turn)...)
 		}
 	}
 	return pools
 }
 
+func (v *View) domainPools(service, domain string, turn uint64) []Pool {
+	place := Pool{Service: service, Domain: domain}
+	count := v.shards[place]
+	pools := make([]Pool, 0, count)
+	for i := range count {
+		p := place
+		p.Shard = int((turn + uint64(i)) % uint64(count))
+		pools = append(pools, p)
+	}
+	return pools
+}
+
 // Front returns the instance that keeps the queue of a pool: the one of the pool's failure domain with the highest hash,
 // so that each instance that knows the same members picks the same one. Members for which avoid is true, and those that
 // leave, are passed over; without any in the domain, all others are asked, then this instance.
@@ -147,7 +172,7 @@
 // (weighted rendezvous hashing).
 func rank(p Pool, m Member) float64 {
 	h := fnv.New64a()
-	for _, part := range []string{p.Service, p.Server, p.Domain, m.Instance} {
+	for _, part := range []string{p.Service, p.Server, p.Domain, strconv.Itoa(p.Shard), m.Instance} {
 		_, _ = h.Write([]byte(part)) // never fails
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/viewer/viewer_test.go
+++ b/internal/viewer/viewer_test.go
@@ -84,7 +84,7 @@
 		server("4", "a", cataloger.Ready), server("5", "d", cataloger.Draining),
 	}, nil, nil)
 	var domains []string
-	for _, p := range v.Pools("s") {
+	for _, p := range v.Pools("s", 7) {
 		domains = append(domains, p.Domain)
 	}
 	is.Equal(domains, []string{"a", "c", "b"})
@@ -92,3 +92,21 @@
 	_, known := v.KeyPool("6")
 	is.True(!known)
 }
+
+func TestManyServersAreSplitIntoShards(t *testing.T) {
+	is := is.New(t)
+	var servers []cataloger.Server
+	for i := range 3*shardServers + 1 {
+		servers = append(servers, cataloger.Server{ID: fmt.Sprintf("%03d", i), Service: "s", Domain: "a"})
+	}
+	v := New(Member{Domain: "a"}, nil, servers, nil, nil)
+	first := v.Pools("s", 0)
+	is.Equal(len(first), 4)
+	is.Equal(v.Pools("s", 1)[0], first[1])
+	total := 0
+	for _, p := range first {
+		total += len(v.Servers(p))
+		is.True(len(v.Servers(p)) <= shardServers)
+	}
+	is.Equal(total, len(servers))
+}
