--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -132,6 +132,21 @@
 	return s, ok
 }
 
+// Ended returns the servers that have surely ended, since another server has their address.
+func (c *Catalog) Ended() map[string]bool {
+	owners := map[string]string{}
+	for id, s := range c.servers {
+		owners[s.Address] = id
+	}
+	ended := map[string]bool{}
+	for id, s := range c.last {
+		if _, present := c.servers[id]; !present && owners[s.Address] != "" {
+			ended[id] = true
+		}
+	}
+	return ended
+}
+
 // Servers returns the servers in order of their ids.
 func (c *Catalog) Servers() []Server {
 	all := make([]Server, 0, len(c.servers))
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -75,3 +75,15 @@
 	c.Remove(at(3*time.Second), settled, "a") // the store has been calm: gone at once
 	is.Equal(len(c.Servers()), 0)
 }
+
+func TestServerWhoseAddressIsTakenHasEnded(t *testing.T) {
+	is := is.New(t)
+	var c Catalog
+	c.Put(start, drain, server("a", Ready, 1))
+	is.Equal(len(c.Ended()), 0)
+	c.Remove(start, start, "a")
+	is.Equal(len(c.Ended()), 0) // it may serve on for a while
+	next := server("b", Ready, 1)
+	c.Put(start, drain, next)
+	is.Equal(c.Ended(), map[string]bool{"a": true})
+}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -72,6 +72,7 @@
 		return
 	}
 	c.lead.granter.SetServers(now, c.table.KeyedServices(), c.catalog.Servers())
+	c.lead.granter.Ended(c.catalog.Ended())
 }
 
 // rule does what is due at a leader.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -66,6 +66,7 @@
 	uncertain time.Time // when grants that got no answer have surely run out
 	kept      bool      // it was served by this server before this leader's grant, so that it need not pause
 	failing   bool      // the last order failed
+	ended     bool      // the server has surely ended, and its grants with it
 }
 
 // owned returns when nobody can own the range any more by what has been granted.
@@ -194,6 +195,15 @@
 	g.changed[h.id] = true
 }
 
+// Ended takes note that servers have surely ended: what they owned is free at once.
+func (g *Granter) Ended(servers map[string]bool) {
+	for _, h := range g.holdings {
+		if servers[h.Server] && (h.state == held || h.state == granting || h.state == releasing) {
+			h.ended = true
+		}
+	}
+}
+
 // divide plans a service that has no plan: equal ranges over its ready servers, which nobody owned before.
 func (g *Granter) divide(service string) {
 	for _, h := range g.holdings {
@@ -316,7 +326,7 @@
 
 // settle moves h on where time alone or the store decides.
 func (g *Granter) settle(now time.Time, h *holding) {
-	lapsed := !now.Before(h.owned()) && !h.calling
+	lapsed := (h.ended || !now.Before(h.owned())) && !h.calling
 	switch h.state {
 	case held:
 		if h.failing && lapsed {
@@ -345,6 +355,9 @@
 // free takes note that nobody owns h.
 func (g *Granter) free(h *holding, handover string) {
 	h.state, h.handover, h.failing, h.kept = free, handover, false, false
+	if h.ended {
+		h.ended, h.lapses, h.uncertain = false, time.Time{}, time.Time{}
+	}
 	g.changed[h.id] = true
 }
 
@@ -447,17 +460,13 @@
 			g.changed[h.id] = true
 		}
 		h.failing, h.kept, h.handover = false, false, ""
-	case Fenced, Unanswered:
-		h.failing = true
-		h.fence = g.nextFence()
-		h.next = now
-		if outcome == Fenced {
-			h.next = now.Add(g.settings.Retry)
+	case Fenced, NotSent, Unanswered:
+		h.next = now.Add(g.settings.Retry)
+		if outcome == Unanswered && !h.failing {
+			h.next = now // a lost answer is made up for at once
 		}
-	case NotSent:
 		h.failing = true
 		h.fence = g.nextFence() // the server may be a new incarnation
-		h.next = now.Add(g.settings.Retry)
 	}
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -152,3 +152,48 @@
 	is.True(changed[0].Moving)
 	is.True(changed[0].Pause > 2000 && changed[0].Pause <= uint32(testTimes.lapse().Milliseconds()))
 }
+
+// TestEndedServerFreesItsKeysAtOnce: the address of a server belongs to another one, so it has surely ended.
+func TestEndedServerFreesItsKeysAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, flaws{})
+	w.run(time.Second, 0)
+	g := w.leaders[0].granter
+	g.SetServers(w.now, []string{service}, w.entries()[1:])
+	g.Ended(map[string]bool{"s0": true})
+	g.Tick(w.now)
+	for _, h := range g.Segments(w.now) {
+		is.Equal(h.Server, "s1")
+	}
+	_, _, stale := g.Plan()
+	is.True(stale)
+}
+
+// TestRefusedOrdersDoNotExtendAGrant: whoever answers at the server's address takes no orders, so the last grant runs out.
+func TestRefusedOrdersDoNotExtendAGrant(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, flaws{})
+	w.run(time.Second, 0)
+	g := w.leaders[0].granter
+	end := w.now.Add(testTimes.lapse() + time.Second)
+	count := 0
+	for ; w.now.Before(end); w.now = w.now.Add(step) {
+		for _, o := range g.Tick(w.now) {
+			grant, ok := o.(Grant)
+			switch {
+			case ok && grant.Server == "s0":
+				count++
+				g.Granted(w.now, grant, NotSent)
+			case ok:
+				g.Granted(w.now, grant, Accepted)
+			}
+		}
+		if _, sequence, stale := g.Plan(); stale {
+			g.Stored(sequence)
+		}
+	}
+	is.True(count <= int(end.Sub(epoch)/testTimes.Retry)+1) // no faster than told
+	for _, h := range g.Segments(w.now) {
+		is.Equal(h.Server, "s1")
+	}
+}
