--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,7 +21,7 @@
 	// excess is by how much of the mean a server must be busier than the mean before anything is moved away from it.
 	excess = 0.25
 	// noise is how many standard deviations of its count the excess must have.
-	noise = 1.0
+	noise = 1.3
 	// leastGain is the part of the difference between two servers that a move must even out to be worth its pause.
 	leastGain = 0.1
 	// faster is how much more than its owner a server must carry for a key to move there that is too much for its owner.
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -122,10 +122,7 @@
 func (c *Conductor) takeReply(now time.Time, reply *herald.ReportReply) {
 	c.elector.Heard(now, reply.GetLeading(), reply.GetStoreLost())
 	c.told(now, reply.GetLead())
-	c.trust.Store(nil)
-	if reply.GetLeading() && !reply.GetStoreLost() && !reply.GetStoreSlow() {
-		c.trust.Store(&trust{at: now, until: now.Add(c.interval() + trustMargin), ends: reply.GetRead()})
-	}
+	c.trust.Store(trustIn(now, c.interval()+trustMargin, reply))
 	if reply.GetLeading() {
 		if c.sources.Load() == nil || c.sources.Load().reader == "" {
 			c.compare(reply.GetRead())
--- a/internal/conductor/relay.go
+++ b/internal/conductor/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/platform"
 )
 
@@ -120,11 +121,21 @@
 // trust is why an instance may believe that it would hear through another one of what the store holds. The leader reads
 // the store itself and tells with each answer to a report how far it is, so that a reader that was cut off shows.
 type trust struct {
-	at    time.Time        // of the leader's last answer
 	until time.Time        // the next answer should be here
 	ends  map[string]int64 // offsets after what the leader has read, by topic
 }
 
+// trustIn returns the trust that a leader's answer gives for a while, or nil where it gives none: the leader must reach the
+// store itself, and must have read both topics.
+func trustIn(now time.Time, lasts time.Duration, reply *herald.ReportReply) *trust {
+	_, operators := reply.GetRead()[platform.TopicOperators]
+	_, servers := reply.GetRead()[platform.TopicServers]
+	if !reply.GetLeading() || reply.GetStoreLost() || reply.GetStoreSlow() || !operators || !servers {
+		return nil
+	}
+	return &trust{until: now.Add(lasts), ends: reply.GetRead()}
+}
+
 // fresh reports whether the leader was heard of lately, so that a reader may be believed.
 func (t *trust) fresh(now time.Time) bool { return t != nil && now.Before(t.until) }
 
--- a/internal/conductor/relay_test.go
+++ b/internal/conductor/relay_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/platform"
 )
 
@@ -91,7 +92,7 @@
 
 func TestTrust(t *testing.T) {
 	now := time.Unix(1000, 0)
-	told := &trust{at: now, until: now.Add(time.Second), ends: map[string]int64{servers: 7}}
+	told := &trust{until: now.Add(time.Second), ends: map[string]int64{servers: 7}}
 	tests := map[string]struct {
 		trust         *trust
 		after         time.Duration
@@ -103,7 +104,6 @@
 		"further than the leader":     {trust: told, from: 9, fresh: true},
 		"the leader has read more":    {trust: told, from: 6, fresh: true, behind: true},
 		"leader's answer is overdue":  {trust: told, after: time.Second, from: 7},
-		"leader reads no such topic":  {trust: &trust{until: now.Add(time.Second)}, from: 0, fresh: true},
 		"leader's answer just in due": {trust: told, after: time.Second - 1, from: 7, fresh: true},
 	}
 	for name, test := range tests {
@@ -116,3 +116,24 @@
 		})
 	}
 }
+
+func TestTrustIsGivenOnlyByALeaderThatReads(t *testing.T) {
+	now := time.Unix(1000, 0)
+	both := map[string]int64{platform.TopicOperators: 1, platform.TopicServers: 7}
+	tests := map[string]struct {
+		reply *herald.ReportReply
+		want  bool
+	}{
+		"leader that has read both topics": {reply: &herald.ReportReply{Leading: true, Read: both}, want: true},
+		"leader that misses a topic":       {reply: &herald.ReportReply{Leading: true, Read: map[string]int64{servers: 7}}},
+		"leader without the store":         {reply: &herald.ReportReply{Leading: true, Read: both, StoreLost: true}},
+		"leader that the store holds up":   {reply: &herald.ReportReply{Leading: true, Read: both, StoreSlow: true}},
+		"another instance":                 {reply: &herald.ReportReply{Read: both}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(trustIn(now, time.Second, test.reply).fresh(now), test.want)
+		})
+	}
+}
