--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -53,7 +53,7 @@
 
 // LeadTimes are the times of the lead. The silence and one round of grants together are shorter than grants last.
 var LeadTimes = elector.Settings{
-	Authority: 20 * time.Second, Renew: time.Second, Silence: 2200 * time.Millisecond, Doubt: 1300 * time.Millisecond,
+	Authority: 20 * time.Second, Renew: 700 * time.Millisecond, Silence: 2200 * time.Millisecond, Doubt: 1300 * time.Millisecond,
 	Retry: 250 * time.Millisecond, Refusals: 2, Jitter: 250 * time.Millisecond,
 }
 
--- a/internal/conductor/doubt_test.go
+++ b/internal/conductor/doubt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -77,3 +78,26 @@
 	<-doubt
 	is.True(!c.sure)
 }
+
+// TestRelayedReadIsBrokenOff: an instance that waits for what another one reads is not left waiting in doubt.
+func TestRelayedReadIsBrokenOff(t *testing.T) {
+	is := is.New(t)
+	waiting := make(chan struct{}, 1)
+	reader := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // or the server does not notice that the client leaves
+		waiting <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer reader.Close()
+	c := newTestConductor(t, http.NotFound)
+	c.sources.Store(&sources{reader: strings.TrimPrefix(reader.URL, "http://")})
+	c.trust.Store(&trust{until: time.Unix(1<<40, 0)})
+	done := make(chan bool)
+	go func() {
+		_, _, ok := c.readRelayed(context.Background(), &watcher{name: servers, from: 7}, c.sources.Load())
+		done <- ok
+	}()
+	<-waiting
+	c.breakOff()
+	is.True(!<-done)
+}
--- a/internal/conductor/store.go
+++ b/internal/conductor/store.go
@@ -211,8 +211,18 @@
 func (c *Conductor) readDoubting(
 	ctx context.Context, w *watcher, wait time.Duration,
 ) ([]platform.Record, int64, error) {
-	waiting, cancel := context.WithCancel(ctx)
+	waiting, cancel := c.untilDoubt(ctx)
 	defer cancel()
+	records, next, err := c.readStore(waiting, w.name, w.from, w.whole, wait)
+	if err == nil || waiting.Err() == nil || ctx.Err() != nil {
+		return records, next, err
+	}
+	return c.readStore(ctx, w.name, w.from, w.whole, 0)
+}
+
+// untilDoubt returns a context that ends when reads that wait for news are broken off.
+func (c *Conductor) untilDoubt(ctx context.Context) (context.Context, context.CancelFunc) {
+	waiting, cancel := context.WithCancel(ctx)
 	doubt := *c.doubt.Load()
 	go func() {
 		select {
@@ -221,11 +231,7 @@
 		case <-waiting.Done():
 		}
 	}()
-	records, next, err := c.readStore(waiting, w.name, w.from, w.whole, wait)
-	if err == nil || waiting.Err() == nil || ctx.Err() != nil {
-		return records, next, err
-	}
-	return c.readStore(ctx, w.name, w.from, w.whole, 0)
+	return waiting, cancel
 }
 
 // breakOff ends the reads that wait for news.
@@ -283,7 +289,12 @@
 		wait = 0
 	}
 	request := &herald.FetchRequest{Topic: w.name, From: w.from, WaitMs: uint32(wait.Milliseconds())}
-	records, next, err := c.fetch(ctx, from.reader, request, wait+relayTimeout)
+	waiting, cancel := c.untilDoubt(ctx)
+	defer cancel()
+	records, next, err := c.fetch(waiting, from.reader, request, wait+relayTimeout)
+	if waiting.Err() != nil {
+		return nil, 0, false
+	}
 	if err != nil {
 		klog.InfoS("topic is not handed on", "topic", w.name, "reader", from.reader, "from", w.from, "error", err)
 		w.direct = time.Now().Add(relayRetry)
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -28,8 +28,8 @@
 
 const (
 	// leaveFor is how long a stopping instance goes on taking connections: the platform asks for readiness once a second
-	// and takes an instance out of rotation after two misses.
-	leaveFor = 2300 * time.Millisecond
+	// and takes an instance out of rotation after two misses, and what it has sent by then has to be read by a slow machine.
+	leaveFor = 3200 * time.Millisecond
 	// exitMargin is kept of the time until SIGKILL.
 	exitMargin = 500 * time.Millisecond
 	// drainMargin is kept of the time in which a leaving server may still get requests: for the way of the news, which are
