A leader that started anew is replaced at once, and a small machine yields the lead to a large one

Now an instance whose leader answers that it does not lead, and knows of no successor, looks once more and takes over, large machines first; and a leader yields after 3 s to a machine with twice its capacity. Tests: TestFormerLeaderThatStartedAnewIsReplaced failed before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -45,6 +45,9 @@
 	balance = 250 * time.Millisecond
 	// movesAtOnce is the part of a service's servers whose ranges may be moved at the same time.
 	movesAtOnce = 4
+	// settleFor is how long a leader leads before it yields to a larger machine, which is muchLarger times its size.
+	settleFor  = 3 * time.Second
+	muchLarger = 2
 	// together is the time in which changes of the map are gathered; requests for keys that move wait as long at most.
 	together = 60 * time.Millisecond
 	// kept is how many changes of the map the leader keeps to send instead of the whole.
@@ -109,6 +112,7 @@
 
 // lead is what only a leader has.
 type lead struct {
+	since    time.Time
 	granter  *granter.Granter
 	sequence uint64 // of the map
 	deltas   []delta
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -45,6 +45,7 @@
 	term := c.elector.Term()
 	klog.InfoS("lead taken", "term", term, "before", before.Instance, "ranges", len(holdings))
 	c.lead = &lead{
+		since:   now,
 		granter: granter.New(GrantTimes, now, term, holdings, predecessor),
 		members: map[string]*registered{}, version: c.version + 1, loads: map[string]*balancer.Load{},
 		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{}, predecessor: before, concerned: map[string]bool{},
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -120,7 +120,7 @@
 
 // takeReply takes the leader's answer to a report.
 func (c *Conductor) takeReply(now time.Time, reply *herald.ReportReply) {
-	c.elector.Heard(now, reply.GetLeading(), reply.GetStoreLost())
+	c.elector.Heard(now, reply.GetLeading(), reply.GetStoreLost() || reply.GetYields())
 	c.told(now, reply.GetLead())
 	c.trust.Store(trustIn(now, c.interval()+trustMargin, reply))
 	if reply.GetLeading() {
@@ -400,10 +400,26 @@
 	if r := c.lead.members[request.GetMember().GetInstance()]; r != nil && !r.sent {
 		r.known, r.listed = known, request.GetMembersVersion()
 	}
+	reply.Yields = c.yieldsTo(now, request.GetMember().GetInstance())
 	reply.Owners, reply.Members = c.newsFor(now, known, request.GetMembersVersion())
 	return reply
 }
 
+// yieldsTo reports whether an instance should lead instead of this one: it can carry far more, and most of all.
+func (c *Conductor) yieldsTo(now time.Time, instance string) bool {
+	l := c.lead
+	if now.Sub(l.since) < settleFor {
+		return false
+	}
+	asking := l.members[instance].member
+	for _, r := range l.members {
+		if r.member.Capacity > asking.Capacity {
+			return false
+		}
+	}
+	return !asking.Leaving && asking.Capacity >= muchLarger*c.options.Self.Capacity
+}
+
 // register takes note that an instance lives.
 func (c *Conductor) register(now time.Time, m viewer.Member) {
 	l := c.lead
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -86,7 +86,8 @@
 	heard     time.Time // last sign of life of the leader
 	refusals  int
 	contact   time.Time // last answer of the store
-	lostStore bool      // the leader says that it can't reach the store
+	yields    bool      // the leader wants this instance to take over
+	stopped   bool      // the instance that led does not lead any more, and knew of no successor
 	took      bool      // a lead was taken since the last call of Took
 	waitUntil time.Time // earliest time of a takeover
 	before    Identity  // the leader before this instance, where it may still give orders
@@ -135,15 +136,17 @@
 	e.renew = now
 }
 
-// Heard takes note of an answer of the instance that led last, as far as this one knew. leading says that it still does.
-func (e *Elector) Heard(now time.Time, leading, storeLost bool) {
+// Heard takes note of an answer of the instance that led last, as far as this one knew. leading says that it still does;
+// yields that it wants this instance to take over, or can't reach the store.
+func (e *Elector) Heard(now time.Time, leading, yields bool) {
 	e.refusals = 0
 	if !leading {
 		e.known = false // the record that this instance knows is old
+		e.stopped = true
 		return
 	}
 	e.heard = now
-	e.lostStore = storeLost
+	e.yields = yields
 }
 
 // Told takes note of a lead that another instance knows of. A newer one than this instance's own ends its lead at once,
@@ -154,7 +157,7 @@
 	}
 	e.lead, e.term = lead, 0
 	e.known = false // the end of the topic has moved
-	e.heard, e.refusals, e.lostStore, e.waitUntil = now, 0, false, time.Time{}
+	e.heard, e.refusals, e.yields, e.stopped, e.waitUntil = now, 0, false, false, time.Time{}
 }
 
 // Unheard takes note of a report that the leader did not answer. refused says that its machine refused the connection.
@@ -191,7 +194,7 @@
 		return Read{}
 	case e.term != 0:
 		return e.serve(now)
-	case e.lostStore && e.StoreLost(now):
+	case e.yields && e.StoreLost(now):
 		return Read{} // whether this instance reaches the store that the leader does not reach
 	case e.vacant(now) && !e.known:
 		return Read{}
@@ -229,7 +232,7 @@
 		return true // an earlier incarnation of this instance
 	case e.refusals >= e.settings.Refusals:
 		return true
-	case e.lostStore:
+	case e.yields, e.stopped:
 		return true
 	}
 	return now.Sub(e.heard) > e.settings.Silence
@@ -252,7 +255,7 @@
 	e.next = now
 	if end != e.end || !e.known {
 		if lead.Term != e.lead.Term {
-			e.refusals, e.lostStore = 0, false
+			e.refusals, e.yields, e.stopped = 0, false, false
 			e.waitUntil = time.Time{}
 		}
 		if lead.Term != e.lead.Term || end != e.end {
@@ -297,7 +300,7 @@
 			e.begin(c.Lead.Term, e.lead.Identity)
 		}
 		e.lead = c.Lead
-		e.refusals, e.lostStore = 0, false
+		e.refusals, e.yields, e.stopped = 0, false, false
 	case Store:
 		e.stored = max(e.stored, c.Sequence)
 	case Read:
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -209,10 +209,27 @@
 	is.Equal(e.Tick(at(time.Second+times.Silence)), Read{})
 }
 
-// TestFormerLeaderIsNotAskedAgain: an instance that no longer leads makes its followers look for its successor.
-func TestFormerLeaderIsNotAskedAgain(t *testing.T) {
-	is := is.New(t)
-	e := follower()
-	e.Heard(at(100*time.Millisecond), false, false)
-	is.Equal(e.Tick(at(times.Doubt+time.Millisecond)), Read{})
+// TestFormerLeaderThatStartedAnewIsReplaced: it answers that it does not lead, and knows of no successor. This instance
+// looks once more, since there may be one by now, and then takes the lead.
+func TestFormerLeaderThatStartedAnewIsReplaced(t *testing.T) {
+	tests := map[string]struct {
+		found Lead
+		want  Call
+	}{
+		"no successor":  {found: Lead{Identity: other, Term: 3}, want: Take{Lead: Lead{Identity: self, Term: 6}, At: 5}},
+		"has successor": {found: Lead{Identity: Identity{Instance: "third"}, Term: 5}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := follower()
+			e.next = start
+			e.Heard(at(100*time.Millisecond), false, false)
+			is.Equal(e.Tick(at(100*time.Millisecond)), Read{})
+			e.WasRead(at(110*time.Millisecond), 5, test.found, 0)
+			_ = e.Tick(at(400 * time.Millisecond))
+			e.calling = false
+			is.Equal(e.Tick(at(400*time.Millisecond)), test.want)
+		})
+	}
 }
