--- a/internal/granter/world_test.go
+++ b/internal/granter/world_test.go
@@ -125,7 +125,7 @@
 	plan    []Holding // in the store
 	term    uint64
 	breach  string
-	shown   *ranger.Map // what the present leader has published
+	shown   *ranger.Map               // what the present leader has published
 	fences  map[int]map[string]uint64 // highest fence by checked key and server incarnation
 }
 
