--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -28,6 +28,8 @@
 	repeatPause = 30 * time.Millisecond
 	// maxRounds bounds the ways that one request tries, those that reach no server included.
 	maxRounds = 12
+	// maxArrivals bounds how often one request may reach servers, those that turned it away included.
+	maxArrivals = 4
 	// spills is how many further failure domains are asked to run a request that its own one can't run in time.
 	spills = 2
 )
@@ -119,7 +121,7 @@
 			if j.arrivals++; j.arrivals > 1 {
 				c.meter.Count(meter.RequestsRepeated)
 			}
-			if j.arrivals > 1 && !c.mayRepeatAgain(j) {
+			if j.arrivals >= maxArrivals {
 				return r
 			}
 		}
@@ -129,12 +131,6 @@
 	}
 }
 
-// mayRepeatAgain is a place to stop repeats of one request that keeps arriving in vain.
-func (c *Carrier) mayRepeatAgain(j *job) bool { return j.arrivals < maxArrivals }
-
-// maxArrivals bounds how often one request may reach servers, whatever its route allows.
-const maxArrivals = 4
-
 // attempt gives the job to the front of its pool.
 func (c *Carrier) attempt(ctx context.Context, j *job, spilled int) result {
 	now := time.Now()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -37,8 +37,8 @@
 	few = 16
 	// heartbeatTimeout bounds the answer to a report; the way is 20 ms at most.
 	heartbeatTimeout = 700 * time.Millisecond
-	// memberTimeout is after how many missing reports the leader drops an instance.
-	memberTimeout = 4
+	// missedReports is after how many missing reports the leader drops an instance.
+	missedReports = 4
 	// releaseLimit bounds the answer to a release, which comes when what runs has ended.
 	releaseLimit = 3 * time.Second
 	// balance is between two looks at the load of servers.
@@ -73,6 +73,8 @@
 	Meter   *meter.Meter
 	// Drain is after how long a server that drains is sent nothing more, whoever owns its keys then.
 	Drain time.Duration
+	// MaxHold bounds how long a grant may last; 0 is no bound.
+	MaxHold time.Duration
 }
 
 // Conductor is the control side of an instance. Use New and Run.
@@ -90,6 +92,7 @@
 	dirty    bool            // the view has to be made anew
 
 	elector    *elector.Elector
+	grants     granter.Settings
 	plan       []byte // content of the newest plan record in the store
 	ticked     time.Time
 	reported   time.Time
@@ -160,6 +163,7 @@
 		options: o, events: make(chan func(time.Time), 256),
 		elector:    elector.New(LeadTimes, now, self, share(o.Self)),
 		ticked:     now,
+		grants:     grantsWithin(o.MaxHold),
 		unreported: emptyLoads(),
 		troubled:   map[string]time.Time{},
 		peers:      newPeers(),
@@ -169,6 +173,16 @@
 	return c
 }
 
+// grantsWithin returns the times of grants where they may last no longer than maxHold.
+func grantsWithin(maxHold time.Duration) granter.Settings {
+	times := GrantTimes
+	if maxHold > 0 && maxHold < times.Hold {
+		times.Renew = times.Renew * maxHold / times.Hold
+		times.Hold = maxHold
+	}
+	return times
+}
+
 // share returns the place of an instance in the jitter of takeovers, from 0 to 1.
 // Larger machines come first.
 func share(m viewer.Member) float64 {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -37,7 +37,7 @@
 	if before.Instance != "" {
 		predecessor = now.Add(LeadTimes.Authority)
 	}
-	predecessor = predecessor.Add(GrantTimes.Hold + GrantTimes.Margin)
+	predecessor = predecessor.Add(c.grants.Lapse())
 	holdings := decodePlan(c.plan)
 	if c.plan == nil {
 		predecessor = now
@@ -46,7 +46,7 @@
 	klog.InfoS("lead taken", "term", term, "before", before.Instance, "ranges", len(holdings))
 	c.lead = &lead{
 		since:   now,
-		granter: granter.New(GrantTimes, now, term, holdings, predecessor),
+		granter: granter.New(c.grants, now, term, holdings, predecessor),
 		members: map[string]*registered{}, version: c.version + 1, loads: map[string]*balancer.Load{},
 		speeds: map[string]*speed{}, balanced: now, plans: map[uint64][]byte{}, predecessor: before, concerned: map[string]bool{},
 	}
@@ -297,7 +297,7 @@
 	l := c.lead
 	changed := false
 	for name, r := range l.members {
-		if now.Sub(r.seen) > memberTimeout*c.interval() {
+		if now.Sub(r.seen) > missedReports*c.interval() {
 			klog.InfoS("instance lost", "instance", name, "silent", now.Sub(r.seen))
 			delete(l.members, name)
 			changed = true
--- a/internal/conductor/store_test.go
+++ b/internal/conductor/store_test.go
@@ -24,3 +24,12 @@
 	// With many instances reports are rarer, and half a second more is allowed.
 	is.True(LeadTimes.Renew+storeSlow+heartbeatMax+tick < bound+bound/4)
 }
+
+func TestGrantsLastNoLongerThanAllowed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(grantsWithin(10*time.Second), GrantTimes)
+	is.Equal(grantsWithin(0), GrantTimes)
+	short := grantsWithin(GrantTimes.Hold / 2)
+	is.Equal(short.Hold, GrantTimes.Hold/2)
+	is.Equal(short.Renew, GrantTimes.Renew/2)
+}
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -77,18 +77,17 @@
 	}
 	control := conductor.New(conductor.Options{
 		Self: self, Store: platform.NewStore(s.StoreAddress), Carrier: traffic, Meter: counters,
-		Drain: s.Bounds.Drain - drainMargin,
+		Drain: s.Bounds.Drain - drainMargin, MaxHold: s.Bounds.MaxHold,
 	})
 	return &Edger{settings: s, carrier: traffic, conductor: control, meter: counters, log: log}
 }
 
-// capacity returns what a machine can carry, in thousandths of a core: its share of a core or what its link lets through,
-// whichever is less.
+// perMegabit is how many thousandths of a core one megabit a second of a machine's link is worth, where the link is the
+// scarcer of the two.
+const perMegabit = 16
+
+// capacity returns what a machine can carry beside the others, in thousandths of a core.
 func capacity(s platform.Settings) int {
-	// A request of 5 kB passes a front's link twice, 0.09 megabits in all, and takes about 0.4 ms of a core, so that a link
-	// of 10 Mbit/s, kept at half, carries as much as 22 thousandths of a core would. Fronts share the link with what clients
-	// bring, which is the same for all machines; seven times that keeps small machines useful without choking them.
-	const perMegabit = 16
 	return max(1, int(min(s.CPUShare*1000, s.LinkMbps*perMegabit)))
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -107,7 +107,7 @@
 	w := newWorld(1, 4, flaws{})
 	w.run(5*time.Second, 0)
 	w.servers[2].up = false
-	w.run(testTimes.lapse()+testTimes.Renew+time.Second, 0)
+	w.run(testTimes.Lapse()+testTimes.Renew+time.Second, 0)
 	is.Equal(w.unserved(), 0)
 }
 
@@ -150,7 +150,7 @@
 	changed := g.Delta(w.now)
 	is.Equal(len(changed), 1)
 	is.True(changed[0].Moving)
-	is.True(changed[0].Pause > 2000 && changed[0].Pause <= uint32(testTimes.lapse().Milliseconds()))
+	is.True(changed[0].Pause > 2000 && changed[0].Pause <= uint32(testTimes.Lapse().Milliseconds()))
 }
 
 // TestEndedServerFreesItsKeysAtOnce: the address of a server belongs to another one, so it has surely ended.
@@ -175,7 +175,7 @@
 	w := newWorld(1, 2, flaws{})
 	w.run(time.Second, 0)
 	g := w.leaders[0].granter
-	end := w.now.Add(testTimes.lapse() + time.Second)
+	end := w.now.Add(testTimes.Lapse() + time.Second)
 	count := 0
 	for ; w.now.Before(end); w.now = w.now.Add(step) {
 		for _, o := range g.Tick(w.now) {
--- a/internal/granter/world_test.go
+++ b/internal/granter/world_test.go
@@ -154,7 +154,7 @@
 	if w.flaws.shortLapse {
 		settings.Margin = -settings.Hold/2 - settings.Hold*clockError/100
 	}
-	predecessor = predecessor.Add(settings.lapse())
+	predecessor = predecessor.Add(settings.Lapse())
 	l := &fakeLeader{term: w.term, until: w.now.Add(authority)}
 	if len(w.leaders) > 0 && w.chance(40) {
 		l.misses = w.servers[w.random.Intn(len(w.servers))].entry.ID
