A log line after the end of the log is dropped instead of ending the process with a panic

Cause, found by reading: a planned stop closes the log's channel while goroutines that end late may still write to it, such as the reads of the store that are broken off then; a write to a closed channel panics. TestLinesAfterCloseAreDropped failed before (panic). The end of an instance is no longer logged as "store lost".

--- a/internal/conductor/watcher.go
+++ b/internal/conductor/watcher.go
@@ -90,6 +90,9 @@
 		}
 		return records, next, err
 	}
+	if ctx.Err() != nil {
+		return nil, 0, err // this instance stops
+	}
 	if !w.lost {
 		klog.InfoS("store lost", "topic", w.name, "error", err)
 	}
--- a/internal/scribe/scribe.go
+++ b/internal/scribe/scribe.go
@@ -12,6 +12,9 @@
 // pending is how many lines may wait to be written; further ones are dropped and counted.
 const pending = 2048
 
+// together is about how many bytes are written at once.
+const together = 64 << 10
+
 // Scribe is a writer that never blocks. Use New.
 type Scribe struct {
 	lines   chan []byte
@@ -39,20 +42,25 @@
 // Dropped returns how many lines were dropped.
 func (s *Scribe) Dropped() int64 { return s.dropped.Load() }
 
-// Close writes what waits. Nothing may be written after it.
+// Close writes what waits. What is written after it is dropped.
 func (s *Scribe) Close() {
-	close(s.lines)
+	s.lines <- nil
 	<-s.done
 }
 
-// run writes the lines that wait together, which saves system calls.
+// run writes the lines that wait together, which saves system calls, until it meets the nil line of Close.
 func (s *Scribe) run(w io.Writer) {
 	defer close(s.done)
-	for line := range s.lines {
-		for more := true; more && len(line) < 64<<10; {
+	for open := true; open; {
+		line := <-s.lines
+		if line == nil {
+			return
+		}
+		for more := true; more && len(line) < together; {
 			select {
-			case next, ok := <-s.lines:
-				line, more = append(line, next...), ok
+			case next := <-s.lines:
+				line = append(line, next...)
+				more, open = next != nil, next != nil
 			default:
 				more = false
 			}
--- a/internal/scribe/scribe_test.go
+++ b/internal/scribe/scribe_test.go
@@ -48,3 +48,19 @@
 	is.True(s.Dropped() > 0)
 	is.Equal(int64(out.lines)+s.Dropped(), int64(written))
 }
+
+// TestLinesAfterCloseAreDropped: goroutines that end late may still log.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out)
+	_, err := s.Write([]byte("one\n"))
+	is.NoErr(err)
+	s.Close()
+	for range 2 * pending {
+		_, err := s.Write([]byte("late\n"))
+		is.NoErr(err)
+	}
+	is.Equal(out.String(), "one\n")
+	is.Equal(s.Dropped(), int64(pending))
+}
