Elector ignores answers of a leader that was replaced

Cause: a report's answer, or the failure to get one, was applied to whichever leader was known when it arrived. A late "I no longer lead" of the previous leader marked the live one as stopped, and the next Tick took over from it. Change: ReportAnswered and ReportFailed name the leader to which the report was sent; another one's change nothing. Failing first: TestAnswerOfReplacedLeaderIsIgnored, without the guard all three cases fail (it no longer leads, it can't reach the store, its machine refuses connections). Ruled out: clearing the flags when a leader is observed, which exists already and comes before the late answer.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -68,11 +68,11 @@
 				c.options.Meter.Count(meter.ReportsFailed)
 				refused := errors.Is(err, syscall.ECONNREFUSED)
 				klog.InfoS("leader did not answer", "leader", leader.Identity.Instance, "refused", refused, "error", err)
-				c.elector.ReportFailed(refused)
+				c.elector.ReportFailed(leader, refused)
 				c.unreported.Add(loads)
 				return
 			}
-			c.handleReply(now, reply)
+			c.handleReply(now, leader, reply)
 		})
 	}()
 }
@@ -125,9 +125,9 @@
 	}
 }
 
-// handleReply applies the leader's answer to a report.
-func (c *Controller) handleReply(now time.Time, reply *herald.ReportReply) {
-	c.elector.ReportAnswered(now, reply.GetLeading(), reply.GetStoreLost() || reply.GetYields())
+// handleReply applies the answer of leader to a report.
+func (c *Controller) handleReply(now time.Time, leader elector.Leader, reply *herald.ReportReply) {
+	c.elector.ReportAnswered(now, leader, reply.GetLeading(), reply.GetStoreLost() || reply.GetYields())
 	c.observeLeader(now, reply.GetLead())
 	c.leaderOffsets.Store(decodeLeaderOffsets(now, c.reportInterval()+leaderOffsetsMargin, reply))
 	if reply.GetLeading() {
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -177,9 +177,12 @@
 	e.renewAt = now
 }
 
-// ReportAnswered records that the known leader answered a report. leading says that it still leads; replaceable that it
-// asks this instance to take over, or can't reach the store.
-func (e *Elector) ReportAnswered(now time.Time, leading, replaceable bool) {
+// ReportAnswered records that a leader answered a report. leading says that it still leads; replaceable that it asks this
+// instance to take over, or can't reach the store. An answer of a leader that was replaced meanwhile changes nothing.
+func (e *Elector) ReportAnswered(now time.Time, leader Leader, leading, replaceable bool) {
+	if leader != e.leader {
+		return
+	}
 	e.refusals = 0
 	if !leading {
 		e.synced = false // the known record is outdated
@@ -201,8 +204,12 @@
 	e.leaderSeenAt, e.refusals, e.leaderReplaceable, e.leaderStopped, e.takeoverAt = now, 0, false, false, time.Time{}
 }
 
-// ReportFailed records that the leader did not answer a report. refused says that its machine refused the connection.
-func (e *Elector) ReportFailed(refused bool) {
+// ReportFailed records that a leader did not answer a report. refused says that its machine refused the connection. It
+// changes nothing if the leader was replaced meanwhile.
+func (e *Elector) ReportFailed(leader Leader, refused bool) {
+	if leader != e.leader {
+		return
+	}
 	if refused {
 		e.refusals++
 	} else {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -16,6 +16,8 @@
 	}
 	self  = Identity{Instance: "self", Incarnation: 1, Address: "self:1"}
 	other = Identity{Instance: "other", Incarnation: 2, Address: "other:1"}
+
+	otherLeader = Leader{Identity: other, Term: 3}
 )
 
 // at returns the time d after start.
@@ -26,7 +28,7 @@
 	e := New(settings, start, self, 0)
 	_ = e.Tick(start)
 	e.CompleteRead(start, 5, Leader{Identity: other, Term: 3}, 0)
-	e.ReportAnswered(start, true, false)
+	e.ReportAnswered(start, otherLeader, true, false)
 	return e
 }
 
@@ -67,7 +69,7 @@
 		want  Call
 	}{
 		"leader answered": {
-			event: func(e *Elector) { e.ReportAnswered(at(1500*time.Millisecond), true, false) },
+			event: func(e *Elector) { e.ReportAnswered(at(1500*time.Millisecond), otherLeader, true, false) },
 			after: 2200 * time.Millisecond, want: nil,
 		},
 		"no answer within the suspicion timeout, record is read": {
@@ -82,23 +84,27 @@
 			after: 2500 * time.Millisecond, want: nil,
 		},
 		"one refused connection": {
-			event: func(e *Elector) { e.ReportFailed(true) }, after: 500 * time.Millisecond, want: nil,
+			event: func(e *Elector) { e.ReportFailed(otherLeader, true) }, after: 500 * time.Millisecond, want: nil,
 		},
 		"two consecutive refused connections": {
-			event: func(e *Elector) { e.ReportFailed(true); e.ReportFailed(true) }, after: 500 * time.Millisecond,
+			event: func(e *Elector) { e.ReportFailed(otherLeader, true); e.ReportFailed(otherLeader, true) }, after: 500 * time.Millisecond,
 			want: AppendLeader{Leader: Leader{Identity: self, Term: 6}, Offset: 5},
 		},
 		"refused connections that are not consecutive": {
-			event: func(e *Elector) { e.ReportFailed(true); e.ReportFailed(false); e.ReportFailed(true) },
+			event: func(e *Elector) {
+				e.ReportFailed(otherLeader, true)
+				e.ReportFailed(otherLeader, false)
+				e.ReportFailed(otherLeader, true)
+			},
 			after: 500 * time.Millisecond, want: nil,
 		},
 		"leader can't reach the store, not known whether this instance can": {
-			event: func(e *Elector) { e.ReportAnswered(at(10*time.Second), true, true) },
+			event: func(e *Elector) { e.ReportAnswered(at(10*time.Second), otherLeader, true, true) },
 			after: 10 * time.Second, want: ReadLeader{},
 		},
 		"leader can't reach the store, this instance can": {
 			event: func(e *Elector) {
-				e.ReportAnswered(at(10*time.Second), true, true)
+				e.ReportAnswered(at(10*time.Second), otherLeader, true, true)
 				e.CompleteRead(at(10*time.Second), 5, Leader{Identity: other, Term: 3}, 0)
 			},
 			after: 10300 * time.Millisecond, want: AppendLeader{Leader: Leader{Identity: self, Term: 6}, Offset: 5},
@@ -167,8 +173,8 @@
 func TestUnansweredTakeoverReportsPredecessor(t *testing.T) {
 	is := is.New(t)
 	e := newNonLeader()
-	e.ReportFailed(true)
-	e.ReportFailed(true)
+	e.ReportFailed(otherLeader, true)
+	e.ReportFailed(otherLeader, true)
 	takeover := e.Tick(at(300 * time.Millisecond))
 	e.CallFailed(at(time.Second), takeover, false, false)
 	is.Equal(e.Tick(at(2*time.Second)), ReadLeader{})
@@ -244,7 +250,7 @@
 			is := is.New(t)
 			e := newNonLeader()
 			e.nextCallAt = start
-			e.ReportAnswered(at(100*time.Millisecond), false, false)
+			e.ReportAnswered(at(100*time.Millisecond), otherLeader, false, false)
 			is.Equal(e.Tick(at(100*time.Millisecond)), ReadLeader{})
 			e.CompleteRead(at(110*time.Millisecond), 5, test.record, 0)
 			_ = e.Tick(at(400 * time.Millisecond)) // starts the jitter, which is 0 here
@@ -306,9 +312,38 @@
 	is := is.New(t)
 	e := newNonLeader()
 	e.SetEligible(false)
-	e.ReportFailed(true)
-	e.ReportFailed(true)
+	e.ReportFailed(otherLeader, true)
+	e.ReportFailed(otherLeader, true)
 	is.Equal(e.Tick(at(300*time.Millisecond)), nil)
 	e.SetEligible(true)
 	is.Equal(e.Tick(at(310*time.Millisecond)), AppendLeader{Leader: Leader{Identity: self, Term: 6}, Offset: 5})
 }
+
+// TestAnswerOfReplacedLeaderIsIgnored guards against a needless takeover from a live leader: the answer of the leader before
+// it, or the failure to reach that one, arrives after the replacement is known.
+func TestAnswerOfReplacedLeaderIsIgnored(t *testing.T) {
+	tests := map[string]func(e *Elector){
+		"it no longer leads": func(e *Elector) { e.ReportAnswered(at(200*time.Millisecond), otherLeader, false, false) },
+		"it can't reach the store": func(e *Elector) {
+			e.ReportAnswered(at(200*time.Millisecond), otherLeader, true, true)
+		},
+		"its machine refuses connections": func(e *Elector) {
+			e.ReportFailed(otherLeader, true)
+			e.ReportFailed(otherLeader, true)
+		},
+	}
+	for name, event := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newNonLeader()
+			third := Leader{Identity: Identity{Instance: "third"}, Term: 6}
+			e.ObserveLeader(at(100*time.Millisecond), third)
+			event(e)
+			known, _ := e.Leader()
+			is.Equal(known, third)
+			for d := 400 * time.Millisecond; d < settings.SuspicionTimeout; d += 100 * time.Millisecond {
+				is.Equal(e.Tick(at(d)), nil)
+			}
+		})
+	}
+}
