--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -44,26 +44,42 @@
 
 // Catalog is the set of known servers. The zero Catalog is empty. A Catalog is not safe for concurrent use.
 type Catalog struct {
-	servers           map[string]Server    // by id, like all maps of the Catalog
-	reappearDeadlines map[string]time.Time // until when a missing registration may reappear
-	lastKnown         map[string]Server    // latest registration of each server, also after its removal
-	drainDeadlines    map[string]time.Time // when a draining server counts as gone
+	servers           map[string]Server      // by id, like all maps of the Catalog
+	reappearDeadlines map[string]time.Time   // until when a missing registration may reappear
+	lastKnown         map[string]Server      // latest registration of each server, also after its removal
+	drainDeadlines    map[string]time.Time   // when a draining server counts as gone
+	leaving           map[string]int64       // incarnation of each server that said that it is leaving
+	unconfirmed       map[string]unconfirmed // registrations of removed servers that are in an older copy of the store
+}
+
+// unconfirmed is a registration that a server may have removed or changed since.
+type unconfirmed struct {
+	server      Server
+	confirmedAt time.Time // when it counts, as the server has renewed it meanwhile
 }
 
 // Put records a registration and reports whether that changes the catalog's registration of the server. A registration of
-// an older incarnation only cancels the removal of a missing server. A draining server counts as gone once drainTimeout
-// has passed since it began to drain.
+// an older incarnation than the present one is ignored. A draining server counts as gone once drainTimeout has passed
+// since this incarnation began to drain.
 func (c *Catalog) Put(now time.Time, drainTimeout time.Duration, s Server) bool {
 	if c.servers == nil {
 		c.servers = map[string]Server{}
 		c.lastKnown = map[string]Server{}
 		c.drainDeadlines = map[string]time.Time{}
 	}
-	delete(c.reappearDeadlines, s.ID)
+	delete(c.unconfirmed, s.ID)
 	previous, known := c.servers[s.ID]
 	if known && s.Incarnation < previous.Incarnation {
 		return false
 	}
+	delete(c.reappearDeadlines, s.ID)
+	if known && s.Incarnation > previous.Incarnation {
+		delete(c.drainDeadlines, s.ID)
+		previous = Server{}
+	}
+	if incarnation, leaves := c.leaving[s.ID]; leaves && s.Incarnation <= incarnation {
+		s.State = Draining
+	}
 	switch {
 	case s.State != Draining:
 		delete(c.drainDeadlines, s.ID)
@@ -77,9 +93,50 @@
 	return !known || previous != s
 }
 
+// PutRestored records a registration that was read after the store came back from an older copy, as Put does for a current
+// one. A server that was known to drain goes on draining, unless the registration is of a later incarnation. The registration
+// of a server that was removed counts only from confirmedAt on, unless Put records it before: until then a server that lives
+// has renewed it, and the store has removed that of another one.
+func (c *Catalog) PutRestored(now, confirmedAt time.Time, drainTimeout time.Duration, s Server) bool {
+	last, wasKnown := c.lastKnown[s.ID]
+	previous, known := c.servers[s.ID]
+	if wasKnown && s.Incarnation <= last.Incarnation {
+		if !known {
+			if c.unconfirmed == nil {
+				c.unconfirmed = map[string]unconfirmed{}
+			}
+			c.unconfirmed[s.ID] = unconfirmed{server: s, confirmedAt: confirmedAt}
+			return false
+		}
+		if previous.State != Ready {
+			delete(c.reappearDeadlines, s.ID)
+			return false
+		}
+	}
+	return c.Put(now, drainTimeout, s)
+}
+
+// Leave records that an incarnation of a server has said in an answer that it is leaving, and reports whether that changes
+// the catalog. The server drains from then on, whatever its registration says, and is gone once drainTimeout has passed.
+func (c *Catalog) Leave(now time.Time, drainTimeout time.Duration, id string, incarnation int64) bool {
+	if c.leaving == nil {
+		c.leaving = map[string]int64{}
+	}
+	if known, ok := c.leaving[id]; ok && known >= incarnation {
+		return false
+	}
+	c.leaving[id] = incarnation
+	s, known := c.servers[id]
+	if !known || s.Incarnation > incarnation {
+		return false
+	}
+	return c.Put(now, drainTimeout, s)
+}
+
 // Remove records that the registration of a server was removed. Before reappearDeadline the server stays in the catalog,
 // because registrations that expired while the store was unreachable may reappear until then.
 func (c *Catalog) Remove(now, reappearDeadline time.Time, id string) {
+	delete(c.unconfirmed, id)
 	if _, known := c.servers[id]; !known {
 		return
 	}
@@ -110,9 +167,10 @@
 	}
 }
 
-// Expire removes the servers whose missing registrations have not reappeared in time, and marks draining servers as Gone
-// after their drain timeout. It reports whether it changed the catalog.
-func (c *Catalog) Expire(now time.Time) bool {
+// Expire removes the servers whose missing registrations have not reappeared in time, adds those whose registrations are
+// confirmed, and marks draining servers as Gone after their drain timeout. It reports whether it changed the catalog.
+// drainTimeout is that of Put.
+func (c *Catalog) Expire(now time.Time, drainTimeout time.Duration) bool {
 	changed := false
 	for id, deadline := range c.reappearDeadlines {
 		if !now.Before(deadline) {
@@ -120,6 +178,12 @@
 			changed = true
 		}
 	}
+	for id, u := range c.unconfirmed {
+		if !now.Before(u.confirmedAt) {
+			delete(c.unconfirmed, id)
+			changed = c.Put(now, drainTimeout, u.server) || changed
+		}
+	}
 	for id, deadline := range c.drainDeadlines {
 		if s := c.servers[id]; s.State == Draining && !now.Before(deadline) {
 			s.State = Gone
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -61,8 +61,8 @@
 	var c Catalog
 	c.Put(start, drainTimeout, server("a", Draining, 1))
 	c.Put(at(500*time.Millisecond), drainTimeout, server("a", Draining, 1)) // a repeated registration
-	is.True(!c.Expire(at(drainTimeout - 1)))
-	is.True(c.Expire(at(drainTimeout)))
+	is.True(!c.Expire(at(drainTimeout-1), drainTimeout))
+	is.True(c.Expire(at(drainTimeout), drainTimeout))
 	is.Equal(c.Servers()[0].State, Gone)
 	c.Put(at(2*drainTimeout), drainTimeout, server("a", Draining, 1))
 	is.Equal(c.Servers()[0].State, Gone)
@@ -80,8 +80,8 @@
 	c.Retain(start, reappearDeadline, map[string]bool{})
 	is.Equal(len(c.Servers()), 2)
 	c.Put(at(time.Second), drainTimeout, server("a", Ready, 1))
-	is.True(!c.Expire(at(time.Second)))
-	is.True(c.Expire(reappearDeadline))
+	is.True(!c.Expire(at(time.Second), drainTimeout))
+	is.True(c.Expire(reappearDeadline, drainTimeout))
 	is.Equal(len(c.Servers()), 1)
 	is.Equal(c.Servers()[0].ID, "a")
 	lastKnown, ok := c.LastKnown("b")
@@ -104,3 +104,146 @@
 	c.Put(start, drainTimeout, successor)
 	is.Equal(c.EndedServers(), map[string]bool{"a": true})
 }
+
+// TestOlderIncarnationDoesNotCancelRemoval guards against a server that stays in use after its registration was removed,
+// because a registration of its previous incarnation arrives late.
+func TestOlderIncarnationDoesNotCancelRemoval(t *testing.T) {
+	is := is.New(t)
+	var c Catalog
+	c.Put(start, drainTimeout, server("a", Ready, 2))
+	c.Remove(start, at(time.Second), "a")
+	is.True(!c.Put(start, drainTimeout, server("a", Ready, 1)))
+	is.True(c.Expire(at(time.Second), drainTimeout))
+	is.Equal(len(c.Servers()), 0)
+}
+
+// TestDrainTimeoutBeginsAnewWithIncarnation guards against a restarted server that is gone as soon as it drains, because the
+// drain timeout of its previous incarnation has passed.
+func TestDrainTimeoutBeginsAnewWithIncarnation(t *testing.T) {
+	is := is.New(t)
+	var c Catalog
+	c.Put(start, drainTimeout, server("a", Draining, 1))
+	c.Put(at(900*time.Millisecond), drainTimeout, server("a", Draining, 2))
+	is.True(!c.Expire(at(drainTimeout), drainTimeout))
+	is.Equal(c.Servers()[0].State, Draining)
+	is.True(c.Expire(at(900*time.Millisecond+drainTimeout), drainTimeout))
+	is.Equal(c.Servers()[0].State, Gone)
+}
+
+// TestLeavingServerDrains guards against a server that stays in use although it has said in an answer that it is leaving,
+// and against a new incarnation that such an answer bars.
+func TestLeavingServerDrains(t *testing.T) {
+	tests := map[string]struct {
+		known       Server
+		incarnation int64  // of the answer
+		later       Server // registration that follows
+		want        State
+	}{
+		"registered as ready": {
+			known: server("a", Ready, 1), incarnation: 1, later: server("a", Ready, 1), want: Draining,
+		},
+		"registered as draining": {
+			known: server("a", Draining, 1), incarnation: 1, later: server("a", Draining, 1), want: Draining,
+		},
+		"restarts under its id": {
+			known: server("a", Ready, 1), incarnation: 1, later: server("a", Ready, 2), want: Ready,
+		},
+		"answer of the previous incarnation": {
+			known: server("a", Ready, 2), incarnation: 1, later: server("a", Ready, 2), want: Ready,
+		},
+		"registration arrives after the answer": {
+			known: server("b", Ready, 1), incarnation: 1, later: server("a", Ready, 1), want: Draining,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c Catalog
+			c.Put(start, drainTimeout, test.known)
+			c.Leave(start, drainTimeout, "a", test.incarnation)
+			c.Put(at(100*time.Millisecond), drainTimeout, test.later)
+			is.Equal(c.Servers()[0].State, test.want)
+			if test.want == Draining {
+				is.True(c.Expire(at(100*time.Millisecond+drainTimeout), drainTimeout))
+				is.Equal(c.Servers()[0].State, Gone)
+			}
+		})
+	}
+}
+
+// TestRestoredRegistrations guards against servers that are in use again after the store came back from an older copy, in
+// which they had not left yet, and against running servers that are not used because their registrations are old.
+func TestRestoredRegistrations(t *testing.T) {
+	const confirmed = 3 * time.Second
+	tests := map[string]struct {
+		before   func(c *Catalog)
+		restored Server
+		want     []State // at once, and after the confirmation; empty if it is not in the catalog
+		wantLate []State
+	}{
+		"unknown server": {
+			before: func(*Catalog) {}, restored: server("a", Ready, 1), want: []State{Ready}, wantLate: []State{Ready},
+		},
+		"known server": {
+			before:   func(c *Catalog) { c.Put(start, drainTimeout, server("a", Ready, 1)) },
+			restored: server("a", Ready, 1), want: []State{Ready}, wantLate: []State{Ready},
+		},
+		"removed server": {
+			before: func(c *Catalog) {
+				c.Put(start, drainTimeout, server("a", Ready, 1))
+				c.Remove(start, start, "a")
+			},
+			restored: server("a", Ready, 1), wantLate: []State{Ready},
+		},
+		"draining server": {
+			before:   func(c *Catalog) { c.Put(start, drainTimeout, server("a", Draining, 1)) },
+			restored: server("a", Ready, 1), want: []State{Draining}, wantLate: []State{Gone},
+		},
+		"later incarnation of a removed server": {
+			before: func(c *Catalog) {
+				c.Put(start, drainTimeout, server("a", Ready, 1))
+				c.Remove(start, start, "a")
+			},
+			restored: server("a", Ready, 2), want: []State{Ready}, wantLate: []State{Ready},
+		},
+		"earlier incarnation": {
+			before:   func(c *Catalog) { c.Put(start, drainTimeout, server("a", Ready, 2)) },
+			restored: server("a", Draining, 1), want: []State{Ready}, wantLate: []State{Ready},
+		},
+	}
+	states := func(c *Catalog) []State {
+		var list []State
+		for _, s := range c.Servers() {
+			list = append(list, s.State)
+		}
+		return list
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c Catalog
+			test.before(&c)
+			c.PutRestored(start, at(confirmed), drainTimeout, test.restored)
+			is.Equal(states(&c), test.want)
+			c.Expire(at(confirmed-1), drainTimeout)
+			if test.want == nil {
+				is.Equal(states(&c), test.want)
+			}
+			c.Expire(at(confirmed), drainTimeout)
+			is.Equal(states(&c), test.wantLate)
+		})
+	}
+}
+
+// TestUnconfirmedRegistrationIsRemoved guards against a server that comes back into use after the store has removed the
+// registration that an older copy had.
+func TestUnconfirmedRegistrationIsRemoved(t *testing.T) {
+	is := is.New(t)
+	var c Catalog
+	c.Put(start, drainTimeout, server("a", Ready, 1))
+	c.Remove(start, start, "a")
+	c.PutRestored(start, at(time.Second), drainTimeout, server("a", Ready, 1))
+	c.Remove(at(500*time.Millisecond), start, "a")
+	is.True(!c.Expire(at(time.Second), drainTimeout))
+	is.Equal(len(c.Servers()), 0)
+}
--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -1,10 +1,14 @@
 package controller
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/wasabibank/wasabibank/platform"
 )
 
@@ -24,32 +28,43 @@
 // tail holds the newest records of a topic.
 type tail struct {
 	records    []platform.Record
-	next       int64         // offset after the last record
-	loaded     bool          // whether the topic was read at least once
-	reachable  bool          // whether the last call to the store succeeded
-	changed    chan struct{} // closed at each change of the tail
-	asOf       time.Time     // the tail is up to date as of this time
-	refreshing chan struct{} // semaphore of size 1 for refreshes
+	next       platform.Position          // after the last record
+	newest     map[string]platform.Record // of each key; nil unless the topic was read in full and without a gap since
+	loaded     bool                       // whether the topic was read at least once
+	reachable  bool                       // whether the last call to the store succeeded
+	changed    chan struct{}              // closed at each change of the tail
+	asOf       time.Time                  // the tail is up to date as of this time
+	refreshing chan struct{}              // semaphore of size 1 for refreshes
 }
 
-// add adds the records of a read and the offset after them. asOf is the time as of which the read is up to date. A full
-// read replaces the tail. Records that are already present are skipped.
-func (r *recordCache) add(topic string, full bool, records []platform.Record, next int64, asOf time.Time) {
+// add adds the records of a read and the position after them. asOf is the time as of which the read is up to date. A full
+// read replaces the tail. Records that are already present are skipped, and so is a read in an earlier era of the store.
+func (r *recordCache) add(
+	topic string, full bool, records []platform.Record, next platform.Position, asOf time.Time,
+) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tail(topic)
-	added := max(0, min(int64(len(records)), next-t.next))
+	if next.Era < t.next.Era {
+		return
+	}
+	added := max(0, min(int64(len(records)), next.Offset-t.next.Offset))
 	switch {
-	case !full && t.reachable && next <= t.next:
+	case !full && t.reachable && next.Era == t.next.Era && next.Offset <= t.next.Offset:
 		// A concurrent read has already added these records.
-	case full || t.next+added != next:
-		t.records, t.next = nil, next
+	case full:
+		t.records, t.next, t.newest = nil, next, map[string]platform.Record{}
+		t.addNewest(records)
+	case next.Era != t.next.Era || t.next.Offset+added != next.Offset:
+		t.records, t.next, t.newest = nil, next, nil
 	default:
-		t.records = append(t.records, records[int64(len(records))-added:]...)
+		changes := records[int64(len(records))-added:]
+		t.records = append(t.records, changes...)
 		if extra := len(t.records) - maxTailRecords; extra > 0 {
 			t.records = append([]platform.Record(nil), t.records[extra:]...)
 		}
 		t.next = next
+		t.addNewest(changes)
 	}
 	t.reachable, t.loaded = true, true
 	if asOf.After(t.asOf) {
@@ -59,12 +74,41 @@
 	t.notify()
 }
 
-// nextOffsets returns the offset after the last record that was read, by topic. Topics whose last read failed are left
+// addNewest adds records to newest, unless that is nil.
+func (t *tail) addNewest(records []platform.Record) {
+	for _, record := range records {
+		switch {
+		case t.newest == nil:
+		case record.Value == nil:
+			delete(t.newest, record.Key)
+		default:
+			t.newest[record.Key] = record
+		}
+	}
+}
+
+// snapshot returns the newest record of each key of a topic, in the order of their offsets, and the position after them. ok
+// is false if the tail does not have them, or is not of the era of the store.
+func (r *recordCache) snapshot(topic string, era uint64) (records []platform.Record, next platform.Position, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tail(topic)
+	if !t.reachable || t.newest == nil || t.next.Era < era {
+		return nil, platform.Position{}, false
+	}
+	for _, record := range t.newest {
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return records, t.next, true
+}
+
+// nextPositions returns the position after the last record that was read, by topic. Topics whose last read failed are left
 // out.
-func (r *recordCache) nextOffsets() map[string]int64 {
+func (r *recordCache) nextPositions() map[string]platform.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := map[string]int64{}
+	next := map[string]platform.Position{}
 	for topic, t := range r.tails {
 		if t.reachable {
 			next[topic] = t.next
@@ -100,16 +144,15 @@
 	}
 }
 
-// refreshDue reports whether the tail of a topic is not up to date as of a given time, and the offset to read from, which
-// is negative if the topic was never read.
-func (r *recordCache) refreshDue(topic string, asOf time.Time) (from int64, due bool) {
+// refreshDue reports whether the tail of a topic is not up to date as of a given time or not of an era, and the position to
+// read from; loaded is false if the topic was never read.
+func (r *recordCache) refreshDue(
+	topic string, era uint64, asOf time.Time,
+) (from platform.Position, loaded, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tail(topic)
-	if !t.loaded {
-		return -1, true
-	}
-	return t.next, !t.reachable || !t.asOf.After(asOf)
+	return t.next, t.loaded, !t.loaded || !t.reachable || t.next.Era < era || !t.asOf.After(asOf)
 }
 
 // markUnreachable records that a read of a topic failed, and wakes the reads that wait for it.
@@ -141,37 +184,44 @@
 	t.changed = make(chan struct{})
 }
 
-// since returns the records from an offset on and the offset after them; ok is false if the tail does not contain them.
-func (t *tail) since(from int64) (records []platform.Record, next int64, ok bool) {
-	first := t.next - int64(len(t.records))
-	if !t.reachable || from < first || from > t.next {
-		return nil, 0, false
+// errNotCached says that the tail does not have the records yet.
+var errNotCached = errors.New("records are not here")
+
+// since returns the records from a position on and the position after them. The error is errNotCached, or a
+// platform.ErrExpired if the tail begins later or in a later era.
+func (t *tail) since(from platform.Position) (records []platform.Record, next platform.Position, err error) {
+	first := t.next.Offset - int64(len(t.records))
+	switch {
+	case !t.reachable || from.Era > t.next.Era || from.Era == t.next.Era && from.Offset > t.next.Offset:
+		return nil, platform.Position{}, errNotCached
+	case from.Era < t.next.Era || from.Offset < first:
+		return nil, t.next, platform.ErrExpired{}
 	}
-	return t.records[from-first:], t.next, true
+	return t.records[from.Offset-first:], t.next, nil
 }
 
-// read returns the records from an offset on as soon as there are any, or none after wait. ok is false if the tail does
-// not contain them, or ctx ended.
+// read returns the records from a position on as soon as there are any, or none after wait. The error is that of since, or
+// that of ctx.
 func (r *recordCache) read(
-	ctx context.Context, topic string, from int64, wait time.Duration,
-) (records []platform.Record, next int64, ok bool) {
+	ctx context.Context, topic string, from platform.Position, wait time.Duration,
+) (records []platform.Record, next platform.Position, err error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		r.mu.Lock()
 		t := r.tail(topic)
-		records, next, ok = t.since(from)
+		records, next, err = t.since(from)
 		changed := t.changed
 		r.mu.Unlock()
-		if !ok || len(records) > 0 {
-			return records, next, ok
+		if err != nil || len(records) > 0 {
+			return records, next, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, next, true
+			return nil, next, nil
 		case <-ctx.Done():
-			return nil, 0, false
+			return nil, next, ctx.Err()
 		}
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/forwarder"
 	"github.com/wasabibank/wasabibank/internal/granter"
+	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
@@ -86,6 +87,10 @@
 	DrainTimeout time.Duration
 	// MaxRangeLeaseDuration bounds the duration of a range lease; 0 means no bound.
 	MaxRangeLeaseDuration time.Duration
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	// HeartbeatInterval is how often backend servers write their registrations to the store.
+	HeartbeatInterval time.Duration
 }
 
 // Controller is the control plane of an instance. Use New and Run.
@@ -99,12 +104,16 @@
 	catalogRead    bool // whether the catalog was read at least once
 	owners         *partitioner.Map
 	members        []resolver.Member // without Self
-	membersVersion uint64            // version of members, assigned by the leader
+	membersVersion membersVersion    // of members
+	leavingServers leavingServers    // servers that have said that they are leaving
 	viewOutdated   bool              // the view has to be rebuilt
 
 	elector         *elector.Elector
+	eraApplied      uint64        // era of the store to which this instance has adapted
+	era             atomic.Uint64 // eraApplied, for other goroutines
 	grantSettings   granter.Settings
-	plan            []byte // content of the plan record that this instance read last
+	plan            []byte // content of the plan record with the highest term that this instance has read
+	planTerm        uint64 // highest term of the plan records that this instance has read
 	lastStep        time.Time
 	lastReport      time.Time
 	reportPending   bool
@@ -126,12 +135,14 @@
 
 // leaderState is the state that only a leader has.
 type leaderState struct {
+	leaderTerm
 	since          time.Time // when this instance became the leader
-	granter        *granter.Granter
-	ownersSequence uint64 // of the owner map
+	ownersSequence uint64    // of the owner map
 	deltas         []delta
 	members        map[string]*memberState // by instance
 	membersVersion uint64
+	leaving        []*herald.LeavingServer   // in the order in which they became known
+	pausedUntil    map[string]time.Time      // by server id: until then it wants no requests from some instance
 	loads          map[string]*balancer.Load // by service
 	serviceTimes   map[string]*serviceTime   // by server id
 	lastBalance    time.Time
@@ -142,8 +153,11 @@
 	plans               map[uint64][]byte // encoded plans by sequence number, until a newer one is stored
 	requestedPlan       uint64            // sequence number of the plan whose append was requested last
 	requestedAt         time.Time
-	// predecessor is the previous leader, while it may still send orders.
-	predecessor elector.Identity
+	// predecessor is the previous leader, while it may still send orders; predecessorState is its state as a member, and
+	// nextPredecessorPublish when it is told again that it was replaced.
+	predecessor            elector.Identity
+	predecessorState       *memberState
+	nextPredecessorPublish time.Time
 }
 
 // delta is one change of the owner map.
@@ -159,9 +173,13 @@
 	publishing      bool // a publication is in flight
 	publishAgain    bool // there are changes after the one in flight
 	ownerMapVersion partitioner.Version
-	membersVersion  uint64
+	membersVersion  membersVersion
+	leavingVersion  leavingVersion
 }
 
+// membersVersion is the version of the list of members: a leader's term, and a number that it assigns.
+type membersVersion struct{ term, number uint64 }
+
 // serviceTime is the mean service time that was measured at a server, and the number of answers that it reflects.
 type serviceTime struct {
 	meanServiceSeconds float64
@@ -174,7 +192,7 @@
 	self := elector.Identity{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation, Address: o.Self.Address}
 	c := &Controller{
 		options: o, events: make(chan func(time.Time), 256),
-		elector:         elector.New(ElectionSettings, now, self, jitterPosition(o.Self)),
+		elector:         elector.New(ElectionSettings, now, self, jitterPosition(o.Self), o.FirstStart),
 		lastStep:        now,
 		grantSettings:   limitedGrantSettings(o.MaxRangeLeaseDuration),
 		unreported:      emptyLoads(),
@@ -237,6 +255,9 @@
 // Run runs the control loop until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.context = ctx
+	c.options.Forwarder.OnLeaving(func(server string, incarnation int64) {
+		c.post(func(now time.Time) { c.serverLeaves(now, server, incarnation) })
+	})
 	go c.watchOperators(ctx)
 	go c.watchServers(ctx)
 	ticker := time.NewTicker(tickInterval)
@@ -276,9 +297,10 @@
 	}
 	c.lastStep = now
 	c.elector.SetEligible(c.table != nil && c.catalogRead)
-	if c.catalog.Expire(now) {
+	if c.catalog.Expire(now, c.options.DrainTimeout) {
 		c.serversChanged(now)
 	}
+	c.applyEra(now)
 	if call := c.elector.Tick(now); call != nil {
 		c.startCall(now, call)
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -16,15 +16,18 @@
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // updateLeadership creates the leader's state when the elector says that this instance has been elected, and drops it
 // when this instance no longer leads.
 func (c *Controller) updateLeadership(now time.Time) {
-	elected, predecessor := c.elector.NewlyElected()
+	election, elected := c.elector.NewlyElected()
 	switch {
+	case elected && c.elector.Term() != 0 && election.Continued && c.leaderState != nil:
+		c.continueTerm(now, election)
 	case elected && c.elector.Term() != 0:
-		c.becomeLeader(now, predecessor)
+		c.becomeLeader(now, election)
 	case c.elector.Term() == 0 && c.leaderState != nil:
 		klog.InfoS("leadership lost", "term", c.owners.Version().Term)
 		c.leaderState = nil
@@ -32,48 +35,110 @@
 	}
 }
 
-// becomeLeader starts a term. predecessor is the previous leader, or empty if none may still send orders.
-func (c *Controller) becomeLeader(now time.Time, predecessor elector.Identity) {
-	predecessorExpiry := now // when the range leases that earlier leaders granted have expired
-	if predecessor.Instance != "" {
-		predecessorExpiry = now.Add(ElectionSettings.LeaseDuration)
-	}
-	predecessorExpiry = predecessorExpiry.Add(c.grantSettings.MaxLeaseLifetime())
-	assignments := decodePlan(c.plan)
-	if c.plan == nil {
-		predecessorExpiry = now // without a plan no range was ever granted
-	}
+// becomeLeader starts a term.
+func (c *Controller) becomeLeader(now time.Time, election elector.Election) {
+	predecessor := election.Predecessor
+	plan := storedPlan{exists: c.plan != nil}
+	plan.assignments, plan.err = decodePlan(c.plan)
 	term := c.elector.Term()
-	c.options.Meter.Count(meter.LeadsTaken)
-	klog.InfoS("became leader", "term", term, "before", predecessor.Instance, "ranges", len(assignments))
 	c.leaderState = &leaderState{
-		since:   now,
-		granter: granter.New(c.grantSettings, now, term, assignments, predecessorExpiry),
-		members: map[string]*memberState{}, membersVersion: c.membersVersion + 1, loads: map[string]*balancer.Load{},
+		leaderTerm: newLeaderTerm(now, c.grantSettings, term, election, plan), since: now,
+		members: map[string]*memberState{}, membersVersion: 1, loads: map[string]*balancer.Load{},
 		serviceTimes: map[string]*serviceTime{}, lastBalance: now, plans: map[uint64][]byte{}, predecessor: predecessor,
-		affectedDispatchers: map[string]bool{},
+		affectedDispatchers: map[string]bool{}, pausedUntil: map[string]time.Time{},
 	}
-	if predecessor.Instance != "" &&
-		!slices.ContainsFunc(c.members, func(m resolver.Member) bool { return m.Instance == predecessor.Instance }) {
-		// The previous leader has to learn that it was replaced, whether or not it reports here.
-		c.leaderState.members[predecessor.Instance] = &memberState{
-			member: resolver.Member{
-				Instance: predecessor.Instance, Incarnation: predecessor.Incarnation, Address: predecessor.Address,
-			},
-			lastReport: now,
-		}
+	l := c.leaderState
+	c.options.Meter.Count(meter.LeadsTaken)
+	klog.InfoS("became leader", "term", term, "before", predecessor.Instance, "ranges", len(plan.assignments),
+		"era", c.elector.Era(), "certain", election.Certain, "error", plan.err)
+	if !l.certainAt.IsZero() {
+		klog.InfoS("plan in the store may lack changes; ranges are granted later", "term", term, "wait", l.certainAt.Sub(now))
 	}
 	for _, m := range c.members {
-		c.leaderState.members[m.Instance] = &memberState{member: m, lastReport: now}
+		l.members[m.Instance] = &memberState{member: m, lastReport: now}
+	}
+	if predecessor.Instance != "" {
+		l.predecessorState = l.members[predecessor.Instance]
+		if l.predecessorState == nil {
+			l.predecessorState = &memberState{member: resolver.Member{
+				Instance: predecessor.Instance, Incarnation: predecessor.Incarnation, Address: predecessor.Address,
+			}}
+		}
 	}
+	c.leavingServers.handOver(l)
 	c.setServers(now)
-	c.leaderState.ownersSequence = 1
-	c.owners = c.owners.With(partitioner.Version{Term: term, Sequence: 1}, c.leaderState.granter.Segments(now))
-	c.leaderState.granter.ChangedSegments(now) // already part of the full map
+	c.restartOwnerMap(now)
+	c.publish(now)
+}
+
+// restartOwnerMap begins the versions of the owner map with the current term.
+func (c *Controller) restartOwnerMap(now time.Time) {
+	l := c.leaderState
+	l.ownersSequence, l.deltas = 1, nil
+	c.owners = c.owners.With(partitioner.Version{Term: c.elector.Term(), Sequence: 1}, l.granter.Segments(now))
+	l.granter.ChangedSegments(now) // already part of the full map
 	c.viewOutdated = true
+}
+
+// continueTerm goes on with a new term of this leader.
+func (c *Controller) continueTerm(now time.Time, election elector.Election) {
+	l := c.leaderState
+	klog.InfoS("leader continues with a new term", "term", c.elector.Term(), "era", c.elector.Era(),
+		"certain", election.Certain)
+	l.plans, l.requestedPlan = map[uint64][]byte{}, 0
+	l.continueWith(c.grantSettings, c.elector.Term(), election)
+	if l.frozen {
+		klog.InfoS("another leader may have acted; ranges are only renewed", "wait", l.certainAt.Sub(now))
+	}
+	c.restartOwnerMap(now)
 	c.publish(now)
 }
 
+// settle ends the wait for leaders of earlier eras of the store, and tells the elector once this leader's plan is stored.
+func (c *Controller) settle(now time.Time) {
+	if !c.elector.Settled() && c.leaderState.advance(now, c.elector.Term(), c.elector.StoredPlan()) {
+		klog.InfoS("plan is complete and stored", "term", c.elector.Term(), "era", c.elector.Era())
+		c.elector.Settle(now)
+	}
+}
+
+// predecessorPublishInterval is the time between two attempts to tell the previous leader that it was replaced.
+const predecessorPublishInterval = 500 * time.Millisecond
+
+// notifyPredecessor tells the previous leader that it was replaced until it has answered or its leader lease has expired,
+// whether or not it reports here.
+func (c *Controller) notifyPredecessor(now time.Time) {
+	l := c.leaderState
+	if l.predecessor.Instance == "" || now.Before(l.nextPredecessorPublish) ||
+		now.Sub(l.since) > ElectionSettings.LeaseDuration {
+		return
+	}
+	l.nextPredecessorPublish = now.Add(predecessorPublishInterval)
+	c.publishTo(now, l.predecessorState)
+}
+
+// applyEra adapts to a new era of the store: the reads that wait for records of an earlier era end, the registrations that
+// the store has lost may reappear, and a leader moves no ranges until it continues with a new term.
+func (c *Controller) applyEra(now time.Time) {
+	era := c.elector.Era()
+	if era == c.eraApplied {
+		return
+	}
+	before := c.eraApplied
+	c.eraApplied = era
+	c.era.Store(era)
+	if !c.catalogRead && c.table == nil {
+		return // the first answer of the store
+	}
+	c.options.Meter.Count(meter.StoreRestores)
+	klog.InfoS("store came back from an older copy", "era", era, "before", before, "leading", c.leaderState != nil)
+	c.lastUnreachable[platform.TopicServers] = now
+	if c.leaderState != nil {
+		c.leaderState.granter.Freeze()
+	}
+	c.interruptReads()
+}
+
 // setServers passes the servers to the granter.
 func (c *Controller) setServers(now time.Time) {
 	if c.table == nil || !c.catalogRead {
@@ -90,6 +155,11 @@
 		c.setServers(now) // the configuration may contain a new service
 	}
 	c.dropUnresponsiveMembers(now)
+	c.notifyPredecessor(now)
+	c.settle(now)
+	if l.granter.NeedsNewTerm() {
+		c.elector.RequestNewTerm()
+	}
 	c.requestPlan(now)
 	if c.elector.Active(now) && c.table != nil {
 		for _, order := range l.granter.Tick(now) {
@@ -191,16 +261,16 @@
 		return
 	}
 	l.lastBalance = now
-	c.addLoads(c.options.Forwarder.CollectLoads())
+	c.addLoads(now, c.options.Forwarder.CollectLoads(time.Now()))
 	for _, service := range c.table.KeyedServices() {
 		load := l.load(service)
 		load.Decay(now)
 		assignable := l.granter.AssignableServers(now, service)
-		maxMoves := max(1, len(assignable)/serversPerMove) - l.granter.UngrantedRanges()
+		maxMoves := max(1, len(assignable)/serversPerMove) - l.granter.UngrantedRanges(service)
 		if maxMoves <= 0 {
 			continue
 		}
-		for _, m := range balancer.ChooseMoves(load, l.granter.Placements(now, service), c.capacities(assignable), maxMoves) {
+		for _, m := range balancer.ChooseMoves(load, l.granter.Placements(now, service), c.capacities(now, assignable), maxMoves) {
 			started := l.granter.StartMove(now, service, m.Range, m.To)
 			c.options.Meter.Count(meter.MovesStarted) // also if an order for the range is in flight, so that it does not start
 			klog.InfoS("range move chosen", "service", service, "range", m.Range.String(), "from", m.From, "to", m.To,
@@ -218,7 +288,7 @@
 }
 
 // addLoads adds the load that an instance has measured.
-func (c *Controller) addLoads(loads forwarder.Loads) {
+func (c *Controller) addLoads(now time.Time, loads forwarder.Loads) {
 	l := c.leaderState
 	for service, keys := range loads.Keys {
 		load := l.load(service)
@@ -233,6 +303,9 @@
 			l.serviceTimes[server] = s
 		}
 		s.add(a)
+		if a.PausedFor > 0 {
+			l.pausedUntil[server] = now.Add(a.PausedFor)
+		}
 	}
 }
 
@@ -253,8 +326,12 @@
 // that its first few answers have little weight.
 const priorAnswers = 8
 
+// pausedCapacityRatio multiplies the capacity of a server that wants no requests for a while, so that ranges move away from
+// it, but not all at once.
+const pausedCapacityRatio = 0.5
+
 // capacities returns the relative capacity of each server: its slots, weighted by its speed.
-func (c *Controller) capacities(servers []string) map[string]float64 {
+func (c *Controller) capacities(now time.Time, servers []string) map[string]float64 {
 	total, count := 0.0, 0.0
 	for _, id := range servers {
 		if s := c.leaderState.serviceTimes[id]; s != nil {
@@ -271,6 +348,9 @@
 			speed = mean * (s.answers + priorAnswers) / (s.meanServiceSeconds*s.answers + mean*priorAnswers)
 		}
 		capacities[id] = float64(registration.Slots) * speed
+		if now.Before(c.leaderState.pausedUntil[id]) {
+			capacities[id] *= pausedCapacityRatio
+		}
 	}
 	return capacities
 }
@@ -295,7 +375,7 @@
 func (c *Controller) updateMembers(now time.Time) {
 	l := c.leaderState
 	l.membersVersion++
-	c.membersVersion = l.membersVersion
+	c.membersVersion = membersVersion{term: c.elector.Term(), number: l.membersVersion}
 	c.members = nil
 	for _, m := range l.members {
 		c.members = append(c.members, m.member)
--- a/internal/controller/leader_offsets.go
+++ b/internal/controller/leader_offsets.go
@@ -11,6 +11,7 @@
 // with each answer to a report, so that an instance notices when its relay can't reach the store.
 type leaderOffsets struct {
 	validUntil time.Time        // when the leader's next answer is overdue
+	era        uint64           // of the store
 	offsets    map[string]int64 // offset after the last record that the leader has read, by topic
 }
 
@@ -22,11 +23,13 @@
 	if !reply.GetLeading() || reply.GetStoreLost() || reply.GetStoreSlow() || !operators || !servers {
 		return nil
 	}
-	return &leaderOffsets{validUntil: now.Add(validFor), offsets: reply.GetRead()}
+	return &leaderOffsets{validUntil: now.Add(validFor), era: reply.GetStoreEra(), offsets: reply.GetRead()}
 }
 
 // valid reports whether the leader has answered recently, so that relays can be checked against its offsets.
 func (o *leaderOffsets) valid(now time.Time) bool { return o != nil && now.Before(o.validUntil) }
 
-// ahead reports whether the leader has read a topic further than offset from.
-func (o *leaderOffsets) ahead(topic string, from int64) bool { return from < o.offsets[topic] }
+// ahead reports whether the leader has read a topic further than from, or in a later era.
+func (o *leaderOffsets) ahead(topic string, from platform.Position) bool {
+	return from.Era < o.era || from.Era == o.era && from.Offset < o.offsets[topic]
+}
--- a/internal/controller/leader_offsets_test.go
+++ b/internal/controller/leader_offsets_test.go
@@ -14,26 +14,28 @@
 // and against records that this instance misses although the leader has read them.
 func TestLeaderOffsetsExpireAndShowMissedRecords(t *testing.T) {
 	now := time.Unix(1000, 0)
-	offsets := &leaderOffsets{validUntil: now.Add(time.Second), offsets: map[string]int64{serversTopic: 7}}
+	offsets := &leaderOffsets{validUntil: now.Add(time.Second), era: 1, offsets: map[string]int64{serversTopic: 7}}
 	tests := map[string]struct {
 		leader             *leaderOffsets
 		after              time.Duration
+		era                uint64
 		from               int64
 		valid, leaderAhead bool
 	}{
 		"leader never answered":        {from: 7},
-		"as far as the leader":         {leader: offsets, from: 7, valid: true},
-		"this instance has read more":  {leader: offsets, from: 9, valid: true},
-		"the leader has read more":     {leader: offsets, from: 6, valid: true, leaderAhead: true},
-		"leader's answer is overdue":   {leader: offsets, after: time.Second, from: 7},
-		"leader's answer just in time": {leader: offsets, after: time.Second - 1, from: 7, valid: true},
+		"as far as the leader":         {leader: offsets, era: 1, from: 7, valid: true},
+		"this instance has read more":  {leader: offsets, era: 1, from: 9, valid: true},
+		"the leader has read more":     {leader: offsets, era: 1, from: 6, valid: true, leaderAhead: true},
+		"the leader is in a later era": {leader: offsets, from: 9, valid: true, leaderAhead: true},
+		"leader's answer is overdue":   {leader: offsets, era: 1, after: time.Second, from: 7},
+		"leader's answer just in time": {leader: offsets, era: 1, after: time.Second - 1, from: 7, valid: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			is.Equal(test.leader.valid(now.Add(test.after)), test.valid)
 			if test.leader != nil {
-				is.Equal(test.leader.ahead(serversTopic, test.from), test.leaderAhead)
+				is.Equal(test.leader.ahead(serversTopic, platform.Position{Era: test.era, Offset: test.from}), test.leaderAhead)
 			}
 		})
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -27,8 +27,29 @@
 
 func newPeers() peers {
 	dialer := net.Dialer{Timeout: peerCallTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
-	return peers{client: &http.Client{Transport: transport}, clients: map[string]herald.Herald{}}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeaderBytes,
+	}
+	return peers{client: &http.Client{Transport: limitedTransport{transport}}, clients: map[string]herald.Herald{}}
+}
+
+const (
+	// MaxPeerMessageBytes bounds a message between instances. An owner map of 10,000 ranges has less than 1 MB.
+	MaxPeerMessageBytes = 16 << 20
+	// maxPeerHeaderBytes bounds the header of an answer of another instance.
+	maxPeerHeaderBytes = 64 << 10
+)
+
+// limitedTransport limits the bodies of answers to MaxPeerMessageBytes.
+type limitedTransport struct{ transport http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(request)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, MaxPeerMessageBytes)
+	}
+	return response, err
 }
 
 // httpClient returns the HTTP client, which is safe for concurrent use.
@@ -50,10 +71,10 @@
 		return
 	}
 	c.reportPending, c.lastReport = true, now
-	c.unreported.Add(c.options.Forwarder.CollectLoads())
+	c.unreported.Add(c.options.Forwarder.CollectLoads(time.Now()))
 	loads := c.unreported
 	c.unreported = emptyLoads()
-	request := c.reportRequest(loads)
+	request := c.reportRequest(now, loads)
 	peer := c.peers.get(leader.Identity.Address)
 	c.options.Meter.Count(meter.ReportsSent)
 	go func() {
@@ -70,18 +91,25 @@
 				klog.InfoS("leader did not answer", "leader", leader.Identity.Instance, "refused", refused, "error", err)
 				c.elector.ReportFailed(leader, refused)
 				c.unreported.Add(loads)
+				c.leavingServers.reportFailed()
 				return
 			}
+			if reply.GetLeading() {
+				c.leavingServers.reportAnswered()
+			} else {
+				c.leavingServers.reportFailed()
+			}
 			c.handleReply(now, leader, reply)
 		})
 	}()
 }
 
 // reportRequest returns a report with the given loads.
-func (c *Controller) reportRequest(loads forwarder.Loads) *herald.ReportRequest {
+func (c *Controller) reportRequest(now time.Time, loads forwarder.Loads) *herald.ReportRequest {
 	request := &herald.ReportRequest{
 		Member: c.encodeSelf(), MapTerm: c.owners.Version().Term, MapSequence: c.owners.Version().Sequence,
-		MembersVersion: c.membersVersion,
+		MembersTerm: c.membersVersion.term, MembersVersion: c.membersVersion.number, StoreEra: c.elector.Era(),
+		Leaving: c.leavingServers.beginReport(), LeavingTerm: c.leavingServers.version.term, LeavingKnown: c.leavingServers.version.known,
 	}
 	for service, keys := range loads.Keys {
 		load := &herald.KeyLoad{Service: service}
@@ -94,6 +122,7 @@
 	for server, a := range loads.Answers {
 		request.Servers = append(request.Servers, &herald.ServerLoad{
 			Server: server, Answers: uint32(a.Count), WorkMs: uint32(a.TotalServiceTime.Milliseconds()),
+			PausedMs: uint32(max(0, a.PausedFor).Milliseconds()),
 		})
 	}
 	return request
@@ -128,14 +157,17 @@
 // handleReply applies the answer of leader to a report.
 func (c *Controller) handleReply(now time.Time, leader elector.Leader, reply *herald.ReportReply) {
 	c.elector.ReportAnswered(now, leader, reply.GetLeading(), reply.GetStoreLost() || reply.GetYields())
+	c.elector.ObserveEra(now, reply.GetStoreEra())
 	c.observeLeader(now, reply.GetLead())
-	c.leaderOffsets.Store(decodeLeaderOffsets(now, c.reportInterval()+leaderOffsetsMargin, reply))
+	offsets := decodeLeaderOffsets(now, c.reportInterval()+leaderOffsetsMargin, reply)
+	c.leaderOffsets.Store(offsets)
 	if reply.GetLeading() {
 		if c.sources.Load() == nil || len(c.sources.Load().relays) == 0 {
-			c.checkLeaderOffsets(reply.GetRead())
+			c.checkLeaderOffsets(offsets)
 		}
 		c.applyOwners(reply.GetOwners())
 		c.applyMembers(reply.GetMembers())
+		c.applyLeaving(now, reply.GetLeaving())
 	}
 }
 
@@ -176,7 +208,11 @@
 	if list == nil || c.leaderState != nil {
 		return
 	}
-	c.membersVersion = list.GetVersion()
+	version := membersVersion{term: list.GetTerm(), number: list.GetVersion()}
+	if version.term < c.membersVersion.term || version.term == c.membersVersion.term && version.number < c.membersVersion.number {
+		return // from a leader that was replaced, or overtaken by a newer list
+	}
+	c.membersVersion = version
 	c.members = nil
 	for _, m := range list.GetMembers() {
 		if m.GetInstance() != c.options.Self.Instance {
@@ -199,6 +235,7 @@
 		if leader, ok := c.elector.Leader(); ok && leader.Term == request.GetLead().GetTerm() {
 			c.applyOwners(request.GetOwners())
 			c.applyMembers(request.GetMembers())
+			c.applyLeaving(now, request.GetLeaving())
 		}
 		return &herald.PublishReply{Member: c.encodeSelf(), Leading: c.leaderState != nil}
 	})
@@ -215,7 +252,7 @@
 
 // encodeLeader returns the message form of a leader in a failure domain; empty means that the domain is unknown.
 func encodeLeader(leader elector.Leader, domain string) *herald.Lead {
-	return &herald.Lead{Term: leader.Term, Member: &herald.Member{
+	return &herald.Lead{Term: leader.Term, Settled: leader.Settled, Member: &herald.Member{
 		Instance: leader.Identity.Instance, Incarnation: leader.Identity.Incarnation, Address: leader.Identity.Address,
 		Domain: domain,
 	}}
@@ -223,7 +260,7 @@
 
 // decodeLeader is the inverse of encodeLeader, without the domain.
 func decodeLeader(leader *herald.Lead) elector.Leader {
-	return elector.Leader{Term: leader.GetTerm(), Identity: elector.Identity{
+	return elector.Leader{Term: leader.GetTerm(), Settled: leader.GetSettled(), Identity: elector.Identity{
 		Instance: leader.GetMember().GetInstance(), Incarnation: leader.GetMember().GetIncarnation(),
 		Address: leader.GetMember().GetAddress(),
 	}}
@@ -250,21 +287,36 @@
 
 // handleReport answers the report of an instance and, on the leader, records what it contains.
 func (c *Controller) handleReport(now time.Time, request *herald.ReportRequest) *herald.ReportReply {
+	c.elector.ObserveEra(now, request.GetStoreEra())
 	reply := &herald.ReportReply{
 		Leading: c.leaderState != nil, Lead: c.knownLeader(), StoreLost: c.elector.StoreUnreachable(now),
-		StoreSlow: c.elector.PendingCallTime(now) > slowCallTime, Read: c.cache.nextOffsets(),
+		StoreSlow: c.elector.PendingCallTime(now) > slowCallTime, StoreEra: c.elector.Era(), Read: map[string]int64{},
+	}
+	for topic, next := range c.cache.nextPositions() {
+		if next.Era == reply.StoreEra {
+			reply.Read[topic] = next.Offset
+		}
 	}
 	if c.leaderState == nil {
 		return reply
 	}
 	c.recordReport(now, decodeMember(request.GetMember()))
-	c.addLoads(decodeLoads(request))
+	c.addLoads(now, decodeLoads(request))
+	for _, s := range request.GetLeaving() {
+		c.serverLeaves(now, s.GetServer(), s.GetIncarnation())
+	}
 	ownerMapVersion := partitioner.Version{Term: request.GetMapTerm(), Sequence: request.GetMapSequence()}
+	members := membersVersion{term: request.GetMembersTerm(), number: request.GetMembersVersion()}
+	leaving := leavingVersion{term: request.GetLeavingTerm(), known: request.GetLeavingKnown()}
 	if m := c.leaderState.members[request.GetMember().GetInstance()]; m != nil && !m.publishing {
-		m.ownerMapVersion, m.membersVersion = ownerMapVersion, request.GetMembersVersion()
+		m.ownerMapVersion, m.membersVersion, m.leavingVersion = ownerMapVersion, members, leaving
+	}
+	if c.shouldYieldTo(now, request.GetMember().GetInstance()) {
+		reply.Yields = true
+		c.elector.RecordYield()
 	}
-	reply.Yields = c.shouldYieldTo(now, request.GetMember().GetInstance())
-	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, request.GetMembersVersion())
+	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, members)
+	reply.Leaving = c.leavingFor(leaving)
 	return reply
 }
 
@@ -313,6 +365,7 @@
 	for _, s := range request.GetServers() {
 		loads.Answers[s.GetServer()] = forwarder.AnswerStats{
 			Count: int(s.GetAnswers()), TotalServiceTime: time.Duration(s.GetWorkMs()) * time.Millisecond,
+			PausedFor: time.Duration(s.GetPausedMs()) * time.Millisecond,
 		}
 	}
 	return loads
--- /dev/null
+++ b/internal/controller/peers_test.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/resolver"
+)
+
+// TestMessagesWithoutEndAreCut guards against memory that another instance takes by sending an answer without end.
+func TestMessagesWithoutEndAreCut(t *testing.T) {
+	is := is.New(t)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		for r.Context().Err() == nil {
+			_, _ = w.Write(make([]byte, 1<<20))
+		}
+	}))
+	defer peer.Close()
+	peers := newPeers()
+	_, err := peers.get(peer.Listener.Addr().String()).Report(context.Background(), &herald.ReportRequest{})
+	is.True(err != nil)
+}
+
+// TestMemberListsFollowTermsAndVersions guards against a list of members of a leader that was replaced, or an older one of
+// the same leader, that replaces a newer list.
+func TestMemberListsFollowTermsAndVersions(t *testing.T) {
+	tests := map[string]struct {
+		term, version uint64
+		applied       bool
+	}{
+		"later version":                  {term: 5, version: 8, applied: true},
+		"same version":                   {term: 5, version: 7, applied: true},
+		"earlier version":                {term: 5, version: 6},
+		"first version of a later term":  {term: 6, version: 1, applied: true},
+		"later version, in earlier term": {term: 4, version: 9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestController(t, http.NotFound)
+			c.applyMembers(&herald.Members{Term: 5, Version: 7, Members: []*herald.Member{{Instance: "a"}}})
+			c.applyMembers(&herald.Members{Term: test.term, Version: test.version, Members: []*herald.Member{{Instance: "b"}}})
+			want := "a"
+			if test.applied {
+				want = "b"
+			}
+			is.Equal(c.members, []resolver.Member{{Instance: want}})
+		})
+	}
+}
+
+// TestLeavingServersReachTheLeader guards against a server that says to one instance that it is leaving, and that stays in
+// use because the report is lost, or because the leader does not tell others.
+func TestLeavingServersReachTheLeader(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := newTestController(t, http.NotFound)
+	c.serverLeaves(now, "s1", 7)
+	c.serverLeaves(now, "s1", 7) // each answer says so
+	is.Equal(len(c.leavingServers.beginReport()), 1)
+	c.leavingServers.reportFailed()
+	reported := c.leavingServers.beginReport()
+	is.Equal(len(reported), 1)
+	c.leavingServers.reportAnswered()
+	is.Equal(len(c.leavingServers.beginReport()), 0)
+
+	leader := newTestController(t, http.NotFound)
+	leader.leaderState = &leaderState{}
+	for _, s := range reported {
+		leader.serverLeaves(now, s.GetServer(), s.GetIncarnation())
+	}
+	other := newTestController(t, http.NotFound)
+	list := leader.leavingFor(other.leavingServers.version)
+	is.Equal(len(list.GetServers()), 1)
+	other.applyLeaving(now, list)
+	is.Equal(other.leavingServers.incarnations, map[string]int64{"s1": 7})
+	is.Equal(leader.leavingFor(other.leavingServers.version), nil) // it knows all of them
+}
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -75,11 +75,12 @@
 	}
 	l := c.leaderState
 	owners, members := c.changesFor(now, m.ownerMapVersion, m.membersVersion)
-	if owners == nil && members == nil {
+	leaving := c.leavingFor(m.leavingVersion)
+	if owners == nil && members == nil && leaving == nil {
 		return
 	}
 	m.publishing, m.publishAgain = true, false
-	request := &herald.PublishRequest{Lead: c.knownLeader(), Owners: owners, Members: members}
+	request := &herald.PublishRequest{Lead: c.knownLeader(), Owners: owners, Members: members, Leaving: leaving}
 	peer := c.peers.get(m.member.Address)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.context, peerCallTimeout)
@@ -99,7 +100,10 @@
 				m.ownerMapVersion = partitioner.Version{Term: owners.GetTerm(), Sequence: owners.GetSequence()}
 			}
 			if members != nil {
-				m.membersVersion = members.GetVersion()
+				m.membersVersion = membersVersion{term: members.GetTerm(), number: members.GetVersion()}
+			}
+			if leaving != nil {
+				m.leavingVersion = leavingVersion{term: leaving.GetTerm(), known: leaving.GetKnown()}
 			}
 			if m.publishAgain {
 				c.publishTo(now, m)
@@ -122,12 +126,14 @@
 
 // changesFor returns the changes that an instance with the given versions lacks.
 func (c *Controller) changesFor(
-	now time.Time, ownerMapVersion partitioner.Version, membersVersion uint64,
+	now time.Time, ownerMapVersion partitioner.Version, known membersVersion,
 ) (*herald.Owners, *herald.Members) {
 	l := c.leaderState
 	var members *herald.Members
-	if membersVersion != l.membersVersion {
-		members = &herald.Members{Version: l.membersVersion, Members: []*herald.Member{c.encodeSelf()}}
+	if current := (membersVersion{term: c.elector.Term(), number: l.membersVersion}); known != current {
+		members = &herald.Members{
+			Term: current.term, Version: current.number, Members: []*herald.Member{c.encodeSelf()},
+		}
 		for _, m := range l.members {
 			members.Members = append(members.Members, encodeMember(m.member))
 		}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/internal/timekeeper"
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // countingStore is the store as one instance reaches it: it counts the calls, and may be unreachable.
@@ -36,7 +38,7 @@
 	t.Helper()
 	relay := newTestController(t, store.ServeHTTP)
 	longAgo := timekeeper.Now().Add(-time.Hour) // a fixed time may be ahead of the clock, which starts at boot
-	relay.cache.add(serversTopic, true, nil, 7, longAgo)
+	relay.cache.add(serversTopic, true, nil, platform.Position{Offset: 7}, longAgo)
 	host := httptest.NewServer(herald.NewHeraldServer(relay))
 	t.Cleanup(host.Close)
 	return relay, strings.TrimPrefix(host.URL, "http://")
@@ -52,9 +54,9 @@
 	c := newTestController(t, directStore.ServeHTTP)
 	c.sources.Store(&sources{relays: []string{address}, domainSize: 3})
 	for range 5 {
-		records, next, err := c.readNext(context.Background(), &watcher{topic: serversTopic, nextOffset: 7})
+		records, next, err := c.readNext(context.Background(), &watcher{topic: serversTopic, next: platform.Position{Offset: 7}})
 		is.NoErr(err)
-		is.Equal(next, int64(8))
+		is.Equal(next, platform.Position{Offset: 8})
 		is.Equal(len(records), 1)
 	}
 	is.Equal(store.calls.Load(), int32(1))
@@ -71,7 +73,7 @@
 	relay, address := newRelay(t, store)
 	c := newTestController(t, directStore.ServeHTTP)
 	c.sources.Store(&sources{relays: []string{address}, domainSize: 20})
-	w := &watcher{topic: serversTopic, nextOffset: 7}
+	w := &watcher{topic: serversTopic, next: platform.Position{Offset: 7}}
 	for range 10 {
 		_, _, err := c.readNext(context.Background(), w)
 		is.True(err != nil)
@@ -83,7 +85,7 @@
 	relay.cache.lastFailure = timekeeper.Now().Add(-maxReadRetryDelay) // old enough for the relay to poll again
 	_, next, err := c.readNext(context.Background(), w)
 	is.NoErr(err)
-	is.Equal(next, int64(8))
+	is.Equal(next, platform.Position{Offset: 8})
 	is.True(!w.storeUnreachable)
 }
 
@@ -98,10 +100,10 @@
 	_, otherDomain := newRelay(t, reachable)
 	c := newTestController(t, directStore.ServeHTTP)
 	c.sources.Store(&sources{relays: []string{sameDomain}, others: []string{sameDomain, otherDomain}, domainSize: 20})
-	w := &watcher{topic: serversTopic, nextOffset: 7, storeUnreachable: true, nextPoll: timekeeper.Now().Add(maxPollInterval)}
+	w := &watcher{topic: serversTopic, next: platform.Position{Offset: 7}, storeUnreachable: true, nextPoll: timekeeper.Now().Add(maxPollInterval)}
 	_, next, err := c.readNext(context.Background(), w)
 	is.NoErr(err)
-	is.Equal(next, int64(8))
+	is.Equal(next, platform.Position{Offset: 8})
 	is.Equal(directStore.calls.Load(), int32(0))
 	_, _, err = c.readNext(context.Background(), w)
 	is.True(err != nil) // only one round per fallbackInterval
@@ -118,9 +120,9 @@
 	_, second := newRelay(t, reachable)
 	c := newTestController(t, directStore.ServeHTTP)
 	c.sources.Store(&sources{relays: []string{first, second}, domainSize: 20})
-	_, next, err := c.readNext(context.Background(), &watcher{topic: serversTopic, nextOffset: 7})
+	_, next, err := c.readNext(context.Background(), &watcher{topic: serversTopic, next: platform.Position{Offset: 7}})
 	is.NoErr(err)
-	is.Equal(next, int64(8))
+	is.Equal(next, platform.Position{Offset: 8})
 	is.Equal(directStore.calls.Load(), int32(0))
 }
 
@@ -135,7 +137,7 @@
 	stopped.Close()
 	c := newTestController(t, directStore.ServeHTTP)
 	c.sources.Store(&sources{relays: []string{first, second}, domainSize: 20})
-	w := &watcher{topic: serversTopic, nextOffset: 7}
+	w := &watcher{topic: serversTopic, next: platform.Position{Offset: 7}}
 	// The first read fails at the relay and calls the store; the second one goes to the second relay.
 	for i, calls := range []int32{1, 1} {
 		_, _, err := c.readNext(context.Background(), w)
@@ -174,3 +176,68 @@
 		}
 	}
 }
+
+// eraStore is a store with one record for each key and no changes. It counts the calls, and reports its era.
+type eraStore struct {
+	calls atomic.Int32
+	era   atomic.Int32
+}
+
+func (s *eraStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	w.Header().Set("Store-Era", fmt.Sprint(s.era.Load()))
+	if strings.HasSuffix(r.URL.Path, "log-newest") {
+		_, _ = fmt.Fprintf(w, `{"items":[{"key":"k","value":"djE=","offset":%d}],"end":5}`, s.era.Load())
+		return
+	}
+	_, _ = w.Write(make([]byte, 16))
+}
+
+// TestInstancesReadANewEraThroughTheirRelay guards against a stampede at a store that came back from an older copy, and
+// against instances that go on reading at offsets of the earlier era: all read in full, and the store gets the relay's
+// calls only.
+func TestInstancesReadANewEraThroughTheirRelay(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store, directStore := &eraStore{}, &eraStore{}
+	store.era.Store(1)
+	directStore.era.Store(1)
+	relay := newTestController(t, store.ServeHTTP)
+	longAgo := timekeeper.Now().Add(-time.Hour)
+	relay.cache.add(serversTopic, true, nil, platform.Position{Era: 1, Offset: 7}, longAgo)
+	host := httptest.NewServer(herald.NewHeraldServer(relay))
+	defer host.Close()
+	store.era.Store(2)
+	for range 5 {
+		c := newTestController(t, directStore.ServeHTTP)
+		c.sources.Store(&sources{relays: []string{strings.TrimPrefix(host.URL, "http://")}, domainSize: 5})
+		w := &watcher{topic: serversTopic, next: platform.Position{Era: 1, Offset: 7}, loaded: true}
+		_, next, err := c.readNext(ctx, w)
+		is.True(platform.IsErrExpired(err))
+		w.full, w.minEra = true, next.Era
+		records, next, err := c.readNext(ctx, w)
+		is.NoErr(err)
+		is.Equal(next, platform.Position{Era: 2, Offset: 5})
+		is.Equal(len(records), 1)
+	}
+	is.Equal(store.calls.Load(), int32(2)) // one for the changes that the store no longer has, one for all records
+	is.Equal(directStore.calls.Load(), int32(0))
+}
+
+// TestRelayOfAnEarlierEraIsNotBelieved guards against records of an earlier era from a relay that has not noticed yet that
+// the store came back from an older copy, and that can't reach the store.
+func TestRelayOfAnEarlierEraIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	store, directStore := &countingStore{}, &eraStore{}
+	store.fails.Store(true)
+	directStore.era.Store(2)
+	relay, address := newRelay(t, store)
+	relay.cache.add(serversTopic, true, nil, platform.Position{Era: 1, Offset: 5}, timekeeper.Now())
+	c := newTestController(t, directStore.ServeHTTP)
+	c.sources.Store(&sources{relays: []string{address}, domainSize: 3})
+	c.era.Store(2)
+	w := &watcher{topic: serversTopic, next: platform.Position{Era: 1, Offset: 5}, loaded: true, full: true}
+	_, next, err := c.readNext(context.Background(), w)
+	is.NoErr(err)
+	is.Equal(next, platform.Position{Era: 2, Offset: 5}) // from the store itself
+}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -61,7 +61,7 @@
 // storeUnreachable reports whether this instance's last call to the store for one of the platform's topics failed, or
 // none was made yet. Reads through relays do not count.
 func (c *Controller) storeUnreachable() bool {
-	next := c.cache.nextOffsets()
+	next := c.cache.nextPositions()
 	_, operators := next[platform.TopicOperators]
 	_, servers := next[platform.TopicServers]
 	return !operators || !servers
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/herald"
@@ -33,8 +35,8 @@
 
 // watchOperators applies each new configuration that the operators publish.
 func (c *Controller) watchOperators(ctx context.Context) {
-	c.watchTopic(ctx, platform.TopicOperators, func(_ time.Time, _ bool, records []platform.Record) {
-		for _, r := range records {
+	c.watchTopic(ctx, platform.TopicOperators, func(_ time.Time, read topicRead) {
+		for _, r := range read.records {
 			if r.Key != platform.KeyConfig || r.Value == nil {
 				continue
 			}
@@ -55,11 +57,14 @@
 
 // watchServers applies changes of the backend servers' registrations.
 func (c *Controller) watchServers(ctx context.Context) {
-	c.watchTopic(ctx, platform.TopicServers, func(now time.Time, full bool, records []platform.Record) {
+	c.watchTopic(ctx, platform.TopicServers, func(now time.Time, read topicRead) {
 		reappearDeadline := c.lastUnreachable[platform.TopicServers].Add(reappearTimeout)
+		if read.restored {
+			reappearDeadline = now.Add(c.confirmationTime())
+		}
 		present := map[string]bool{}
 		changed := !c.catalogRead
-		for _, r := range records {
+		for _, r := range read.records {
 			if r.Value == nil {
 				klog.InfoS("server registration removed", "server", r.Key, "offset", r.Offset)
 				c.catalog.Remove(now, reappearDeadline, r.Key)
@@ -72,13 +77,13 @@
 				continue
 			}
 			present[r.Key] = true
-			if c.catalog.Put(now, c.options.DrainTimeout, server) {
+			if c.putServer(now, read.restored, server) {
 				klog.InfoS("server registered or changed", "server", r.Key, "service", server.Service, "address", server.Address,
 					"state", server.State.String(), "born", server.Incarnation, "slots", server.Slots, "cold", server.WarmupLeft)
 				changed = true
 			}
 		}
-		if full {
+		if read.full {
 			c.catalog.Retain(now, reappearDeadline, present)
 			changed = true
 		}
@@ -89,6 +94,23 @@
 	})
 }
 
+// putServer records a registration, and reports whether that changes the catalog.
+func (c *Controller) putServer(now time.Time, restored bool, server cataloger.Server) bool {
+	if restored {
+		return c.catalog.PutRestored(now, now.Add(c.confirmationTime()), c.options.DrainTimeout, server)
+	}
+	return c.catalog.Put(now, c.options.DrainTimeout, server)
+}
+
+// expiryHeartbeats is the number of missing heartbeats after which the store removes a registration.
+const expiryHeartbeats = 3
+
+// confirmationTime is how long after the store came back from an older copy a registration may be one of a server that has
+// left, or be missing although its server lives.
+func (c *Controller) confirmationTime() time.Duration {
+	return expiryHeartbeats*c.options.HeartbeatInterval + reappearTimeout
+}
+
 // serversChanged marks the view as outdated and, on the leader, passes the servers to the granter.
 func (c *Controller) serversChanged(now time.Time) {
 	c.viewOutdated = true
@@ -122,34 +144,35 @@
 func (c *Controller) appendRecord(sent time.Time, call elector.Call, key string, value []byte, expectedNext int64) {
 	c.options.Meter.Count(meter.Appends)
 	start := time.Now()
-	offset, err := c.options.Store.Append(c.context, leaderTopic, key, value, expectedNext)
+	position, err := c.options.Store.Append(c.context, leaderTopic, key, value, expectedNext)
 	c.options.Meter.Observe(meter.AppendTime, time.Since(start))
 	c.post(func(now time.Time) {
 		if err == nil {
-			c.elector.AppendAcknowledged(now, sent, call, offset)
+			c.elector.AppendAcknowledged(now, sent, call, position.Era, position.Offset)
 			return
 		}
 		c.options.Meter.Count(meter.AppendsFailed)
 		klog.InfoS("append to store failed", "key", key, "at", expectedNext, "error", err)
-		c.elector.CallFailed(now, call, platform.IsErrStatus(err), platform.IsErrConflict(err))
+		c.elector.CallFailed(now, call, position.Era, platform.IsErrStatus(err), platform.IsErrConflict(err))
 	})
 }
 
 // readLeader reads leaderTopic and passes the leader that it names to the elector.
 func (c *Controller) readLeader(call elector.Call) {
-	records, next, err := c.options.Store.Newest(c.context, leaderTopic)
+	records, end, err := c.options.Store.Newest(c.context, leaderTopic)
 	c.post(func(now time.Time) {
 		if err != nil {
 			klog.InfoS("reading the leader's record failed", "error", err)
-			c.elector.CallFailed(now, call, false, false)
+			c.elector.CallFailed(now, call, 0, false, false)
 			return
 		}
-		c.handleLeaderRecords(now, records, next)
+		c.handleLeaderRecords(now, records, end)
 	})
 }
 
-// handleLeaderRecords keeps the plan of leaderTopic and passes the leader to the elector.
-func (c *Controller) handleLeaderRecords(now time.Time, records []platform.Record, next int64) {
+// handleLeaderRecords keeps the plan of leaderTopic and passes the leader to the elector. If the store came back from an
+// older copy, which has an older plan or none, the plan that was read before stays.
+func (c *Controller) handleLeaderRecords(now time.Time, records []platform.Record, end platform.Position) {
 	var leader herald.Lead
 	var plan herald.Plan
 	for _, r := range records {
@@ -159,7 +182,9 @@
 			err = proto.Unmarshal(r.Value, &leader)
 		case keyPlan:
 			err = proto.Unmarshal(r.Value, &plan)
-			c.plan = r.Value
+			if err != nil || plan.GetTerm() >= c.planTerm {
+				c.plan, c.planTerm = r.Value, max(c.planTerm, plan.GetTerm())
+			}
 		}
 		if err != nil {
 			klog.InfoS("record in the store can't be decoded", "key", r.Key, "offset", r.Offset, "error", err)
@@ -169,7 +194,7 @@
 	if plan.GetTerm() == leader.GetTerm() {
 		storedPlan = plan.GetSequence()
 	}
-	c.elector.CompleteRead(now, next, decodeLeader(&leader), storedPlan)
+	c.elector.CompleteRead(now, end.Era, end.Offset, decodeLeader(&leader), storedPlan)
 }
 
 // encodePlan returns the stored form of a plan.
@@ -182,16 +207,15 @@
 	return marshal(&herald.Plan{Term: term, Sequence: sequence, Services: services, Segments: encoded})
 }
 
-// decodePlan returns the assignments of a stored plan, or none if it can't be decoded.
-func decodePlan(data []byte) []granter.Assignment {
+// decodePlan returns the assignments of a stored plan. The error says that it can't be decoded.
+func decodePlan(data []byte) ([]granter.Assignment, error) {
 	var plan herald.Plan
 	if err := proto.Unmarshal(data, &plan); err != nil {
-		klog.InfoS("plan in the store can't be decoded", "error", err)
-		return nil
+		return nil, errors.Wrap(err, "decode plan")
 	}
 	var assignments []granter.Assignment
 	for _, s := range herald.DecodeSegments(plan.GetServices(), plan.GetSegments()) {
 		assignments = append(assignments, granter.Assignment{Service: s.Service, Range: s.Range, Server: s.Server})
 	}
-	return assignments
+	return assignments, nil
 }
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -59,9 +59,11 @@
 // watcher is the state of reading one topic.
 type watcher struct {
 	topic            string
-	nextOffset       int64
-	full             bool // the next read returns all records, not changes
-	storeUnreachable bool // neither this instance nor those it asked could reach the store
+	next             platform.Position // after the last record that was read
+	minEra           uint64            // era of the store that its last answer had, if that is later than next.Era
+	loaded           bool              // the topic was read at least once
+	full             bool              // the next read returns all records, not changes
+	storeUnreachable bool              // neither this instance nor those it asked could reach the store
 	retryDelay       time.Duration
 	otherReads       int // reads through other instances so far; selects the next of them
 	// skippedUntil holds the relays that failed to answer, and until when they are skipped, by time.Now.
@@ -71,10 +73,17 @@
 	nextPoll, nextFallback time.Time
 }
 
-// watchTopic reads all records of a topic, then its changes, until ctx ends. apply runs in the control loop; full says that
-// records are all there are. While the store does not answer, it reads through other instances, which may reach it.
+// topicRead is what a read of a topic has returned.
+type topicRead struct {
+	records  []platform.Record
+	full     bool // records are all there are
+	restored bool // the store came back from an older copy, so that what was read before may be newer than records
+}
+
+// watchTopic reads all records of a topic, then its changes, until ctx ends. apply runs in the control loop. While the store
+// does not answer, it reads through other instances, which may reach it.
 func (c *Controller) watchTopic(
-	ctx context.Context, topic string, apply func(now time.Time, full bool, records []platform.Record),
+	ctx context.Context, topic string, apply func(now time.Time, read topicRead),
 ) {
 	w := &watcher{topic: topic, full: true, retryDelay: readRetryDelay}
 	for ctx.Err() == nil {
@@ -82,7 +91,8 @@
 		switch {
 		case platform.IsErrExpired(err):
 			c.options.Meter.Count(meter.StoreGaps)
-			w.full = true
+			w.full, w.minEra = true, max(w.minEra, next.Era)
+			c.post(func(now time.Time) { c.elector.ObserveEra(now, next.Era) })
 		case err != nil:
 			if errors.Is(err, errStoreUnreachable) {
 				c.markStoreUnreachable(w, err) // marked already, so this only renews lastUnreachable
@@ -91,10 +101,13 @@
 			sleep(ctx, w.retryDelay)
 			w.retryDelay = min(2*w.retryDelay, maxReadRetryDelay)
 		default:
-			full := w.full
-			w.nextOffset, w.full = next, false
-			if full || len(records) > 0 {
-				c.post(func(now time.Time) { apply(now, full, records) })
+			read := topicRead{records: records, full: w.full, restored: w.loaded && next.Era > w.next.Era}
+			w.next, w.full, w.loaded = next, false, true
+			if read.full || len(records) > 0 {
+				c.post(func(now time.Time) {
+					c.elector.ObserveEra(now, next.Era)
+					apply(now, read)
+				})
 			}
 			if w.storeUnreachable {
 				sleep(ctx, maxReadRetryDelay) // read through another instance, which did not wait for new records
@@ -107,25 +120,27 @@
 
 // readNext reads the next records: through a relay if possible, else from the store. A relay refreshes its cache once for
 // all instances that may have missed records or can't reach the store, so that these do not all call the store.
-func (c *Controller) readNext(ctx context.Context, w *watcher) ([]platform.Record, int64, error) {
+func (c *Controller) readNext(ctx context.Context, w *watcher) ([]platform.Record, platform.Position, error) {
 	c.options.Meter.Count(meter.StoreReads)
 	src := c.sources.Load()
 	if src == nil {
 		src = &sources{}
 	}
 	relayUnreachable := false
-	if !w.full {
-		for _, relay := range src.relays {
-			records, next, err := c.readFromRelay(ctx, w, relay)
-			if err == nil {
-				c.markStoreReachable(w)
-				return records, next, nil
-			}
-			if !errors.Is(err, errStoreUnreachable) && !errors.Is(err, errRelaySkipped) {
-				break // no time is left to try another relay
-			}
-			relayUnreachable = relayUnreachable || errors.Is(err, errStoreUnreachable)
+	for _, relay := range src.relays {
+		records, next, err := c.readFromRelay(ctx, w, relay)
+		if errors.Is(err, errReadInterrupted) && c.era.Load() > w.next.Era {
+			// All instances learn of a new era at about the same time, and must not all call the store.
+			records, next, err = c.readFromRelay(ctx, w, relay)
+		}
+		if err == nil || platform.IsErrExpired(err) {
+			c.markStoreReachable(w)
+			return records, next, err
+		}
+		if !errors.Is(err, errStoreUnreachable) && !errors.Is(err, errRelaySkipped) {
+			break // no time is left to try another relay
 		}
+		relayUnreachable = relayUnreachable || errors.Is(err, errStoreUnreachable)
 	}
 	now := timekeeper.Now()
 	if relayUnreachable && w.storeUnreachable && now.Before(w.nextPoll) {
@@ -142,27 +157,39 @@
 	return min(time.Duration(domainSize)*maxReadRetryDelay, maxPollInterval)
 }
 
-// errRelaySkipped says that a relay is skipped because it recently failed to answer.
-var errRelaySkipped = errors.New("relay skipped after a recent failure")
+var (
+	// errRelaySkipped says that a relay is skipped because it recently failed to answer.
+	errRelaySkipped = errors.New("relay skipped after a recent failure")
+	// errReadInterrupted says that interruptReads has ended the wait for new records.
+	errReadInterrupted = errors.New("read interrupted")
+)
 
 // readFromRelay reads through a relay, and skips it for relayRetryDelay after a failure.
-func (c *Controller) readFromRelay(ctx context.Context, w *watcher, relay string) ([]platform.Record, int64, error) {
+func (c *Controller) readFromRelay(
+	ctx context.Context, w *watcher, relay string,
+) ([]platform.Record, platform.Position, error) {
 	if time.Now().Before(w.skippedUntil[relay]) {
-		return nil, w.nextOffset, errRelaySkipped
+		return nil, w.next, errRelaySkipped
 	}
+	era := c.era.Load()
 	offsets := c.leaderOffsets.Load()
-	valid := offsets.valid(timekeeper.Now())
-	behind := valid && offsets.ahead(w.topic, w.nextOffset)
+	valid := offsets.valid(timekeeper.Now()) && w.next.Era == era
+	behind := valid && offsets.ahead(w.topic, w.next)
 	// Look makes the relay refresh its cache before it answers.
-	request := &herald.FetchRequest{Topic: w.topic, From: w.nextOffset, Look: !valid || behind || w.storeUnreachable}
+	request := &herald.FetchRequest{
+		Topic: w.topic, From: w.next.Offset, Era: w.next.Era, Whole: w.full, Look: !valid || behind || w.storeUnreachable,
+	}
+	if w.full {
+		request.Era = max(era, w.minEra, w.next.Era)
+	}
 	wait, timeout := relayWait, relayMargin
 	switch {
-	case behind || w.storeUnreachable:
+	case behind || w.storeUnreachable || w.full:
 		wait = 0
 	case request.GetLook():
 		wait = refreshWait
 	}
-	if request.GetLook() {
+	if request.GetLook() || w.full {
 		timeout += platform.PollTimeout
 	}
 	request.WaitMs = uint32(wait.Milliseconds())
@@ -170,23 +197,26 @@
 	defer cancel()
 	records, next, err := c.fetchFrom(readCtx, relay, request, wait+timeout)
 	switch {
+	case ctx.Err() != nil:
+		return nil, w.next, ctx.Err()
 	case readCtx.Err() != nil:
-		return nil, w.nextOffset, readCtx.Err()
+		return nil, w.next, errReadInterrupted
 	case err == nil && behind && len(records) == 0:
 		err = errors.New("relay has fewer records than the leader")
-	case err == nil || errors.Is(err, errStoreUnreachable):
+	case err == nil || errors.Is(err, errStoreUnreachable) || platform.IsErrExpired(err):
 		return records, next, err
 	}
-	klog.InfoS("reading through a relay failed", "topic", w.topic, "reader", relay, "from", w.nextOffset, "error", err)
+	klog.InfoS("reading through a relay failed", "topic", w.topic, "reader", relay, "from", w.next.Offset, "era", w.next.Era,
+		"error", err)
 	if w.skippedUntil == nil {
 		w.skippedUntil = map[string]time.Time{}
 	}
 	w.skippedUntil[relay] = time.Now().Add(relayRetryDelay)
-	return nil, w.nextOffset, err
+	return nil, w.next, err
 }
 
 // readFromStore reads from the store and, if that fails, through any other instance.
-func (c *Controller) readFromStore(ctx context.Context, w *watcher, src *sources) ([]platform.Record, int64, error) {
+func (c *Controller) readFromStore(ctx context.Context, w *watcher, src *sources) ([]platform.Record, platform.Position, error) {
 	wait := readWait
 	switch {
 	case w.storeUnreachable:
@@ -198,7 +228,7 @@
 	}
 	asOf := timekeeper.Now()
 	if w.storeUnreachable && c.cache.lastCallFailedAfter(asOf.Add(-maxReadRetryDelay)) {
-		return nil, w.nextOffset, errStoreUnreachable // a read of the other topic has just failed
+		return nil, w.next, errStoreUnreachable // a read of the other topic has just failed
 	}
 	records, next, err := c.readInterruptible(ctx, w, wait)
 	switch {
@@ -212,9 +242,9 @@
 		return records, next, nil
 	case platform.IsErrExpired(err):
 		c.markStoreReachable(w)
-		return nil, w.nextOffset, err
+		return nil, next, err
 	case ctx.Err() != nil:
-		return nil, w.nextOffset, err // this instance is shutting down
+		return nil, w.next, err // this instance is shutting down
 	}
 	c.cache.markUnreachable(w.topic, timekeeper.Now())
 	c.markStoreUnreachable(w, err)
@@ -224,22 +254,22 @@
 // readFromOther reads through another instance, a different one each time, after the store itself failed with err.
 func (c *Controller) readFromOther(
 	ctx context.Context, w *watcher, src *sources, err error,
-) ([]platform.Record, int64, error) {
+) ([]platform.Record, platform.Position, error) {
 	if len(src.others) == 0 {
-		return nil, w.nextOffset, err
+		return nil, w.next, err
 	}
 	w.otherReads++
 	return c.fetchFrom(ctx, src.others[w.otherReads%len(src.others)], &herald.FetchRequest{
-		Topic: w.topic, From: w.nextOffset, Whole: w.full, Look: true,
+		Topic: w.topic, From: w.next.Offset, Era: w.next.Era, Whole: w.full, Look: true,
 	}, peerCallTimeout)
 }
 
 // readFallback reads through other instances, which may reach the store, while the relays of this domain can't.
 func (c *Controller) readFallback(
 	ctx context.Context, w *watcher, src *sources, now time.Time,
-) (records []platform.Record, next int64, err error) {
+) (records []platform.Record, next platform.Position, err error) {
 	if now.Before(w.nextFallback) {
-		return nil, w.nextOffset, errStoreUnreachable
+		return nil, w.next, errStoreUnreachable
 	}
 	w.nextFallback = now.Add(fallbackInterval)
 	for range fallbackAttempts {
@@ -272,14 +302,14 @@
 // readInterruptible reads from the store. If interruptReads ends the wait, it reads once more without waiting.
 func (c *Controller) readInterruptible(
 	ctx context.Context, w *watcher, wait time.Duration,
-) ([]platform.Record, int64, error) {
+) ([]platform.Record, platform.Position, error) {
 	readCtx, cancel := c.interruptible(ctx)
 	defer cancel()
-	records, next, err := c.callStore(readCtx, w.topic, w.nextOffset, w.full, wait)
+	records, next, err := c.callStore(readCtx, w.topic, w.next, w.full, wait)
 	if err == nil || readCtx.Err() == nil || ctx.Err() != nil {
 		return records, next, err
 	}
-	return c.callStore(ctx, w.topic, w.nextOffset, w.full, 0)
+	return c.callStore(ctx, w.topic, w.next, w.full, 0)
 }
 
 // interruptible returns a context that interruptReads cancels.
@@ -318,18 +348,21 @@
 
 // checkLeaderOffsets interrupts waiting reads when the leader has read more of a topic than this instance in two answers
 // in a row. After the first one, the records may still be on their way.
-func (c *Controller) checkLeaderOffsets(leaderNext map[string]int64) {
-	ownNext := c.cache.nextOffsets()
+func (c *Controller) checkLeaderOffsets(leader *leaderOffsets) {
+	if leader == nil {
+		return
+	}
+	ownNext := c.cache.nextPositions()
 	behind := map[string]bool{}
-	for topic, leader := range leaderNext {
-		if own, ok := ownNext[topic]; ok && own < leader {
+	for topic := range leader.offsets {
+		if own, ok := ownNext[topic]; ok && leader.ahead(topic, own) {
 			behind[topic] = true
 		}
 	}
 	for topic := range behind {
 		if c.behindTopics[topic] {
 			klog.InfoS("leader has read more of a topic than this instance", "topic", topic,
-				"here", ownNext[topic], "leader", leaderNext[topic])
+				"here", ownNext[topic].Offset, "leader", leader.offsets[topic], "era", leader.era)
 			c.interruptReads()
 			behind = nil
 			break
@@ -338,14 +371,14 @@
 	c.behindTopics = behind
 }
 
-// callStore reads all records of a topic from the store, or those from an offset on.
+// callStore reads all records of a topic from the store, or those from a position on.
 func (c *Controller) callStore(
-	ctx context.Context, topic string, offset int64, full bool, wait time.Duration,
-) ([]platform.Record, int64, error) {
+	ctx context.Context, topic string, from platform.Position, full bool, wait time.Duration,
+) ([]platform.Record, platform.Position, error) {
 	if full {
 		return c.options.Store.Newest(ctx, topic)
 	}
-	return c.options.Store.Changes(ctx, topic, offset, wait)
+	return c.options.Store.Changes(ctx, topic, from, wait)
 }
 
 // sleep pauses for d, or until ctx ends.
--- a/internal/controller/watcher_test.go
+++ b/internal/controller/watcher_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // TestReadLostByTheStoreIsRetried guards against missing records for up to readWait when the store loses a waiting read
@@ -25,9 +27,9 @@
 		}
 		_, _ = w.Write(append(make([]byte, 16), 0, 0, 0, 2, 1, 'k')) // one record with the key k and no value
 	})
-	c.cache.add(serversTopic, true, nil, 7, readTime)
-	w := &watcher{topic: serversTopic, nextOffset: 7}
-	done := make(chan int64)
+	c.cache.add(serversTopic, true, nil, platform.Position{Offset: 7}, readTime)
+	w := &watcher{topic: serversTopic, next: platform.Position{Offset: 7}}
+	done := make(chan platform.Position)
 	go func() {
 		_, next, err := c.readInterruptible(context.Background(), w, readWait)
 		is.NoErr(err)
@@ -35,10 +37,10 @@
 	}()
 	<-waiting
 	interrupt := *c.interrupt.Load()
-	c.checkLeaderOffsets(map[string]int64{serversTopic: 8}) // the records may still be in flight
-	is.Equal(*c.interrupt.Load(), interrupt)                // the read goes on waiting
-	c.checkLeaderOffsets(map[string]int64{serversTopic: 8})
-	is.Equal(<-done, int64(8))
+	c.checkLeaderOffsets(&leaderOffsets{offsets: map[string]int64{serversTopic: 8}}) // the records may still be in flight
+	is.Equal(*c.interrupt.Load(), interrupt)                                         // the read goes on waiting
+	c.checkLeaderOffsets(&leaderOffsets{offsets: map[string]int64{serversTopic: 8}})
+	is.Equal(<-done, platform.Position{Offset: 8})
 }
 
 // TestReadsAreInterruptedWithoutValidLeaderOffsets guards against waiting reads that nothing checks: they are interrupted as
@@ -76,7 +78,7 @@
 	c.leaderOffsets.Store(&leaderOffsets{validUntil: time.Unix(1<<40, 0)})
 	done := make(chan error)
 	go func() {
-		_, _, err := c.readFromRelay(context.Background(), &watcher{topic: serversTopic, nextOffset: 7}, address)
+		_, _, err := c.readFromRelay(context.Background(), &watcher{topic: serversTopic, next: platform.Position{Offset: 7}}, address)
 		done <- err
 	}()
 	<-waiting
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -5,6 +5,11 @@
 // A leader may send orders until its leader lease expires, a fixed time after it sent the last append that the store
 // acknowledged. A new leader waits for the leader lease of the previous leader to expire only before it frees the ranges
 // of backend servers that it can't reach.
+//
+// The store may come back from an older copy of itself, which begins a new era: the newest records are lost, perhaps also
+// those of a leader that still acts, and their offsets are given out again. A term has the era as its leading part, so that
+// terms rise over eras. The acting leader continues with a new term; any other instance that is elected in a new era does
+// not know what the store has lost, and says so in its Election.
 package elector
 
 import (
@@ -46,11 +51,52 @@
 	Address     string // where other instances reach it
 }
 
-// Leader is a leader's record in the store. Term is one more than the offset of the record with which the term began, so
-// that it is never 0 and grows with each election.
+// Leader is a leader's record in the store. Term is that of TermOf for the record with which the term began, so that it is
+// never 0 and grows with each election.
 type Leader struct {
 	Identity Identity
 	Term     uint64
+	// Settled says that no leader of an earlier era can have changed an owner that the plan in the store names, and that this
+	// plan is of the era of Term.
+	Settled bool
+}
+
+// sameTerm reports whether two records are of the same leader and term.
+func (l Leader) sameTerm(other Leader) bool {
+	return l.Identity == other.Identity && l.Term == other.Term
+}
+
+const (
+	// termOffsetBits is the number of low bits of a term that hold one more than an offset; the era takes the bits above. At
+	// ten records a second they last for 6 years.
+	termOffsetBits = 31
+	// maxEra is the highest era that fits into a fence together with the offset and the count of package granter.
+	maxEra = 1<<8 - 1
+)
+
+// TermOf returns the term that begins with the record at an offset in an era of the store. ok is false if there is no
+// term for it, because the era or the offset is too high.
+func TermOf(era uint64, offset int64) (term uint64, ok bool) {
+	if era > maxEra || offset < 0 || offset >= 1<<termOffsetBits-1 {
+		return 0, false
+	}
+	return era<<termOffsetBits | uint64(offset+1), true
+}
+
+// EraOf returns the era in which a term began.
+func EraOf(term uint64) uint64 { return term >> termOffsetBits }
+
+// Election describes the beginning of a term of this instance.
+type Election struct {
+	// Predecessor is the previous leader, if it may still send orders; it is empty if that was an earlier incarnation of this
+	// instance, which has certainly stopped.
+	Predecessor Identity
+	// Continued says that this instance led until now and goes on with a new term.
+	Continued bool
+	// Certain says that the stored plan or, if Continued, the state of this instance has all changes of owners. Otherwise a
+	// leader whose record the store has lost may have made others. Its leader lease ends before UncertainUntil.
+	Certain        bool
+	UncertainUntil time.Time
 }
 
 // Call is a call to the store.
@@ -82,14 +128,24 @@
 	self     Identity
 	jitter   time.Duration // delay of this instance before a takeover
 
-	synced     bool  // nextOffset and leader match the store, as far as this instance knows
-	nextOffset int64 // offset after the last record of the topic
-	leader     Leader
+	firstStart bool      // the whole system starts for the first time
+	eraKnown   bool      // the store has answered
+	eraRose    bool      // the store came back from an older copy since it answered first
+	era        uint64    // of the store
+	eraSeenAt  time.Time // when this instance learned of the era
+
+	synced     bool   // nextOffset and stored match the store, as far as this instance knows
+	nextOffset int64  // offset after the last record of the topic
+	offsetEra  uint64 // era of nextOffset
+	stored     Leader // record in the store
+	replaced   Leader // record in the store before the takeover that was sent last
+	leader     Leader // the one with the highest term that is known
 	term       uint64 // of this instance while it leads, else 0
 
 	callPending    bool
 	pendingCall    Call      // valid while callPending
 	pendingSince   time.Time // when the pending call was sent
+	pendingEra     uint64    // era of the store when it was sent
 	nextCallAt     time.Time // earliest time of the next call
 	leaseExpiry    time.Time // of this instance's leader lease
 	renewAt        time.Time
@@ -103,16 +159,23 @@
 	storeAnsweredAt   time.Time
 	leaderReplaceable bool      // the leader asks this instance to take over, or can't reach the store
 	leaderStopped     bool      // the known leader answered that it does not lead; cleared when a successor is known
-	newlyElected      bool      // this instance was elected since the last call of NewlyElected
 	takeoverAt        time.Time // earliest time of a takeover; zero while none is needed
-	predecessor       Identity  // the previous leader, if it may still send orders
+
+	election       *Election // of the current term; nil after NewlyElected has returned it
+	lastAckSent    time.Time // when the last append of this term that was acknowledged was sent
+	yielded        bool      // this leader has asked another instance to take over
+	certain        bool      // this leader knows all changes of owners
+	settled        bool      // Leader.Settled of this leader
+	wantsNewTerm   bool      // this leader needs a new term
+	termsExhausted bool      // the store's era or offset is too high for a term
 }
 
-// New returns the Elector of an instance. The instance delays a takeover by jitterFraction times MaxJitter. With a fraction
+// New returns the Elector of an instance. firstStart says that the whole system starts for the first time, so that no leader
+// can have acted before the first record. The instance delays a takeover by jitterFraction times MaxJitter. With a fraction
 // above 1 it takes over later than all instances with 0 to 1 would.
-func New(settings Settings, now time.Time, self Identity, jitterFraction float64) *Elector {
+func New(settings Settings, now time.Time, self Identity, jitterFraction float64, firstStart bool) *Elector {
 	return &Elector{
-		settings: settings, self: self, jitter: time.Duration(jitterFraction * float64(settings.MaxJitter)),
+		settings: settings, self: self, firstStart: firstStart, jitter: time.Duration(jitterFraction * float64(settings.MaxJitter)),
 		nextCallAt: now, leaderSeenAt: now, storeAnsweredAt: now,
 	}
 }
@@ -134,13 +197,69 @@
 	return now.Sub(e.storeAnsweredAt) > e.settings.ElectionTimeout
 }
 
-// NewlyElected reports, once for each term, that this instance has become the leader, and which previous leader may still
-// send orders. predecessor is empty if that was an earlier incarnation of this instance, which has certainly stopped.
-func (e *Elector) NewlyElected() (elected bool, predecessor Identity) {
-	elected, e.newlyElected = e.newlyElected, false
-	return elected, e.predecessor
+// NewlyElected returns, once for each term of this instance, how the term began; elected is false if no term has begun
+// since the last call.
+func (e *Elector) NewlyElected() (election Election, elected bool) {
+	if e.election == nil {
+		return Election{}, false
+	}
+	election, e.election = *e.election, nil
+	return election, true
+}
+
+// Era returns the era of the store, as far as this instance knows.
+func (e *Elector) Era() uint64 { return e.era }
+
+// TermsExhausted reports whether this instance could not be elected because the store's era or offset is too high for a
+// term.
+func (e *Elector) TermsExhausted() bool { return e.termsExhausted }
+
+// continuationMargin is subtracted from ElectionTimeout to get the age of the last acknowledged append up to which a leader
+// knows that it was not replaced: another instance takes over at the earliest when it has seen no append of the leader for
+// ElectionTimeout, and clocks may run at slightly different rates.
+const continuationMargin = 200 * time.Millisecond
+
+// ObserveEra records the era of the store, from any of its answers or as another instance knows it. In a new era nothing
+// that was read before counts. A leader goes on sending orders with its leader lease, and continues with a new term as soon
+// as the store acknowledges it; a leader whose lease has expired ends its term.
+func (e *Elector) ObserveEra(now time.Time, era uint64) {
+	if e.eraKnown && era <= e.era {
+		return
+	}
+	rose := e.eraKnown
+	e.eraKnown, e.era, e.eraSeenAt = true, era, now
+	if !rose {
+		return
+	}
+	e.eraRose, e.synced, e.stored = true, false, Leader{}
+	if e.term == 0 {
+		return
+	}
+	if !e.Active(now) {
+		e.term = 0
+		return
+	}
+	e.certain = e.certain && !e.yielded && now.Sub(e.lastAckSent) < e.settings.ElectionTimeout-continuationMargin
+	e.renewAt = now
+}
+
+// Settle records that this leader's plan is in the store and that no leader of an earlier era can send orders any more. The
+// leader's record says so from the next append on, which is due at once.
+func (e *Elector) Settle(now time.Time) {
+	if e.term != 0 && EraOf(e.term) == e.era && !e.settled {
+		e.settled, e.certain, e.renewAt = true, true, now
+	}
 }
 
+// Settled reports whether Settle was called, or was not necessary, in the current term of this leader.
+func (e *Elector) Settled() bool { return e.settled }
+
+// RequestNewTerm makes this leader begin a new term with its next append, for example because it runs out of fences.
+func (e *Elector) RequestNewTerm() { e.wantsNewTerm = e.term != 0 }
+
+// RecordYield records that this leader has asked another instance to take over.
+func (e *Elector) RecordYield() { e.yielded = true }
+
 // RequestPlan requests that the plan with a sequence number is stored, instead of any requested before. 0 withdraws the
 // request.
 func (e *Elector) RequestPlan(sequence uint64) { e.requestedPlan = sequence }
@@ -180,7 +299,7 @@
 // ReportAnswered records that a leader answered a report. leading says that it still leads; replaceable that it asks this
 // instance to take over, or can't reach the store. An answer of a leader that was replaced meanwhile changes nothing.
 func (e *Elector) ReportAnswered(now time.Time, leader Leader, leading, replaceable bool) {
-	if leader != e.leader {
+	if !leader.sameTerm(e.leader) {
 		return
 	}
 	e.refusals = 0
@@ -199,6 +318,7 @@
 	if leader.Term <= e.leader.Term || leader.Identity == e.self {
 		return
 	}
+	e.ObserveEra(now, EraOf(leader.Term))
 	e.leader, e.term = leader, 0
 	e.synced = false // the end of the topic has moved
 	e.leaderSeenAt, e.refusals, e.leaderReplaceable, e.leaderStopped, e.takeoverAt = now, 0, false, false, time.Time{}
@@ -207,7 +327,7 @@
 // ReportFailed records that a leader did not answer a report. refused says that its machine refused the connection. It
 // changes nothing if the leader was replaced meanwhile.
 func (e *Elector) ReportFailed(leader Leader, refused bool) {
-	if leader != e.leader {
+	if !leader.sameTerm(e.leader) {
 		return
 	}
 	if refused {
@@ -224,7 +344,7 @@
 	}
 	call := e.dueCall(now)
 	e.callPending = call != nil
-	e.pendingSince, e.pendingCall = now, call
+	e.pendingSince, e.pendingCall, e.pendingEra = now, call, e.era
 	return call
 }
 
@@ -263,15 +383,28 @@
 
 // leaderCall returns the append that is due while this instance leads, or nil.
 func (e *Elector) leaderCall(now time.Time) Call {
+	if e.wantsNewTerm || EraOf(e.term) != e.era {
+		return e.newTermCall(false)
+	}
 	if e.requestedPlan > e.storedPlan && e.Active(now) {
 		return AppendPlan{Sequence: e.requestedPlan, Offset: e.nextOffset}
 	}
 	if !now.Before(e.renewAt) {
-		return AppendLeader{Leader: Leader{Identity: e.self, Term: e.term}, Offset: e.nextOffset}
+		return AppendLeader{Leader: Leader{Identity: e.self, Term: e.term, Settled: e.settled}, Offset: e.nextOffset}
 	}
 	return nil
 }
 
+// newTermCall returns the append with which a term of this instance begins, or nil if there is no term for it.
+func (e *Elector) newTermCall(settled bool) Call {
+	term, ok := TermOf(e.era, e.nextOffset)
+	e.termsExhausted = !ok
+	if !ok {
+		return nil
+	}
+	return AppendLeader{Leader: Leader{Identity: e.self, Term: term, Settled: settled}, Offset: e.nextOffset}
+}
+
 // needsTakeover reports whether another instance must replace the known leader.
 func (e *Elector) needsTakeover(now time.Time) bool {
 	switch {
@@ -295,25 +428,52 @@
 	if now.Before(e.takeoverAt) {
 		return nil
 	}
-	return AppendLeader{Leader: Leader{Identity: e.self, Term: uint64(e.nextOffset) + 1}, Offset: e.nextOffset}
+	e.replaced = e.stored
+	return e.newTermCall(e.followsSettledPlan(e.stored))
 }
 
-// CompleteRead records the result of a ReadLeader: the next offset of the topic, the leader's record, whose Term is 0 if
-// there is none, and the sequence number of the stored plan of the leader's term, or 0.
-func (e *Elector) CompleteRead(now time.Time, nextOffset int64, leader Leader, storedPlan uint64) {
+// followsSettledPlan reports whether a leader that replaces the record previous in the store knows all changes of owners
+// from the stored plan.
+func (e *Elector) followsSettledPlan(previous Leader) bool {
+	switch {
+	case e.era == 0:
+		return true // a store that does not report its era does not come back from older copies
+	case previous.Term == 0:
+		return e.firstStart && !e.eraRose
+	case EraOf(previous.Term) == 0 && !previous.Settled:
+		return !e.eraRose // the record of a version without eras
+	}
+	return EraOf(previous.Term) == e.era && previous.Settled
+}
+
+// CompleteRead records the result of a ReadLeader: the era of the store, the next offset of the topic, the leader's record,
+// whose Term is 0 if there is none, and the sequence number of the stored plan of the leader's term, or 0.
+func (e *Elector) CompleteRead(now time.Time, era uint64, nextOffset int64, leader Leader, storedPlan uint64) {
 	e.callPending, e.storeAnsweredAt = false, now
 	e.nextCallAt = now
-	if nextOffset != e.nextOffset || !e.synced {
-		if leader.Term != e.leader.Term {
+	e.ObserveEra(now, era)
+	if era < e.era {
+		return // the answer was sent before the store came back from an older copy
+	}
+	unchanged := e.synced && nextOffset == e.nextOffset
+	appended := e.offsetEra == era && nextOffset != e.nextOffset
+	e.synced, e.nextOffset, e.offsetEra, e.stored = true, nextOffset, era, leader
+	if EraOf(leader.Term) != era {
+		e.completeReadWithoutLeader(now, leader)
+		return
+	}
+	if !unchanged {
+		if !leader.sameTerm(e.leader) {
 			e.refusals, e.leaderReplaceable, e.leaderStopped = 0, false, false
 			e.takeoverAt = time.Time{}
+			e.leaderSeenAt = now
 		}
-		if leader.Term != e.leader.Term || nextOffset != e.nextOffset {
+		if appended {
 			e.leaderSeenAt = now
 		}
 	}
 	predecessor := e.leader.Identity
-	e.synced, e.nextOffset, e.leader = true, nextOffset, leader
+	e.leader = leader
 	if leader.Term != 0 && leader.Identity.Instance == e.self.Instance && leader.Identity.Incarnation == e.self.Incarnation {
 		e.confirmTerm(now, predecessor, storedPlan)
 		return
@@ -322,50 +482,82 @@
 	e.nextCallAt = now.Add(e.settings.RetryDelay)
 }
 
+// completeReadWithoutLeader records the result of a read in an era in which no leader was elected yet. old is the leader's
+// record of an earlier era that the store has kept. The known leader, whose record the store may have lost, stays known.
+func (e *Elector) completeReadWithoutLeader(now time.Time, old Leader) {
+	if old.Term > e.leader.Term {
+		e.leader, e.term = old, 0
+		e.refusals, e.leaderReplaceable, e.leaderStopped = 0, false, false
+		e.takeoverAt = time.Time{}
+	}
+	if e.term == 0 {
+		e.nextCallAt = now.Add(e.settings.RetryDelay)
+	}
+}
+
 // confirmTerm continues or begins the term of a record of this instance that was read from the store after its append
 // got no answer. The leader lease begins with the next acknowledged append.
 func (e *Elector) confirmTerm(now time.Time, predecessor Identity, storedPlan uint64) {
 	if e.term != e.leader.Term {
-		e.beginTerm(e.leader.Term, predecessor)
+		e.beginTerm(e.leader, predecessor)
 	}
 	e.storedPlan = max(e.storedPlan, storedPlan)
 	e.renewAt = now
 }
 
-// beginTerm begins a term of this instance after that of predecessor.
-func (e *Elector) beginTerm(term uint64, predecessor Identity) {
-	e.term, e.newlyElected, e.predecessor = term, true, predecessor
-	if predecessor.Instance == e.self.Instance {
-		e.predecessor = Identity{}
+// beginTerm begins a term of this instance after that of predecessor, or continues its own.
+func (e *Elector) beginTerm(record Leader, predecessor Identity) {
+	continued := e.term != 0
+	if !continued {
+		e.certain = e.followsSettledPlan(e.replaced)
+	}
+	if continued || predecessor.Instance == e.self.Instance {
+		predecessor = Identity{}
 	}
+	e.election = &Election{
+		Predecessor: predecessor, Continued: continued, Certain: e.certain,
+		UncertainUntil: e.eraSeenAt.Add(e.settings.LeaseDuration),
+	}
+	e.term, e.settled, e.yielded, e.wantsNewTerm = record.Term, record.Settled || e.era == 0, false, false
 	e.requestedPlan, e.storedPlan, e.unansweredPlan = 0, 0, 0
 }
 
-// AppendAcknowledged records that the store acknowledged an append that was sent at sent. offset is that of the record.
-func (e *Elector) AppendAcknowledged(now, sent time.Time, call Call, offset int64) {
+// AppendAcknowledged records that the store acknowledged an append that was sent at sent. era and offset are those of the
+// record. If the store came back from an older copy since the append was sent, the record counts for nothing: it is lost,
+// or the condition of the append held by coincidence.
+func (e *Elector) AppendAcknowledged(now, sent time.Time, call Call, era uint64, offset int64) {
 	e.callPending, e.storeAnsweredAt = false, now
+	e.nextCallAt = now
+	e.ObserveEra(now, era)
+	if era != e.pendingEra || era != e.era {
+		e.synced = false
+		return
+	}
 	e.nextOffset = offset + 1
 	switch c := call.(type) {
 	case AppendLeader:
 		if e.term != c.Leader.Term {
-			e.beginTerm(c.Leader.Term, e.leader.Identity)
+			e.beginTerm(c.Leader, e.leader.Identity)
 		}
-		e.leader = c.Leader
+		e.leader, e.stored = c.Leader, c.Leader
 		e.refusals, e.leaderReplaceable, e.leaderStopped = 0, false, false
 	case AppendPlan:
 		e.storedPlan = max(e.storedPlan, c.Sequence)
 	case ReadLeader:
 	}
+	e.lastAckSent = sent
 	e.leaseExpiry = sent.Add(e.settings.LeaseDuration)
 	e.renewAt = sent.Add(e.settings.RenewInterval)
-	e.nextCallAt = now
 }
 
 // CallFailed records a failed call. refused says that the store refused it, so that it had no effect; conflict that it
 // refused an append because the topic does not end at the append's Offset. If both are false, the call got no answer and
-// may have taken effect.
-func (e *Elector) CallFailed(now time.Time, call Call, refused, conflict bool) {
+// may have taken effect; else era is that of the answer.
+func (e *Elector) CallFailed(now time.Time, call Call, era uint64, refused, conflict bool) {
 	e.callPending = false
+	if refused || conflict {
+		e.ObserveEra(now, era)
+	}
 	if conflict {
 		e.storeAnsweredAt = now
 		e.synced = false
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -33,7 +34,9 @@
 type topic struct {
 	firstOffset int64 // offset of records[0], or of the next record if records is empty
 	records     []platform.Record
+	appended    []time.Time // when each of records was appended
 	newest      map[string]platform.Record
+	forgotten   map[string]platform.Record // the newest record of each key among those that were dropped
 }
 
 // nextOffset returns the offset of the next record.
@@ -51,6 +54,7 @@
 	handler http.Handler
 
 	mu      sync.Mutex
+	era     uint64 // rises by one with each Restore
 	topics  map[string]*topic
 	servers map[string]registration
 	changed chan struct{} // closed and replaced when records or faults change
@@ -58,11 +62,12 @@
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*topic{}, servers: map[string]registration{}, changed: make(chan struct{})}
+	s := &Store{era: 1, topics: map[string]*topic{}, servers: map[string]registration{}, changed: make(chan struct{})}
 	s.faults.onChange = func(StoreFaults) { s.notify() }
 	router := mux.NewRouter()
 	router.HandleFunc("/admin/faults", s.faults.serveAdmin).Methods(http.MethodGet, http.MethodPost)
 	router.HandleFunc("/admin/forget", s.serveForget).Methods(http.MethodPost)
+	router.HandleFunc("/admin/restore", s.serveRestore).Methods(http.MethodPost)
 	router.HandleFunc("/admin/servers", s.serveHeartbeat).Methods(http.MethodPost)
 	router.PathPrefix("/").Handler(s.withFaults(platform.NewStoreHandler(s)))
 	s.handler = router
@@ -141,38 +146,84 @@
 // topic returns a topic and creates it on first use. The caller holds mu.
 func (s *Store) topic(name string) *topic {
 	if s.topics[name] == nil {
-		s.topics[name] = &topic{newest: map[string]platform.Record{}}
+		s.topics[name] = &topic{newest: map[string]platform.Record{}, forgotten: map[string]platform.Record{}}
 	}
 	return s.topics[name]
 }
 
 // Append implements platform.TopicStore.
-func (s *Store) Append(_ context.Context, name, key string, value []byte, expectedOffset int64) (int64, error) {
+func (s *Store) Append(
+	_ context.Context, name, key string, value []byte, expectedOffset int64,
+) (platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	if expectedOffset != platform.AnyOffset && expectedOffset != t.nextOffset() {
-		return 0, platform.NewErrConflict(t.nextOffset())
+		return platform.Position{Era: s.era}, platform.NewErrConflict(t.nextOffset())
 	}
-	return s.appendLocked(t, key, value), nil
+	return platform.Position{Era: s.era, Offset: s.appendLocked(time.Now(), t, key, value)}, nil
 }
 
 // appendLocked adds a record and returns its offset. An empty value removes the key. The caller holds mu.
-func (s *Store) appendLocked(t *topic, key string, value []byte) int64 {
+func (s *Store) appendLocked(now time.Time, t *topic, key string, value []byte) int64 {
 	record := platform.Record{Key: key, Value: slices.Clone(value), Offset: t.nextOffset()}
 	if len(value) == 0 {
 		record.Value = nil
-		delete(t.newest, key)
-	} else {
-		t.newest[key] = record
 	}
-	t.records = append(t.records, record)
+	setNewest(t.newest, record)
+	t.records, t.appended = append(t.records, record), append(t.appended, now)
 	s.notifyLocked()
 	return record.Offset
 }
 
+// setNewest makes a record the newest one of its key. A record without a value removes the key.
+func setNewest(newest map[string]platform.Record, record platform.Record) {
+	if record.Value == nil {
+		delete(newest, record.Key)
+		return
+	}
+	newest[record.Key] = record
+}
+
+// Restore brings the store back from a copy that is as old as age: all records that were appended after that are lost,
+// their offsets are given out again, and the era rises by one. Records dropped by POST /admin/forget are in the copy. The
+// registrations of servers are as old; servers write theirs again with their next heartbeats.
+func (s *Store) Restore(now time.Time, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for _, t := range s.topics {
+		t.truncate(now.Add(-age))
+	}
+	// A registration that the copy lacks counts as unknown, so that the next heartbeat adds its record again.
+	registered := s.topic(platform.TopicServers).newest
+	for id := range s.servers {
+		delete(s.servers, id)
+	}
+	for id, record := range registered {
+		s.servers[id] = registration{value: record.Value, expiry: now.Add(restoredTTL)}
+	}
+	s.notifyLocked()
+}
+
+// restoredTTL is how long the registrations in a copy last without a heartbeat.
+const restoredTTL = 3 * time.Second
+
+// truncate drops the records that were appended after a given time.
+func (t *topic) truncate(latest time.Time) {
+	kept := 0
+	for kept < len(t.records) && !t.appended[kept].After(latest) {
+		kept++
+	}
+	t.records, t.appended = t.records[:kept:kept], t.appended[:kept:kept]
+	t.newest = maps.Clone(t.forgotten)
+	for _, record := range t.records {
+		setNewest(t.newest, record)
+	}
+}
+
 // Newest implements platform.TopicStore. The records are in the order of their offsets.
-func (s *Store) Newest(_ context.Context, name string) ([]platform.Record, int64, error) {
+func (s *Store) Newest(_ context.Context, name string) ([]platform.Record, platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
@@ -181,17 +232,17 @@
 		records = append(records, record)
 	}
 	slices.SortFunc(records, func(a, b platform.Record) int { return int(a.Offset - b.Offset) })
-	return records, t.nextOffset(), nil
+	return records, platform.Position{Era: s.era, Offset: t.nextOffset()}, nil
 }
 
-// Changes implements platform.TopicStore.
+// Changes implements platform.TopicStore, but for the era of from, which it ignores.
 func (s *Store) Changes(
-	ctx context.Context, name string, from int64, wait time.Duration,
-) ([]platform.Record, int64, error) {
+	ctx context.Context, name string, from platform.Position, wait time.Duration,
+) ([]platform.Record, platform.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		records, next, changed, err := s.recordsFrom(name, from)
+		records, next, changed, err := s.recordsFrom(name, from.Offset)
 		if err != nil || len(records) > 0 {
 			return records, next, err
 		}
@@ -207,30 +258,45 @@
 
 // recordsFrom returns the records of a topic from an offset on, the offset after them, and a channel that is closed at the
 // next change.
-func (s *Store) recordsFrom(name string, from int64) ([]platform.Record, int64, <-chan struct{}, error) {
+func (s *Store) recordsFrom(
+	name string, from int64,
+) ([]platform.Record, platform.Position, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	if from < t.firstOffset {
-		return nil, 0, nil, platform.ErrExpired{}
-	}
-	if from >= t.nextOffset() {
-		return nil, max(from, t.nextOffset()), s.changed, nil
+	next := platform.Position{Era: s.era, Offset: t.nextOffset()}
+	if from < t.firstOffset || from > next.Offset {
+		return nil, next, nil, platform.ErrExpired{}
 	}
-	return slices.Clone(t.records[from-t.firstOffset:]), t.nextOffset(), s.changed, nil
+	return slices.Clone(t.records[from-t.firstOffset:]), next, s.changed, nil
 }
 
 // serveForget drops the records of all topics from the history. The newest record of each key remains.
 func (s *Store) serveForget(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	for _, t := range s.topics {
-		t.firstOffset, t.records = t.nextOffset(), nil
+		for _, record := range t.records {
+			setNewest(t.forgotten, record)
+		}
+		t.firstOffset, t.records, t.appended = t.nextOffset(), nil, nil
 	}
 	s.notifyLocked()
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+// serveRestore answers POST /admin/restore, whose body has the age of the copy.
+func (s *Store) serveRestore(w http.ResponseWriter, r *http.Request) {
+	var copied struct {
+		AgeMS int64 `json:"age_ms"`
+	}
+	if !decodeAdminBody(w, r, &copied) {
+		return
+	}
+	s.Restore(time.Now(), time.Duration(copied.AgeMS)*time.Millisecond)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
 // Heartbeat is the body of POST /admin/servers, with which a backend server registers. An empty Registration removes the
 // server.
 type Heartbeat struct {
@@ -251,7 +317,7 @@
 	defer s.mu.Unlock()
 	t := s.topic(platform.TopicServers)
 	if known := s.servers[heartbeat.ID]; !bytes.Equal(known.value, heartbeat.Registration) {
-		s.appendLocked(t, heartbeat.ID, heartbeat.Registration)
+		s.appendLocked(now, t, heartbeat.ID, heartbeat.Registration)
 	}
 	delete(s.servers, heartbeat.ID)
 	if len(heartbeat.Registration) > 0 {
@@ -286,7 +352,7 @@
 	for id, r := range s.servers {
 		if now.After(r.expiry) {
 			delete(s.servers, id)
-			s.appendLocked(s.topic(platform.TopicServers), id, nil)
+			s.appendLocked(now, s.topic(platform.TopicServers), id, nil)
 		}
 	}
 }
--- a/internal/emulator/store_test.go
+++ b/internal/emulator/store_test.go
@@ -30,9 +30,9 @@
 	ctx := context.Background()
 	_, _, client := startStore(t)
 	for i, value := range []string{"one", "two"} {
-		offset, err := client.Append(ctx, "keyed.x", "a", []byte(value), int64(i))
+		position, err := client.Append(ctx, "keyed.x", "a", []byte(value), int64(i))
 		is.NoErr(err)
-		is.Equal(offset, int64(i))
+		is.Equal(position, platform.Position{Era: 1, Offset: int64(i)})
 	}
 	_, err := client.Append(ctx, "keyed.x", "b", []byte("late"), 1)
 	is.True(platform.IsErrConflict(err))
@@ -42,11 +42,11 @@
 	is.NoErr(err)
 	records, end, err := client.Newest(ctx, "keyed.x")
 	is.NoErr(err)
-	is.Equal(end, int64(4))
+	is.Equal(end, platform.Position{Era: 1, Offset: 4})
 	is.Equal(records, []platform.Record{{Key: "b", Value: []byte("three"), Offset: 2}})
-	records, next, err := client.Changes(ctx, "keyed.x", 2, 0)
+	records, next, err := client.Changes(ctx, "keyed.x", platform.Position{Era: 1, Offset: 2}, 0)
 	is.NoErr(err)
-	is.Equal(next, int64(4))
+	is.Equal(next, platform.Position{Era: 1, Offset: 4})
 	is.Equal(records, []platform.Record{{Key: "b", Value: []byte("three"), Offset: 2}, {Key: "a", Offset: 3}})
 }
 
@@ -59,11 +59,11 @@
 	response, err := http.Post("http://"+address+"/admin/forget", "application/json", nil)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
-	_, _, err = client.Changes(ctx, "keyed.x", 0, 0)
+	_, _, err = client.Changes(ctx, "keyed.x", platform.Position{Era: 1, Offset: 0}, 0)
 	is.True(platform.IsErrExpired(err))
 	records, end, err := client.Newest(ctx, "keyed.x")
 	is.NoErr(err)
-	is.Equal(end, int64(1))
+	is.Equal(end, platform.Position{Era: 1, Offset: 1})
 	is.Equal(len(records), 1)
 }
 
@@ -104,7 +104,7 @@
 	store, _, client := startStore(t)
 	done := make(chan error, 1)
 	go func() {
-		_, _, err := client.Changes(ctx, "keyed.x", 0, time.Minute)
+		_, _, err := client.Changes(ctx, "keyed.x", platform.Position{Era: 1, Offset: 0}, time.Minute)
 		done <- err
 	}()
 	store.SetFaults(StoreFaults{Outage: true})
@@ -123,14 +123,14 @@
 	is.NoErr(registrar.SendHeartbeat(ctx)) // an unchanged registration adds no record
 	server.StartDraining()
 	is.NoErr(registrar.SendHeartbeat(ctx))
-	records, _, err := client.Changes(ctx, platform.TopicServers, 0, 0)
+	records, _, err := client.Changes(ctx, platform.TopicServers, platform.Position{Era: 1, Offset: 0}, 0)
 	is.NoErr(err)
 	is.Equal(len(records), 2)
 	registration, err := platform.DecodeServer(records[1].Key, records[1].Value)
 	is.NoErr(err)
 	is.Equal(registration, server.Registration("127.0.0.1:9"))
 	store.expire(time.Now().Add(time.Hour))
-	records, _, err = client.Changes(ctx, platform.TopicServers, 2, 0)
+	records, _, err = client.Changes(ctx, platform.TopicServers, platform.Position{Era: 1, Offset: 2}, 0)
 	is.NoErr(err)
 	is.Equal(records, []platform.Record{{Key: "s1", Offset: 2}})
 }
@@ -170,3 +170,58 @@
 	is.NoErr(json.NewDecoder(response.Body).Decode(&page))
 	is.Equal(page, ExecutionPage{Executions: []Execution{ended}, Next: 1})
 }
+
+// TestRestoreLosesNewestRecords guards against a restored store that keeps what was appended after its copy was made, loses
+// what is older, or does not give the lost offsets out again in a new era.
+func TestRestoreLosesNewestRecords(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store, address, client := startStore(t)
+	_, err := client.Append(ctx, "keyed.x", "a", []byte("old"), 0)
+	is.NoErr(err)
+	response, err := http.Post("http://"+address+"/admin/forget", "application/json", nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	_, err = client.Append(ctx, "keyed.x", "b", []byte("kept"), 1)
+	is.NoErr(err)
+	copied := time.Now()
+	for _, key := range []string{"a", "b", "c"} {
+		_, err = client.Append(ctx, "keyed.x", key, []byte("lost"), platform.AnyOffset)
+		is.NoErr(err)
+	}
+	restored := time.Now()
+	store.Restore(restored, restored.Sub(copied))
+	records, end, err := client.Newest(ctx, "keyed.x")
+	is.NoErr(err)
+	is.Equal(end, platform.Position{Era: 2, Offset: 2})
+	is.Equal(records, []platform.Record{
+		{Key: "a", Value: []byte("old"), Offset: 0}, {Key: "b", Value: []byte("kept"), Offset: 1},
+	})
+	_, next, err := client.Changes(ctx, "keyed.x", platform.Position{Era: 1, Offset: 4}, time.Minute)
+	is.True(platform.IsErrExpired(err)) // an offset that the store does not have
+	is.Equal(next.Era, uint64(2))
+	position, err := client.Append(ctx, "keyed.x", "d", []byte("new"), 2)
+	is.NoErr(err)
+	is.Equal(position, platform.Position{Era: 2, Offset: 2})
+}
+
+// TestRestoredRegistrationIsWrittenAgain guards against a server whose registration the copy lacks, and that stays unknown
+// although its heartbeats arrive.
+func TestRestoredRegistrationIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store, address, client := startStore(t)
+	copied := time.Now()
+	server := NewServer(ServerSettings{ID: "s1", Service: "desk", Domain: "a", Slots: 2}, time.UnixMilli(7))
+	registrar := NewRegistrar(server, address, "127.0.0.1:9", time.Minute)
+	is.NoErr(registrar.SendHeartbeat(ctx))
+	restored := time.Now()
+	store.Restore(restored, restored.Sub(copied))
+	records, _, err := client.Newest(ctx, platform.TopicServers)
+	is.NoErr(err)
+	is.Equal(len(records), 0)
+	is.NoErr(registrar.SendHeartbeat(ctx))
+	records, _, err = client.Newest(ctx, platform.TopicServers)
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+}
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -25,7 +25,7 @@
 	return n, err
 }
 
-// limitedReader fails with errHeaderTooLong once remaining is used up.
+// limitedReader fails with errAnswerTooLong once remaining is used up.
 type limitedReader struct {
 	source    io.Reader
 	remaining int64 // bytes
@@ -34,7 +34,7 @@
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, errHeaderTooLong
+		return 0, errAnswerTooLong
 	}
 	n, err := l.source.Read(p)
 	l.remaining -= int64(n)
--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -64,6 +64,6 @@
 	errPoolExhausted        = errors.New("no connection became free in time")
 	errSwitchingProtocols   = errors.New("unexpected switch of protocols")
 	errTooManyInformational = errors.New("too many interim answers")
-	errHeaderTooLong        = errors.New("head of the answer is too long")
+	errAnswerTooLong        = errors.New("answer is too long")
 	errDeadlinePassed       = errors.New("deadline has passed")
 )
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -131,7 +130,7 @@
 			return nil, errSwitchingProtocols
 		}
 		if response.StatusCode >= http.StatusOK {
-			e.conn.limit.remaining = math.MaxInt64
+			e.conn.limit.remaining = e.pool.options.MaxAnswerBytes
 			return response, nil
 		}
 		if onInformational != nil && response.StatusCode != http.StatusContinue {
--- a/internal/exchanger/exchange_test.go
+++ b/internal/exchanger/exchange_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -285,3 +287,32 @@
 	_, _ = io.WriteString(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
 	_, _ = io.Copy(io.Discard, in)
 }
+
+// TestAnswerBytesAreLimited guards against a server that sends an answer without end in the smallest chunks, which the
+// length of the decoded body hardly limits.
+func TestAnswerBytesAreLimited(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		flusher := w.(http.Flusher)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "a")
+			flusher.Flush()
+		}
+	}))
+	defer server.Close()
+	const limit = 64 << 10
+	pool := New(Options{Address: strings.TrimPrefix(server.URL, "http://"), MaxAnswerBytes: limit})
+	now := time.Now()
+	deadline := now.Add(time.Minute)
+	connection, err := pool.Acquire(context.Background(), now, deadline)
+	is.NoErr(err)
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	is.NoErr(err)
+	response, err := connection.Do(context.Background(), request, deadline, nil)
+	is.NoErr(err)
+	read, err := io.Copy(io.Discard, response.Body)
+	is.True(errors.Is(err, errAnswerTooLong))
+	is.True(read < limit)
+	response.Close(time.Now(), false)
+	is.Equal(pool.Open(), 0)
+}
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 	ConnectTimeout time.Duration // for connecting with the TLS handshake, and for waiting until a connection is free
 	IdleTimeout    time.Duration // a connection found to have been idle for longer is closed, not used
 	TLS            *tls.Config
+	MaxAnswerBytes int64 // bound of the bytes of an answer after its header, with the overhead of chunks
 	// ProbeInterval is the time between keep-alive probes, which find unresponsive connections: a connection whose other
 	// side acknowledges nothing for three intervals fails. 0 leaves probes to the defaults of Go and the operating system.
 	ProbeInterval time.Duration
@@ -53,6 +55,9 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	if o.MaxAnswerBytes <= 0 {
+		o.MaxAnswerBytes = math.MaxInt64
+	}
 	o.TLS = withServerName(o.TLS, o.Address)
 	return &Pool{options: o, tokens: make(chan struct{}, o.MaxConnections), open: map[*conn]struct{}{}}
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,10 +11,6 @@
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
-// maxBufferedBytes bounds the body of an answer and the body of a request that another instance forwards, which are read
-// into memory before they are sent on. The rest of a longer answer is not read.
-const maxBufferedBytes = 64 << 20
-
 // dispatch queues the request for its pool, which this instance dispatches, and sends it to a server.
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
 	server, r, ok := f.acquireSlot(ctx, req)
@@ -99,6 +94,9 @@
 		q.queue.Cancel(ticket)
 		delete(q.waiters, ticket)
 	}
+	if ctx.Err() != nil {
+		return "", result{outcome: abandoned, reason: reasonClientLeft}, false
+	}
 	return "", result{outcome: abandoned, reason: "time_up_in_queue"}, false
 }
 
@@ -152,6 +150,9 @@
 	case r.outcome == moved:
 		queueOutcome = queuer.Inconclusive
 	}
+	if p, ok := f.pauses[server]; ok { // before Done, which may start the next request
+		f.notifyWaiters(q, q.queue.Pause(now, server, p.until))
+	}
 	f.notifyWaiters(q, q.queue.Done(now, server, req.route, queueOutcome, took))
 }
 
@@ -165,6 +166,9 @@
 		return result{outcome: abandoned, server: serverID, reason: "time_up"}
 	}
 	connection, err := f.serverConnPool(server.Address, server.Slots).Acquire(ctx, now, req.deadline)
+	if err != nil && ctx.Err() != nil {
+		return result{outcome: abandoned, server: serverID, reason: reasonClientLeft}
+	}
 	if err != nil {
 		return result{outcome: unreached, server: serverID, reason: "no_connection: " + err.Error()}
 	}
@@ -177,15 +181,21 @@
 	if err != nil {
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := f.readAnswer(req, response.Body)
 	sameRequest := response.Header.Get(f.headers.RequestID) == req.id || response.Header.Get(f.headers.RequestID) == ""
 	// A connection that delivered the answer to another request is not used again.
 	response.Close(time.Now(), err == nil && sameRequest)
 	if err != nil {
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
+	if sameRequest {
+		f.observeServer(time.Now(), server, response.Status, response.Header)
+	}
 	r := f.interpretAnswer(req, response.Status, response.Header, body, sameRequest)
 	r.server = serverID
+	if r.outcome == rejected {
+		r.retryAfter = f.pauseLeft(time.Now(), serverID)
+	}
 	return r
 }
 
@@ -206,7 +216,9 @@
 func (f *Forwarder) interpretAnswer(
 	req *clientRequest, status int, header http.Header, body []byte, sameRequest bool,
 ) result {
-	r := result{outcome: answered, status: status, header: header, body: body, maybeSent: true}
+	r := result{
+		outcome: answered, status: status, header: header, body: body, toHead: req.method == http.MethodHead, maybeSent: true,
+	}
 	fromServer := header.Get(f.headers.Signature) != ""
 	switch {
 	case !sameRequest:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,8 @@
 	Signature   string // marks an answer that a server itself sent, as each successful answer must; its value is not checked
 	NotExecuted string // marks an answer to a request that the server did not execute
 	ShardKey    string // key of a request to a keyed service
+	// Leaving has LeavingValue on the answers of a server that is about to end.
+	Leaving, LeavingValue string
 }
 
 // Forwarder forwards the requests that clients send to an instance, and those of the server pools that the instance
@@ -70,12 +72,15 @@
 	keepAlivesDisabled atomic.Bool   // answers ask clients to close their connections
 	nextRotation       atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout        time.Duration // the constant, except in tests
+	buffers            bufferBudget
+	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
 	serverConnPools  map[string]*exchanger.Pool // by address
 	peerConnPools    map[string]*exchanger.Pool // by address
 	unreachableUntil map[string]time.Time       // by instance: until then it is not used as a dispatcher
+	pauses           map[string]pause           // by server id
 	loads            loads
 }
 
@@ -105,8 +110,9 @@
 		headers: headers, budget: budget, meter: m, moveTimeout: moveTimeout,
 		queues:          map[resolver.ServerPool]*poolQueue{},
 		serverConnPools: map[string]*exchanger.Pool{}, peerConnPools: map[string]*exchanger.Pool{},
-		unreachableUntil: map[string]time.Time{}, loads: newLoads(),
+		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, loads: newLoads(),
 	}
+	f.buffers.limit = defaultBufferBytes
 	viewChanged := make(chan struct{})
 	f.viewChanged.Store(&viewChanged)
 	return f
@@ -137,7 +143,11 @@
 	q.view = v
 	var servers []queuer.Server
 	for _, s := range v.Servers(serverPool) {
-		servers = append(servers, queuer.Server{ID: s.ID, Slots: s.Slots})
+		server := queuer.Server{ID: s.ID, Slots: s.Slots}
+		if p, ok := f.pauses[s.ID]; ok && p.incarnation == s.Incarnation {
+			server.PausedUntil = p.until
+		}
+		servers = append(servers, server)
 	}
 	f.notifyWaiters(q, q.queue.SetServers(now, servers))
 	if q.queue.Empty() {
@@ -237,7 +247,7 @@
 	if p == nil {
 		p = exchanger.New(exchanger.Options{
 			Address: address, MaxConnections: maxPeerConnections, ConnectTimeout: connectTimeout, IdleTimeout: peerIdleTimeout,
-			ProbeInterval: peerProbeInterval,
+			ProbeInterval: peerProbeInterval, MaxAnswerBytes: maxWireBytes,
 		})
 		f.peerConnPools[address] = p
 	}
@@ -252,7 +262,7 @@
 	if p == nil {
 		p = exchanger.New(exchanger.Options{
 			Address: address, MaxConnections: slots + spareConnections, ConnectTimeout: connectTimeout,
-			IdleTimeout: serverIdleTimeout, ProbeInterval: serverProbeInterval,
+			IdleTimeout: serverIdleTimeout, ProbeInterval: serverProbeInterval, MaxAnswerBytes: maxWireBytes,
 		})
 		f.serverConnPools[address] = p
 	}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -152,12 +151,14 @@
 // forwardTo sends the request to its dispatcher, another instance.
 func (f *Forwarder) forwardTo(ctx context.Context, req *clientRequest, dispatcher resolver.Member) result {
 	now := time.Now()
+	v := f.view.Load()
 	answerDeadline := req.deadline.Add(hopTimeoutMargin)
 	connection, err := f.peerConnPool(dispatcher.Address).Acquire(ctx, now, answerDeadline)
 	if err != nil {
-		if ctx.Err() == nil {
-			f.markUnreachable(now, dispatcher.Instance)
+		if ctx.Err() != nil {
+			return result{outcome: abandoned, dispatcher: dispatcher.Instance, reason: reasonClientLeft}
 		}
+		f.markUnreachable(now, dispatcher.Instance)
 		return result{outcome: unreached, dispatcher: dispatcher.Instance, reason: "no_front: " + err.Error()}
 	}
 	f.meter.Count(meter.RequestsForwarded)
@@ -170,18 +171,26 @@
 	response, err := connection.Do(sendCtx, httpReq, answerDeadline, nil)
 	var body []byte
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+		body, err = f.readAnswer(req, response.Body)
 		response.Close(time.Now(), err == nil)
 	}
 	if err != nil {
 		return f.hopFailure(ctx, req, dispatcher, err)
 	}
-	r := result{status: response.Status, header: response.Header, body: body, dispatcher: dispatcher.Instance}
+	r := result{
+		status: response.Status, header: response.Header, body: body, toHead: req.method == http.MethodHead,
+		dispatcher: dispatcher.Instance,
+	}
 	if err := r.decode(response.Header.Get(headerOutcome)); err != nil {
 		return result{outcome: broken, maybeSent: true, dispatcher: dispatcher.Instance, reason: "front_answered: " + err.Error()}
 	}
 	response.Header.Del(headerOutcome)
 	r.dispatcher = dispatcher.Instance
+	// A server that leaves gets nothing more from this instance either, should it become the dispatcher. The view from
+	// before the hop can't have a later incarnation than the one that answered.
+	if server, ok := v.Server(r.server); ok && r.outcome == answered {
+		f.observeLeaving(server, response.Header)
+	}
 	return r
 }
 
@@ -211,10 +220,11 @@
 		writeHopAnswer(w, result{outcome: refused, reason: "front_has_no_configuration", retryAfter: defaultRetryAfter})
 		return
 	}
-	if err := req.readFrom(r, maxBufferedBytes); err != nil {
+	if err := req.readFrom(r, maxBodyBytes); err != nil {
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	defer func() { f.buffers.release(req.buffered) }()
 	req.id = r.Header.Get(f.headers.RequestID)
 	req.header.Del(HeaderHop)
 	writeHopAnswer(w, f.dispatch(r.Context(), req))
--- a/internal/forwarder/loads.go
+++ b/internal/forwarder/loads.go
@@ -5,10 +5,11 @@
 	"time"
 )
 
-// AnswerStats is the number of requests that a backend server has answered, and their total service time.
+// AnswerStats is the number of requests that a backend server has answered, their total service time, and its pause.
 type AnswerStats struct {
 	Count            int
 	TotalServiceTime time.Duration
+	PausedFor        time.Duration // how much longer the server wants no requests from the instance
 }
 
 // Loads is the load that an instance has measured since the last CollectLoads.
@@ -37,14 +38,24 @@
 // countAnswer counts an answer of a server. The caller holds mu.
 func (l *loads) countAnswer(server string, took time.Duration) {
 	stats := l.Answers[server]
-	l.Answers[server] = AnswerStats{Count: stats.Count + 1, TotalServiceTime: stats.TotalServiceTime + took}
+	stats.Count, stats.TotalServiceTime = stats.Count+1, stats.TotalServiceTime+took
+	l.Answers[server] = stats
 }
 
-// CollectLoads returns what was measured since the last call.
-func (f *Forwarder) CollectLoads() Loads {
+// CollectLoads returns what was measured since the last call, and the pauses of servers.
+func (f *Forwarder) CollectLoads(now time.Time) Loads {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	collected := f.loads.Loads
+	for server, p := range f.pauses {
+		if left := p.until.Sub(now); left > 0 {
+			stats := collected.Answers[server]
+			stats.PausedFor = left
+			collected.Answers[server] = stats
+		} else {
+			delete(f.pauses, server)
+		}
+	}
 	f.loads = newLoads()
 	return collected
 }
@@ -64,6 +75,7 @@
 		sum := l.Answers[server]
 		l.Answers[server] = AnswerStats{
 			Count: sum.Count + stats.Count, TotalServiceTime: sum.TotalServiceTime + stats.TotalServiceTime,
+			PausedFor: stats.PausedFor, // the later measurement replaces the earlier one
 		}
 	}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -40,6 +40,7 @@
 	sends           int                 // how often it may have reached a server
 	moveWaitStart   time.Time           // when it first waited for a moving key; zero if it never did
 	rotation        uint64              // spreads requests over the server pools of a service without keys
+	buffered        int64               // bytes of its answers that were taken from the buffer budget
 }
 
 // readFrom sets the parts of a client's request that are forwarded. It returns errBodyTooLarge if the body has more than
@@ -115,9 +116,10 @@
 	status          int
 	header          http.Header
 	body            []byte
-	server          string // that was tried; if moved: the new owner, empty if unknown
-	maybeSent       bool   // whether it may have reached a server
-	retryAfter      time.Duration
+	toHead          bool                // answer to a HEAD request, which has no body
+	server          string              // that was tried; if moved: the new owner, empty if unknown
+	maybeSent       bool                // whether it may have reached a server
+	retryAfter      time.Duration       // if rejected, how long the server wants no requests, or 0
 	reason          string              // for the log and the metrics; a detail may follow after a colon
 	dispatcher      string              // instance that dispatched the request, if it is another one
 	ownerMapVersion partitioner.Version // if moved: of the owner map by which server is the new owner
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -135,6 +135,9 @@
 		req.avoidServer = r.server
 		return true
 	case rejected:
+		if req.keyed && r.retryAfter > 0 {
+			return false // only this server may execute the request, and it wants none for a while
+		}
 		if !f.budget.AllowRetry(now, req.service, instances) {
 			return false
 		}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -20,6 +20,8 @@
 	defaultRetryAfter = 500 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After. The queue's own refusals have the same minimum.
 	minRetryAfter = 50 * time.Millisecond
+	// maxTimeLeftMS is the longest time that a client may say it waits, in milliseconds: a day.
+	maxTimeLeftMS = 24 * 60 * 60 * 1000
 	// answerMargin is subtracted from a request's deadline, to leave time for returning the answer to the client.
 	answerMargin = 15 * time.Millisecond
 )
@@ -43,6 +45,7 @@
 		f.refuse(w, r, now, status, reason, 0)
 		return
 	}
+	defer func() { f.buffers.release(req.buffered) }()
 	f.budget.CountRequest(now, req.service, len(v.Members)+1)
 	res := f.sendWithRetries(r.Context(), req, route.MaxAttempts)
 	f.writeAnswer(w, r, now, req, res)
@@ -58,7 +61,7 @@
 	}
 	if text := r.Header.Get(f.headers.TimeLeft); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 {
+		if err != nil || !(ms >= 0 && ms <= maxTimeLeftMS) { // the negation also holds for NaN
 			return nil, http.StatusBadRequest, "bad_time_left"
 		}
 		if clientDeadline := now.Add(time.Duration(ms * float64(time.Millisecond))); clientDeadline.Before(req.deadline) {
@@ -169,5 +172,9 @@
 	for name, values := range header {
 		w.Header()[name] = values
 	}
+	if r.toHead && r.header.Get("Content-Length") != "" {
+		w.Header().Set("Content-Length", r.header.Get("Content-Length")) // that of the answer to a GET
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 }
--- /dev/null
+++ b/internal/forwarder/server_signals_test.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/resolver"
+)
+
+const (
+	answerLeaving        = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nhi"
+	answerLeavingToOther = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r0\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nno"
+	answerNotLeaving     = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\nServer-Leaving: 0\r\nContent-Length: 2\r\n\r\nhi"
+	answerPause          = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: full\r\nX-Id: r1\r\nRetry-After: 20\r\nContent-Length: 0\r\n\r\n"
+)
+
+// TestLeavingServerIsReported guards against a server that stays in use after it has said that it is leaving, and against
+// one that leaves because of an answer that belongs to another request.
+func TestLeavingServerIsReported(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		want   int
+	}{
+		"leaving":                   {answer: answerLeaving, want: 1},
+		"another value":             {answer: answerNotLeaving},
+		"answer to another request": {answer: answerLeavingToOther},
+		"no word of it":             {answer: answerOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, startScriptedServer(t, test.answer))
+			f.headers.Leaving, f.headers.LeavingValue = "Server-Leaving", "1"
+			var left []string
+			f.OnLeaving(func(server string, _ int64) { left = append(left, server) })
+			sendRequest(f, "POST", "/once/x", "", "")
+			is.Equal(len(left), test.want)
+			if test.want > 0 {
+				is.Equal(left[0], "p")
+			}
+		})
+	}
+}
+
+// TestPausedServerGetsNoRequests guards against requests that reach a server although it has answered that it wants none
+// for a while, and against clients that are not told for how long.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	for _, path := range []string{"/key/x", "/keyonce/x", "/idempotent/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			b := startScriptedServer(t, answerPause, answerOK)
+			f := newForwarder(t, b)
+			for range 5 {
+				w := sendRequest(f, "GET", path, "5", "")
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+				seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(seconds > 10 && seconds <= 20)
+			}
+			is.Equal(b.requests.Load(), int64(1))
+		})
+	}
+}
+
+// TestPauseEndsWithNewIncarnation guards against a restarted server that gets no requests because its previous incarnation
+// asked for a pause, and against a pause that a new view of the same incarnation ends.
+func TestPauseEndsWithNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	b := startScriptedServer(t, answerPause, answerOK)
+	f := newForwarder(t, b)
+	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 503)
+	f.SetView(time.Now(), viewWithIncarnation(f.View(), 0))
+	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 503)
+	is.Equal(b.requests.Load(), int64(1))
+	f.SetView(time.Now(), viewWithIncarnation(f.View(), 7))
+	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 200)
+}
+
+// viewWithIncarnation returns a view like v in which the servers have an incarnation.
+func viewWithIncarnation(v *resolver.View, incarnation int64) *resolver.View {
+	var servers []cataloger.Server
+	for _, id := range []string{"k", "p"} {
+		s, _ := v.Server(id)
+		s.Incarnation = incarnation
+		servers = append(servers, s)
+	}
+	return resolver.New(v.Self, v.Table, servers, v.Owners, v.Members)
+}
+
+func TestParseRetryAfter(t *testing.T) {
+	tests := map[string]struct {
+		wanted time.Duration
+		valid  bool
+	}{
+		"0":                             {valid: true},
+		"1":                             {wanted: time.Second, valid: true},
+		"0.25":                          {wanted: 250 * time.Millisecond, valid: true},
+		"30":                            {wanted: maxPause, valid: true},
+		"31":                            {wanted: maxPause},
+		"1e300":                         {wanted: maxPause},
+		"Inf":                           {wanted: maxPause},
+		"-1":                            {},
+		"NaN":                           {},
+		"soon":                          {},
+		"Fri, 04 Dec 2026 10:00:00 GMT": {},
+	}
+	for text, test := range tests {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			wanted, valid := parseRetryAfter(text)
+			is.Equal(wanted, test.wanted)
+			is.Equal(valid, test.valid)
+		})
+	}
+}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -11,6 +11,9 @@
 //     has not expired.
 //   - The store records who may own a range before the grant is sent.
 //
+// After the store came back from an older copy, its record may name an earlier owner. DistrustPlan and Freeze then make the
+// leader wait until every leader that may have changed it has stopped.
+//
 // A lease is always a range lease here; that of the leader is called leader lease.
 //
 // Besides the orders, four types name a range and a server: an Assignment is the record in the store, an ownership the
@@ -156,7 +159,8 @@
 	ranges              map[int]*ownership          // by id
 	servers             map[string]cataloger.Server // by id, those of keyed services
 	exclusions          map[string]exclusion        // by server id
-	predecessorExpiry   time.Time                   // until when leases that earlier leaders granted may last; see New
+	uncertainUntil      time.Time                   // until then servers that no plan names may have leases; see DistrustPlan
+	frozen              bool                        // see Freeze
 	planSequence        uint64                      // sequence number of the current plan
 	storedSequence      uint64                      // sequence number of the newest plan known to be stored
 	maybeStoredSequence uint64                      // sequence number of the newest plan that may be in the store, now or later
@@ -168,7 +172,7 @@
 func New(settings Settings, now time.Time, term uint64, assignments []Assignment, predecessorExpiry time.Time) *Granter {
 	g := &Granter{
 		settings: settings, term: term, ranges: map[int]*ownership{}, servers: map[string]cataloger.Server{},
-		exclusions: map[string]exclusion{}, predecessorExpiry: predecessorExpiry, changed: map[int]bool{},
+		exclusions: map[string]exclusion{}, changed: map[int]bool{},
 	}
 	for _, a := range assignments {
 		if a.Server == "" {
@@ -183,6 +187,40 @@
 	return g
 }
 
+// DistrustPlan records that the assignments passed to New may be outdated, because the store has lost records: another leader
+// may have granted any range to any server, by leases that have expired at until. Nothing is granted before, not even to
+// the servers that the plan names. It must be called before anything else.
+func (g *Granter) DistrustPlan(until time.Time) {
+	g.uncertainUntil = until
+	g.planSequence++
+	for _, o := range g.ranges {
+		o.leaseExpiry, o.inherited = until, false
+		if o.state != free {
+			o.state, o.planSequence = planned, g.planSequence
+		}
+	}
+}
+
+// Freeze makes the granter renew the leases of ranges and do nothing else, until ContinueTerm is called: another leader,
+// whose record the store has lost, may have moved ranges. The servers refuse the renewals of those that it has moved,
+// because it has granted them with a higher fence first.
+func (g *Granter) Freeze() { g.frozen = true }
+
+// StorePlanAgain records that the store has lost the plan.
+func (g *Granter) StorePlanAgain() {
+	g.storedSequence, g.maybeStoredSequence = 0, 0
+	g.planSequence++
+}
+
+// ContinueTerm continues with a higher term, whose plan has to be stored. It ends Freeze.
+func (g *Granter) ContinueTerm(term uint64) {
+	g.term, g.fenceCount, g.frozen = term, 0, false
+	g.StorePlanAgain()
+	for _, o := range g.sortedRanges() {
+		o.fence = g.nextFence()
+	}
+}
+
 // addRange adds a range under a new id.
 func (g *Granter) addRange(o *ownership) *ownership {
 	g.lastID++
@@ -192,18 +230,25 @@
 	return o
 }
 
-// fenceCountBits is the number of low bits of a fence that count the fences of a term; the term takes the bits above.
-// They have room for 16 million fences, of which each renewal takes one: these last for more than 4 days of a term at a few
-// dozen grants a second, as for 50 ranges, and for 18 hours at 250 grants a second, as for 300 ranges.
-const fenceCountBits = 24
+const (
+	// fenceCountBits is the number of low bits of a fence that count the fences of a term; the term takes the bits above.
+	fenceCountBits = 24
+	maxFenceCount  = 1<<fenceCountBits - 1
+	// fenceReserve is how many fences are left when a leader asks for a new term, for which it needs the store. At 300 grants
+	// a second they last for 58 minutes.
+	fenceReserve = 1 << 20
+)
 
-// nextFence returns a fence that is higher than all that this or an earlier leader has used, as long as fewer than
-// 1<<fenceCountBits fences are used in each term.
+// nextFence returns a fence that is higher than all that this or an earlier leader has used. After maxFenceCount fences in
+// one term it returns the last one again; Tick sends no orders then.
 func (g *Granter) nextFence() uint64 {
-	g.fenceCount++
+	g.fenceCount = min(g.fenceCount+1, maxFenceCount)
 	return g.term<<fenceCountBits | g.fenceCount
 }
 
+// NeedsNewTerm reports whether this term soon runs out of fences. ContinueTerm ends that.
+func (g *Granter) NeedsNewTerm() bool { return g.fenceCount >= maxFenceCount-fenceReserve }
+
 // SetServers replaces the known servers by those of servers that belong to keyedServices. A keyed service without
 // assignments gets them. A server with a new incarnation is granted its ranges anew. A range whose first grant has not been
 // answered is released if its server is draining or Gone, or is no longer registered; Tick does so for ranges whose grant
@@ -229,7 +274,7 @@
 			delete(g.exclusions, o.Server)
 			g.regrantAfterRestart(now, o)
 		}
-		if (!known || s.State != cataloger.Ready) && o.state == granting && !o.inherited {
+		if (!known || s.State != cataloger.Ready) && o.state == granting && !o.inherited && !g.frozen {
 			g.startRelease(now, o, "")
 		}
 	}
@@ -258,7 +303,7 @@
 }
 
 // assignNewService plans equal ranges for the assignable servers of a service that has no assignments. No server can have a
-// lease of these ranges yet.
+// lease of these ranges, unless the plan is distrusted.
 func (g *Granter) assignNewService(now time.Time, service string) {
 	for _, o := range g.ranges {
 		if o.Service == service {
@@ -273,7 +318,7 @@
 	for i, r := range partitioner.Divide(len(assignable)) {
 		g.addRange(&ownership{
 			Assignment: Assignment{Service: service, Range: r, Server: assignable[i]}, state: planned,
-			planSequence: g.planSequence, fence: g.nextFence(),
+			planSequence: g.planSequence, fence: g.nextFence(), leaseExpiry: g.uncertainUntil,
 		})
 	}
 }
@@ -299,11 +344,11 @@
 }
 
 const (
-	// minExclusion is how long a server is excluded the first time: twice the lease duration of 4 s, which package controller
-	// sets. The time doubles with each further exclusion, up to maxExclusion, because keys that are granted to a server
-	// that still fails are not served for two lease durations.
-	minExclusion = 8 * time.Second
-	maxExclusion = 64 * time.Second
+	// minExclusionLeases is how long a server is excluded the first time, in lease durations. The time doubles with each
+	// further exclusion, up to maxExclusionLeases, because keys that are granted to a server that still fails are not
+	// served for two lease durations.
+	minExclusionLeases = 2
+	maxExclusionLeases = 16
 )
 
 // exclusion is the time during which a server gets no new ranges because its answers to grants did not arrive.
@@ -318,7 +363,8 @@
 	if now.Before(e.until) {
 		return // already excluded because of another of its ranges
 	}
-	e.duration = min(max(minExclusion, 2*e.duration), maxExclusion)
+	lease := g.settings.LeaseDuration
+	e.duration = min(max(minExclusionLeases*lease, 2*e.duration), maxExclusionLeases*lease)
 	e.until = now.Add(e.duration)
 	g.exclusions[server] = e
 }
@@ -349,7 +395,7 @@
 // grant may be valid.
 func (g *Granter) StartMove(now time.Time, service string, r partitioner.Range, nextOwner string) bool {
 	for _, o := range g.ranges {
-		if o.Service != service || !o.stable() || o.Server == nextOwner || now.Before(o.unansweredExpiry) {
+		if g.frozen || o.Service != service || !o.stable() || o.Server == nextOwner || now.Before(o.unansweredExpiry) {
 			continue
 		}
 		if o.Range.First <= r.First && r.Last <= o.Range.Last {
@@ -432,7 +478,7 @@
 func (g *Granter) segment(now time.Time, o *ownership) partitioner.Segment {
 	s := partitioner.Segment{Service: o.Service, Range: o.Range, Server: o.Server}
 	s.Moving = o.state != granted && !(o.state == granting && o.inherited)
-	if o.state == releasing && o.failing { // other pauses are short or of unknown length
+	if (o.state == releasing && o.failing) || o.state == planned { // other pauses are short or of unknown length
 		s.PauseMS = uint32(max(0, o.latestExpiry().Sub(now).Milliseconds()))
 	}
 	return s
@@ -462,12 +508,12 @@
 	return list
 }
 
-// UngrantedRanges returns the number of ranges of all services that are not granted: those that move, that have no owner, or
+// UngrantedRanges returns the number of ranges of a service that are not granted: those that move, that have no owner, or
 // whose owner has not answered this leader's first grant yet.
-func (g *Granter) UngrantedRanges() int {
+func (g *Granter) UngrantedRanges(service string) int {
 	count := 0
 	for _, o := range g.ranges {
-		if o.state != granted {
+		if o.Service == service && o.state != granted {
 			count++
 		}
 	}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -196,7 +196,7 @@
 	}
 	is.Equal(g.AssignableServers(sim.now, service), []string{"s1", "s2"}) // s0 is excluded for a while
 	sim.servers[0].losesAnswers = false
-	sim.run(minExclusion, 0)
+	sim.run(minExclusionLeases*testSettings.LeaseDuration, 0)
 	is.Equal(g.AssignableServers(sim.now, service), []string{"s0", "s1", "s2"})
 }
 
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -9,10 +9,17 @@
 
 // Tick returns the orders that are due. It frees the ranges whose leases have all expired.
 func (g *Granter) Tick(now time.Time) []Order {
+	if g.fenceCount >= maxFenceCount {
+		return nil
+	}
 	g.mergeNeighbours()
 	var orders []Order
 	for _, o := range g.sortedRanges() {
-		g.advanceRange(now, o)
+		if !g.frozen {
+			g.advanceRange(now, o)
+		} else if o.state == releasing {
+			continue
+		}
 		if o.orderInFlight || now.Before(o.nextOrderAt) {
 			continue
 		}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -13,15 +13,18 @@
 	RequestsForwarded
 	RequestsRepeated
 	RequestsCancelled
+	ServerPauses
+	InvalidRetryAfters
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + RequestsCancelled + 1
+	Appends Counter = iota + InvalidRetryAfters + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
 	StoreGaps
+	StoreRestores
 	ReportsSent
 	ReportsFailed
 	LeadsTaken
@@ -69,26 +72,29 @@
 }
 
 var counterDescriptions = [counterCount]Description{
-	RequestsReceived:  {"requests_received", "Requests that clients sent to this instance."},
-	RequestsAnswered:  {"requests_answered", "Requests answered with the backend server's complete answer."},
-	RequestsNotRun:    {"requests_not_run", "Requests whose client was told that they were not executed."},
-	RequestsUnknown:   {"requests_unknown", "Requests that may have been executed but got no valid server answer."},
-	RequestsForwarded: {"requests_forwarded", "Times that a request was forwarded to its dispatcher, another instance."},
-	RequestsRepeated:  {"requests_repeated", "Retries sent to a backend server after an earlier attempt may have reached one."},
-	RequestsCancelled: {"requests_cancelled", "Requests whose client disconnected, except in a queue of this instance."},
-	Appends:           {"appends", "Append calls to the platform's store."},
-	AppendsFailed:     {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
-	StoreReads:        {"store_reads", "Reads of the store's topics, directly or through another instance."},
-	StoreReadsFailed:  {"store_reads_failed", "Reads of the store's topics that failed."},
-	StoreGaps:         {"store_gaps", "Times that records of the store expired before this instance read them."},
-	ReportsSent:       {"reports_sent", "Reports sent to the leader."},
-	ReportsFailed:     {"reports_failed", "Reports that the leader did not answer."},
-	LeadsTaken:        {"leads_taken", "Times that this instance became the leader."},
-	MovesStarted:      {"moves_started", "Moves of key ranges that this instance chose as leader, started or not."},
-	GrantsSent:        {"grants_sent", "Grants sent to backend servers, renewals included."},
-	GrantsRefused:     {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
-	GrantsFailed:      {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
-	ReleasesSent:      {"releases_sent", "Releases sent to backend servers."},
+	RequestsReceived:   {"requests_received", "Requests that clients sent to this instance."},
+	RequestsAnswered:   {"requests_answered", "Requests answered with the backend server's complete answer."},
+	RequestsNotRun:     {"requests_not_run", "Requests whose client was told that they were not executed."},
+	RequestsUnknown:    {"requests_unknown", "Requests that may have been executed but got no valid server answer."},
+	RequestsForwarded:  {"requests_forwarded", "Times that a request was forwarded to its dispatcher, another instance."},
+	RequestsRepeated:   {"requests_repeated", "Retries sent to a backend server after an earlier attempt may have reached one."},
+	RequestsCancelled:  {"requests_cancelled", "Requests whose client disconnected, except in a queue of this instance."},
+	ServerPauses:       {"server_pauses", "Times that a backend server asked this instance for a pause, with 503 and Retry-After."},
+	InvalidRetryAfters: {"invalid_retry_afters", "Pauses asked for by a backend server that are not a number of seconds or too long."},
+	Appends:            {"appends", "Append calls to the platform's store."},
+	AppendsFailed:      {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
+	StoreReads:         {"store_reads", "Reads of the store's topics, directly or through another instance."},
+	StoreReadsFailed:   {"store_reads_failed", "Reads of the store's topics that failed."},
+	StoreGaps:          {"store_gaps", "Times that records of the store expired before this instance read them."},
+	StoreRestores:      {"store_restores", "Times that the store came back from an older copy while this instance ran."},
+	ReportsSent:        {"reports_sent", "Reports sent to the leader."},
+	ReportsFailed:      {"reports_failed", "Reports that the leader did not answer."},
+	LeadsTaken:         {"leads_taken", "Times that this instance became the leader."},
+	MovesStarted:       {"moves_started", "Moves of key ranges that this instance chose as leader, started or not."},
+	GrantsSent:         {"grants_sent", "Grants sent to backend servers, renewals included."},
+	GrantsRefused:      {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
+	GrantsFailed:       {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
+	ReleasesSent:       {"releases_sent", "Releases sent to backend servers."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -48,8 +48,8 @@
 
 // Chain is all versions of the bundle, the oldest first. The zero Chain is empty.
 type Chain struct {
-	versions   []Version
-	nextOffset int64 // next offset of the topic when it was read; the next version is appended only there
+	versions []Version
+	end      platform.Position // end of the topic when it was read; the next version is appended only there
 }
 
 // Versions returns the versions, the oldest first.
@@ -79,12 +79,12 @@
 // ReadChain reads the chain from the store. It checks neither the sign-offs nor that each version may follow the one before:
 // both were checked when the version was published.
 func ReadChain(ctx context.Context, store platform.TopicStore) (Chain, error) {
-	records, next, err := store.Newest(ctx, topicBundles)
+	records, end, err := store.Newest(ctx, topicBundles)
 	if err != nil {
 		return Chain{}, markRetryable(errors.Wrap(err, "read the bundles"))
 	}
 	slices.SortFunc(records, func(a, b platform.Record) int { return strings.Compare(a.Key, b.Key) })
-	chain := Chain{nextOffset: next}
+	chain := Chain{end: end}
 	for _, r := range records {
 		var stored storedVersion
 		if err := json.Unmarshal(r.Value, &stored); err != nil {
@@ -148,10 +148,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encode bundle")
 	}
-	_, err = store.Append(ctx, topicBundles, versionKey(bundle.Version()), value, chain.nextOffset)
+	appended, err := store.Append(ctx, topicBundles, versionKey(bundle.Version()), value, chain.end.Offset)
+	if err == nil && appended.Era != chain.end.Era {
+		err = errStoreRestored
+	}
 	return markRetryable(err)
 }
 
+// errStoreRestored says that the store came back from an older copy between the read of a topic and an append to it.
+var errStoreRestored = errors.New("the store came back from an older copy")
+
 // activate makes the bundle the active configuration, unless a newer one is active. It reads the active version after
 // each append, and retries until that is this one or a newer one.
 func activate(ctx context.Context, store platform.TopicStore, bundle *bundler.Bundle) error {
@@ -165,7 +171,7 @@
 			return nil
 		}
 		if err == nil {
-			_, err = store.Append(ctx, platform.TopicOperators, platform.KeyConfig, value, next)
+			_, err = store.Append(ctx, platform.TopicOperators, platform.KeyConfig, value, next.Offset)
 			err = markRetryable(err)
 		}
 		if err != nil && (!isRetryable(err) || !waitBeforeRetry(ctx)) {
@@ -174,12 +180,13 @@
 	}
 }
 
-// activeConfig returns the version of the active configuration, or 0 if there is none, and the next offset of
-// its topic.
-func activeConfig(ctx context.Context, store platform.TopicStore) (version uint64, next int64, err error) {
+// activeConfig returns the version of the active configuration, or 0 if there is none, and the end of its topic.
+func activeConfig(
+	ctx context.Context, store platform.TopicStore,
+) (version uint64, next platform.Position, err error) {
 	records, next, err := store.Newest(ctx, platform.TopicOperators)
 	if err != nil {
-		return 0, 0, markRetryable(errors.Wrap(err, "read the configuration"))
+		return 0, next, markRetryable(errors.Wrap(err, "read the configuration"))
 	}
 	for _, r := range records {
 		if r.Key != platform.KeyConfig {
@@ -187,7 +194,7 @@
 		}
 		config, err := platform.DecodeConfig(r.Value)
 		if err != nil {
-			return 0, 0, err
+			return 0, next, err
 		}
 		version = config.Version()
 	}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -145,17 +145,19 @@
 	beforeAppend func() // runs before the first append; may be nil
 }
 
-func (s *flakyStore) Append(ctx context.Context, topic, key string, value []byte, at int64) (int64, error) {
+func (s *flakyStore) Append(
+	ctx context.Context, topic, key string, value []byte, at int64,
+) (platform.Position, error) {
 	if beforeAppend := s.beforeAppend; beforeAppend != nil {
 		s.beforeAppend = nil
 		beforeAppend()
 	}
-	offset, err := s.TopicStore.Append(ctx, topic, key, value, at)
+	position, err := s.TopicStore.Append(ctx, topic, key, value, at)
 	if err == nil && s.lostAnswers > 0 {
 		s.lostAnswers--
-		return 0, errors.New("answer lost")
+		return platform.Position{}, errors.New("answer lost")
 	}
-	return offset, err
+	return position, err
 }
 
 // TestLostAnswersDoNotPublishTwice guards against a retry that appends the same version again, or that is rejected.
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -101,7 +101,8 @@
 	failures     int           // consecutive
 	ejectedUntil time.Time
 	ejectionTime time.Duration // of the last ejection; 0 once a request was Answered
-	probing      bool          // after an ejection: limited to one request at a time until one is Answered
+	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
+	pausedUntil  time.Time     // until then the server wants no requests
 	removed      bool          // gets no new requests, and is dropped when none runs on it
 }
 
@@ -127,8 +128,9 @@
 
 // Server is a backend server and its slots.
 type Server struct {
-	ID    string
-	Slots int
+	ID          string
+	Slots       int
+	PausedUntil time.Time // until then it wants no requests; the zero Time if it has not asked for a pause
 }
 
 // SetServers replaces the servers, and starts or refuses waiting requests accordingly. Requests that run on a removed
@@ -144,6 +146,8 @@
 			q.servers = append(q.servers, known)
 		}
 		known.slots, known.removed = s.Slots, false
+		known.pausedUntil = time.Time{} // a new incarnation of the server has not asked for the pause
+		known.pause(now, s.PausedUntil)
 	}
 	q.dropRemoved()
 	return q.advance(now)
@@ -189,7 +193,32 @@
 	return total
 }
 
-func (s *server) usable(now time.Time) bool { return !s.removed && !now.Before(s.ejectedUntil) }
+func (s *server) usable(now time.Time) bool { return !s.removed && !now.Before(s.usableFrom()) }
+
+// usableFrom returns when the server may get requests again.
+func (s *server) usableFrom() time.Time {
+	if s.pausedUntil.After(s.ejectedUntil) {
+		return s.pausedUntil
+	}
+	return s.ejectedUntil
+}
+
+// pause keeps requests from the server until a given time. Then it gets one at a time until one is Answered. A pause that
+// has ended, or that ends before the present one, changes nothing.
+func (s *server) pause(now, until time.Time) {
+	if now.Before(until) && until.After(s.pausedUntil) {
+		s.pausedUntil, s.probing = until, true
+	}
+}
+
+// Pause keeps requests from a server until a given time, because it has asked for that. Waiting requests that can't be
+// answered in time are refused.
+func (q *Queue) Pause(now time.Time, serverID string, until time.Time) Change {
+	if s := q.findServer(serverID); s != nil {
+		s.pause(now, until)
+	}
+	return q.advance(now)
+}
 
 // maxRunning returns how many requests the server may run concurrently.
 func (s *server) maxRunning() int {
@@ -375,6 +404,7 @@
 	var refused []Refused
 	ahead := q.runningWork()
 	slots := q.usableSlots(now)
+	retryAfter := q.retryAfter(now) // before the loop compacts q.waiting
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		need := q.serviceTime(w.Request)
@@ -383,24 +413,25 @@
 			kept = append(kept, w)
 			continue
 		}
-		// retryAfter reads q.waiting, which this loop compacts: its estimate may count kept requests twice and leave out
-		// refused ones.
-		refused = append(refused, Refused{Ticket: w.ticket, RetryAfter: q.retryAfter(now)})
+		refused = append(refused, Refused{Ticket: w.ticket, RetryAfter: retryAfter})
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 	return refused
 }
 
-// nextEjectionEnd returns when the first ejected server may be used again, which is at most maxEjectionTime after now. It is
-// called only while no slot is usable; if a server is not ejected, the result lies in the past.
-func (q *Queue) nextEjectionEnd(now time.Time) time.Time {
-	first := now.Add(maxEjectionTime)
+// nextUsable returns when the first server that is ejected or paused may be used again, or maxEjectionTime after now if
+// there is no server. It is called only while no slot is usable.
+func (q *Queue) nextUsable(now time.Time) time.Time {
+	var first time.Time
 	for _, s := range q.servers {
-		if !s.removed && s.ejectedUntil.Before(first) {
-			first = s.ejectedUntil
+		if from := s.usableFrom(); !s.removed && (first.IsZero() || from.Before(first)) {
+			first = from
 		}
 	}
+	if first.IsZero() {
+		return now.Add(maxEjectionTime)
+	}
 	return first
 }
 
@@ -412,12 +443,12 @@
 
 // mayWait reports whether a request with the service time need may wait: whether it would be answered before its deadline if
 // requests with the total service time ahead are executed before it. Without a usable server, requests wait only for one
-// whose ejection ends within minEjectionTime. A request that misses its objective may not wait under overload; with less
+// that is usable within minEjectionTime. A request that misses its objective may not wait under overload; with less
 // load, its wait is taken to grow with the load, because new requests run before it.
 func (q *Queue) mayWait(now time.Time, w *waitingRequest, ahead time.Duration, slots int, need time.Duration) bool {
 	if slots == 0 {
-		ejectionEnd := q.nextEjectionEnd(now)
-		return ejectionEnd.Sub(now) <= minEjectionTime && ejectionEnd.Add(need).Before(w.Deadline)
+		usable := q.nextUsable(now)
+		return usable.Sub(now) <= minEjectionTime && usable.Add(need).Before(w.Deadline)
 	}
 	start := ahead / time.Duration(slots)
 	if q.missesObjective(now, w) {
@@ -507,7 +538,7 @@
 	}
 	slots := q.usableSlots(now)
 	if slots == 0 {
-		return max(minRetryAfter, q.nextEjectionEnd(now).Sub(now))
+		return max(minRetryAfter, q.nextUsable(now).Sub(now))
 	}
 	return min(max(minRetryAfter, total/time.Duration(slots)), maxRetryAfter)
 }
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -196,3 +196,60 @@
 	is.Equal(change.Refused[0].RetryAfter, 2*minEjectionTime)
 	is.Equal(q.Offer(ejectionEnd, request(1, 9000, 9000)), Refuse{RetryAfter: 2 * minEjectionTime})
 }
+
+// TestPausedServerGetsNothing guards against requests that are started at a server while it wants none, against waiting
+// requests that are held back although they can't be answered in time, and against a burst when the pause ends.
+func TestPausedServerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	q.SetServers(start, []Server{{ID: "a", Slots: 2}})
+	request := func(deadline time.Duration) Request {
+		return Request{Objective: start.Add(deadline), Deadline: start.Add(deadline)}
+	}
+	for range 2 {
+		is.Equal(q.Offer(start, request(time.Minute)), Start{Server: "a"})
+	}
+	_, waits := q.Offer(start, request(3*time.Second)).(Wait)
+	is.True(waits)
+	change := q.Pause(start, "a", at(10000))
+	is.Equal(len(change.Refused), 1) // it can't be answered in time
+	is.Equal(change.Refused[0].RetryAfter, 10*time.Second)
+	is.Equal(q.Done(at(1000), "a", "", Rejected, 0), Change{})
+	is.Equal(q.Offer(at(1000), request(5*time.Second)), Refuse{RetryAfter: 9 * time.Second})
+	q.Pause(at(1000), "a", at(2000)) // a shorter pause does not end a longer one
+	is.Equal(q.Offer(at(3000), request(5*time.Second)), Refuse{RetryAfter: 7 * time.Second})
+	q.Done(at(4000), "a", "", Inconclusive, 0)
+	is.Equal(q.Offer(at(10000), request(time.Minute)), Start{Server: "a"})
+	_, waits = q.Offer(at(10000), request(time.Minute)).(Wait)
+	is.True(waits) // until one request was answered
+	change = q.Done(at(11000), "a", "", Answered, time.Second)
+	is.Equal(len(change.Started), 1)
+	is.Equal(q.Offer(at(11000), request(time.Minute)), Start{Server: "a"})
+}
+
+// TestOtherServersAreUsedDuringPause guards against requests that are refused although another server has a free slot.
+func TestOtherServersAreUsedDuringPause(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	q.SetServers(start, []Server{{ID: "a", Slots: 2, PausedUntil: at(1000)}, {ID: "b", Slots: 2}})
+	for range 2 {
+		is.Equal(q.Offer(start, Request{Objective: at(60_000), Deadline: at(60_000)}), Start{Server: "b"})
+	}
+}
+
+// TestRefusedRequestsGetTheSameRetryAfter guards against an estimate from a list of waiting requests that is being changed.
+func TestRefusedRequestsGetTheSameRetryAfter(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	q.SetServers(start, []Server{{ID: "a", Slots: 1}})
+	is.Equal(q.Offer(start, Request{Objective: at(60_000), Deadline: at(60_000)}), Start{Server: "a"})
+	for range 4 {
+		_, waits := q.Offer(start, Request{Objective: at(1000), Deadline: at(1000)}).(Wait)
+		is.True(waits)
+	}
+	change := q.Advance(at(999))
+	is.Equal(len(change.Refused), 4)
+	for _, r := range change.Refused {
+		is.Equal(r.RetryAfter, change.Refused[0].RetryAfter)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,6 +56,8 @@
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of the memory that the instance may use. Near
 	// the soft limit, garbage is collected more often.
 	memoryLimitRatio = 0.7
+	// bufferedRatio is the part of the memory that bodies of requests and answers may take together.
+	bufferedRatio = 0.25
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
 	millicoresPerMbps = 16
 )
@@ -78,12 +80,14 @@
 	names := forwarder.HeaderNames{
 		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
 		Signature: platform.HeaderSignature, NotExecuted: platform.HeaderNotExecuted, ShardKey: platform.HeaderKey,
+		Leaving: platform.HeaderLeaving, LeavingValue: platform.LeavingValue,
 	}
 	budget := limiter.New(limiter.Settings{
 		Ratio: s.Bounds.RetryBudgetRatio, Extra: s.Bounds.RetryBudgetExtra, Window: s.Bounds.RetryBudgetWindow,
 	})
 	counters := meter.New()
 	dataPlane := forwarder.New(names, budget, counters)
+	dataPlane.LimitBuffers(int64(float64(s.MemoryMB) * (1 << 20) * bufferedRatio))
 	self := resolver.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
@@ -92,6 +96,7 @@
 	controlPlane := controller.New(controller.Options{
 		Self: self, Store: platform.NewStore(s.StoreAddress), Forwarder: dataPlane, Meter: counters,
 		DrainTimeout: s.Bounds.DrainTimeout - drainMargin, MaxRangeLeaseDuration: s.Bounds.MaxLeaseDuration,
+		FirstStart: s.FirstStart, HeartbeatInterval: s.HeartbeatInterval,
 	})
 	return &Runner{settings: s, forwarder: dataPlane, controller: controlPlane, meter: counters, log: log, events: events}
 }
@@ -214,6 +219,7 @@
 		case request.Header.Get(forwarder.HeaderHop) != "":
 			r.forwarder.ServeHop(w, request)
 		case strings.HasPrefix(request.URL.Path, messages.PathPrefix()):
+			request.Body = http.MaxBytesReader(w, request.Body, controller.MaxPeerMessageBytes)
 			messages.ServeHTTP(w, request)
 		default:
 			http.NotFound(w, request)
