--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -110,6 +110,7 @@
 
 	elector         *elector.Elector
 	eraApplied      uint64        // era of the store to which this instance has adapted
+	termsExhausted  bool          // Elector.TermsExhausted, as logged last
 	era             atomic.Uint64 // eraApplied, for other goroutines
 	grantSettings   granter.Settings
 	plan            []byte // content of the plan record with the highest term that this instance has read
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -23,6 +23,10 @@
 // when this instance no longer leads.
 func (c *Controller) updateLeadership(now time.Time) {
 	election, elected := c.elector.NewlyElected()
+	if exhausted := c.elector.TermsExhausted(); exhausted != c.termsExhausted {
+		c.termsExhausted = exhausted
+		klog.InfoS("no term is left", "exhausted", exhausted, "era", c.elector.Era())
+	}
 	switch {
 	case elected && c.elector.Term() != 0 && election.Continued && c.leaderState != nil:
 		c.continueTerm(now, election)
--- a/internal/controller/store_test.go
+++ b/internal/controller/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -10,11 +9,11 @@
 )
 
 // TestReadTimeoutsStayWithinBound guards against timeouts that add up to more than the 2 s within which a configuration has
-// to be applied once the platform is reachable again (platform.Bounds.ConfigApplyTimeout). Each case adds up the longest
+// to be applied once the platform is reachable again (MaxConfigDelay). Each case adds up the longest
 // waits of one situation.
 func TestReadTimeoutsStayWithinBound(t *testing.T) {
 	is := is.New(t)
-	const bound = 2 * time.Second
+	const bound = MaxConfigDelay
 	// A poll of the store and a read through another instance have just begun, and both fail.
 	is.True(platform.PollTimeout+peerCallTimeout+maxReadRetryDelay+batchDelay < bound)
 	// The relay stops.
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -13,6 +13,9 @@
 	"github.com/wasabibank/wasabibank/platform"
 )
 
+// MaxConfigDelay is the time within which the timings of reads let all instances apply a new configuration.
+const MaxConfigDelay = 2 * time.Second
+
 // The timings of reading topics.
 const (
 	// readWait is how long a read waits for new records; the store allows 30 s. A store that fails silently loses such a
@@ -41,7 +44,7 @@
 	relayRetryDelay = 3 * time.Second
 	// readRetryDelay is the pause after a failed read, doubled up to maxReadRetryDelay. One poll of the store, one read
 	// through another instance and the pause take 1.6 s, less than the 2 s within which a configuration has to be applied
-	// (platform.Bounds.ConfigApplyTimeout, which is not read here).
+	// (MaxConfigDelay).
 	// maxReadRetryDelay is also the pause after a read through another instance, and how long after a failed call to the
 	// store reads of the other topic and reads for other instances fail without a call.
 	readRetryDelay    = 100 * time.Millisecond
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -148,9 +148,17 @@
 	s.counts.Rejected[reason]++
 	s.mu.Unlock()
 	w.Header().Set(platform.HeaderNotExecuted, reason)
+	s.setLeaving(w.Header())
 	writeJSON(w, status, errorBody{Message: reason})
 }
 
+// setLeaving sets the header of a server that is about to end.
+func (s *Server) setLeaving(header http.Header) {
+	if s.draining() {
+		header.Set(platform.HeaderLeaving, platform.LeavingValue)
+	}
+}
+
 // serviceTime returns the service time of an execution that starts at now; inWarmup says that its key is in its
 // warm-up.
 func (s *Server) serviceTime(now time.Time, inWarmup bool) time.Duration {
--- a/internal/emulator/server_answer.go
+++ b/internal/emulator/server_answer.go
@@ -50,6 +50,7 @@
 	header.Set(HeaderBodySum, Sum(body))
 	header.Set(platform.HeaderRequestID, j.requestID)
 	header.Set(platform.HeaderSignature, s.signature(e))
+	s.setLeaving(header)
 	if s.draining() {
 		header.Set("Connection", "close")
 	}
--- a/internal/emulator/server_faults.go
+++ b/internal/emulator/server_faults.go
@@ -5,6 +5,8 @@
 type ServerFaults struct {
 	// Shed makes the server act as if its queue were full.
 	Shed bool `json:"shed"`
+	// RetryAfterMS is sent as Retry-After, in milliseconds, when the server is full; 0 means that it is not sent.
+	RetryAfterMS int64 `json:"retry_after_ms"`
 	// SlowFactor multiplies service times; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
 	// InvertHealthChecks inverts the answers to health checks.
--- a/internal/emulator/server_requests.go
+++ b/internal/emulator/server_requests.go
@@ -39,6 +39,9 @@
 		status, reason = s.acquireSlot(r.Context(), j)
 	}
 	if reason != "" {
+		if ms := s.faults.get().RetryAfterMS; reason == reasonFull && ms > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(float64(ms)/1000, 'f', -1, 64))
+		}
 		s.reject(w, status, reason)
 		return
 	}
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -50,6 +50,7 @@
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleSince  time.Time
+	used       bool                  // for an earlier exchange
 	peek       func(fd uintptr) bool // sets noData
 	noData     bool                  // the last peek found an open connection without data to read
 	peekBuffer [1]byte
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -30,6 +30,7 @@
 	ContentLength  int64 // -1 if unknown
 	Trailer        http.Header
 	Body           io.Reader // fails with io.ErrUnexpectedEOF when it is truncated
+	Reused         bool      // the connection was used before, so that a late answer to an earlier request may arrive on it
 	CloseDelimited bool      // the body ends when the connection is closed, so that a truncated one can't be recognised
 
 	exchange     *exchange
@@ -45,6 +46,7 @@
 	writeDone  chan error  // gets the result of the background write; nil if there is none or its result was received
 	body       *StreamedBody
 	reusable   bool
+	reused     bool
 }
 
 // Connection is a connection that was taken out of a Pool for one request. Exactly one of Do and Release must be called.
@@ -72,7 +74,8 @@
 func (c Connection) Do(
 	ctx context.Context, req *http.Request, deadline time.Time, onInformational InformationalHandler,
 ) (*Response, error) {
-	e := &exchange{pool: c.pool, conn: c.conn, sentBefore: c.conn.sentBytes()}
+	e := &exchange{pool: c.pool, conn: c.conn, sentBefore: c.conn.sentBytes(), reused: c.conn.used}
+	c.conn.used = true
 	if err := c.conn.SetDeadline(deadline); err != nil {
 		return nil, e.fail(err)
 	}
@@ -200,6 +203,7 @@
 		ContentLength:  response.ContentLength,
 		Trailer:        response.Trailer,
 		Body:           response.Body,
+		Reused:         e.reused,
 		CloseDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		exchange:       e,
 		httpResponse:   response,
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -182,7 +182,9 @@
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
 	body, err := f.readAnswer(req, response.Body)
-	sameRequest := response.Header.Get(f.headers.RequestID) == req.id || response.Header.Get(f.headers.RequestID) == ""
+	answerID := response.Header.Get(f.headers.RequestID)
+	// Servers repeat the id. Without it, an answer on a connection that was used before may be a late copy of an earlier one.
+	sameRequest := answerID == req.id || answerID == "" && !response.Reused
 	// A connection that delivered the answer to another request is not used again.
 	response.Close(time.Now(), err == nil && sameRequest)
 	if err != nil {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -84,10 +84,10 @@
 	answerTruncated      = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\nContent-Length: 99\r\n\r\nhi"
 	answerToOtherRequest = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r0\r\nContent-Length: 2\r\n\r\nno"
 	answerUnsigned       = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nhi"
-	answerNotExecuted    = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-	answerUnavailable    = "HTTP/1.1 503 Service Unavailable\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"
+	answerNotExecuted    = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"
+	answerUnavailable    = "HTTP/1.1 503 Service Unavailable\r\nX-Signature: s\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"
 	answerServerError    = "HTTP/1.1 500 Internal Server Error\r\nX-Signature: s\r\nX-Id: r1\r\nContent-Length: 3\r\n\r\nbad"
-	answerMisdirected    = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	answerMisdirected    = "HTTP/1.1 421 Misdirected Request\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"
 	answerNotHTTP        = "what is this\r\n\r\n"
 )
 
@@ -542,3 +542,29 @@
 		_ = r.decode(outcome)
 	})
 }
+
+// TestLateCopyOfAnAnswerIsNoAnswer guards against a second copy of an answer that arrives late, after its connection is in
+// use for the next request, and that the next caller gets: as its own answer, or as the word that its request was not
+// executed.
+func TestLateCopyOfAnAnswerIsNoAnswer(t *testing.T) {
+	tests := map[string]string{
+		"copy with its id":            answerToOtherRequest,
+		"copy without an id":          "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+		"copy of a rejection":         "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"copy of a rejection, for id": "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Id: r0\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startScriptedServer(t, answerOK, late+answerOK, answerOK)
+			f := newForwarder(t, b)
+			is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 200)
+			w := sendRequest(f, "POST", "/once/x", "", "") // on the connection of the first request
+			is.Equal(w.Code, 502)
+			is.Equal(w.Body.String(), "")
+			w = sendRequest(f, "POST", "/once/x", "", "") // on a new connection
+			is.Equal(w.Code, 200)
+			is.Equal(w.Body.String(), "hi")
+		})
+	}
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -63,6 +63,11 @@
 	return c.versions[len(c.versions)-1].bundle
 }
 
+// contains reports whether a bundle is one of the versions.
+func (c Chain) contains(bundle *bundler.Bundle) bool {
+	return slices.ContainsFunc(c.versions, func(v Version) bool { return v.bundle.Digest() == bundle.Digest() })
+}
+
 // Check checks that signed may follow the newest bundle. bundle is the decoded content of signed; initialSigners are the
 // people who may sign version 1. The error is a reporter.ErrFindings.
 func (c Chain) Check(signed bundler.Signed, bundle *bundler.Bundle, initialSigners []bundler.Signer) error {
@@ -76,8 +81,9 @@
 	return signed.VerifyAgainst(newest.Signers())
 }
 
-// ReadChain reads the chain from the store. It checks neither the sign-offs nor that each version may follow the one before:
-// both were checked when the version was published.
+// ReadChain reads the chain from the store. It checks that each version may follow the one before and has the sign-offs that
+// this one demands, since others may write to the store. The sign-offs of version 1 depend on signers that the store does
+// not know.
 func ReadChain(ctx context.Context, store platform.TopicStore) (Chain, error) {
 	records, end, err := store.Newest(ctx, topicBundles)
 	if err != nil {
@@ -94,6 +100,11 @@
 		if err != nil {
 			return Chain{}, errors.Wrapf(err, "bundle %s in the store", r.Key)
 		}
+		if chain.Newest() != nil {
+			if err := chain.Check(stored.Signed, bundle, nil); err != nil {
+				return Chain{}, errors.Wrapf(err, "bundle %s in the store", r.Key)
+			}
+		}
 		chain.versions = append(chain.versions, Version{bundle: bundle, operator: stored.Operator, published: stored.Published})
 	}
 	return chain, nil
@@ -111,19 +122,23 @@
 // until ctx ends. A bundle that is the newest of the chain already, for example because the answer to an append was lost,
 // is not appended again: the operator and the sign-offs of its first publication stay.
 //
-// If the bundle is rejected, the error is a reporter.ErrFindings, and the bundle was not appended, unless an append whose
-// answer was lost took effect and another operator has published the next version since. If the bundle was appended but
-// may not be the active configuration, both the bundle and an error are returned. After any other error it is unknown
+// If the bundle is rejected, the error is a reporter.ErrFindings, and the bundle was not appended. If the bundle was appended
+// but may not be the active configuration, both the bundle and an error are returned. After any other error it is unknown
 // whether the bundle was appended.
 func (p Publication) Publish(ctx context.Context, store platform.TopicStore, now time.Time) (*bundler.Bundle, error) {
 	bundle, err := p.Signed.Decode("bundle")
 	if err != nil {
 		return nil, err
 	}
+	unanswered := false // an append may have taken effect
 	for {
 		chain, err := ReadChain(ctx, store)
-		if err == nil {
+		switch {
+		case err != nil:
+		case unanswered && chain.contains(bundle): // another operator may have published the next version since
+		default:
 			err = p.appendVersion(ctx, store, now, chain, bundle)
+			unanswered = unanswered || isRetryable(err) && !platform.IsErrStatus(err) && !platform.IsErrConflict(err)
 		}
 		if err == nil {
 			return bundle, activate(ctx, store, bundle)
@@ -207,10 +222,10 @@
 // Unwrap returns the error of the call, for errors.As.
 func (e errRetryable) Unwrap() error { return e.error }
 
-// markRetryable wraps err in an errRetryable. It returns nil for nil.
+// markRetryable wraps err in an errRetryable, unless the store would reject the call again. It returns nil for nil.
 func markRetryable(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || platform.IsErrInvalid(err) {
+		return err
 	}
 	return errRetryable{err}
 }
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -143,6 +147,7 @@
 	platform.TopicStore
 	lostAnswers  int
 	beforeAppend func() // runs before the first append; may be nil
+	afterLoss    func() // runs after each append whose answer is lost; may be nil
 }
 
 func (s *flakyStore) Append(
@@ -155,6 +160,9 @@
 	position, err := s.TopicStore.Append(ctx, topic, key, value, at)
 	if err == nil && s.lostAnswers > 0 {
 		s.lostAnswers--
+		if s.afterLoss != nil {
+			s.afterLoss()
+		}
 		return platform.Position{}, errors.New("answer lost")
 	}
 	return position, err
@@ -212,3 +220,62 @@
 	is.Equal(versionKey(10), "0000000a")
 	is.True(versionKey(9) < versionKey(10) && versionKey(255) < versionKey(256))
 }
+
+// TestLostAnswerBeforeNextVersionIsNoRejection guards against an operator who is told that a bundle was rejected although it
+// was published: the answer to its append was lost, and another operator has published the next version since.
+func TestLostAnswerBeforeNextVersionIsNoRejection(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := emulator.NewStore()
+	first := publication(t, nil)
+	slow := &flakyStore{TopicStore: store, lostAnswers: 1}
+	slow.afterLoss = func() {
+		_, err := publication(t, first.decode(t), "timeout: 2s", "timeout: 3s").Publish(ctx, store, publishTime)
+		is.NoErr(err)
+	}
+	published, err := first.Publish(ctx, slow, publishTime)
+	is.NoErr(err)
+	is.Equal(published.Version(), uint64(1))
+	is.Equal(configVersion(t, store), uint64(2))
+}
+
+// TestInvalidCallsAreNotRetried guards against retries until the timeout of a call that the store rejects each time.
+func TestInvalidCallsAreNotRetried(t *testing.T) {
+	tests := map[int]bool{400: false, 403: false, 413: false, 429: true, 503: true}
+	for status, retried := range tests {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls++; calls > 1 {
+					cancel()
+				}
+				w.WriteHeader(status)
+			}))
+			defer server.Close()
+			_, err := publication(t, nil).Publish(ctx, platform.NewStore(server.Listener.Addr().String()), publishTime)
+			is.True(err != nil)
+			is.Equal(calls > 1, retried)
+		})
+	}
+}
+
+// TestForgedVersionIsRejected guards against a bundle in the store that nobody has signed off: it must not be shown, nor
+// followed by a version that its signers sign.
+func TestForgedVersionIsRejected(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := emulator.NewStore()
+	first, err := publication(t, nil).Publish(ctx, store, publishTime)
+	is.NoErr(err)
+	forged := publication(t, first, "timeout: 2s", "timeout: 3s")
+	forged.Signed.SignOffs = forged.Signed.SignOffs[:1]
+	value, err := json.Marshal(storedVersion{Signed: forged.Signed, Operator: "nobody"})
+	is.NoErr(err)
+	_, err = store.Append(ctx, topicBundles, versionKey(2), value, platform.AnyOffset)
+	is.NoErr(err)
+	_, err = ReadChain(ctx, store)
+	is.True(err != nil)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -110,6 +110,10 @@
 // The error is that of a listener or of a server.
 func (r *Runner) Run(stop context.Context) error {
 	klog.InfoS("start", "instance", r.settings.Instance, "domain", r.settings.Domain, "clients", r.settings.ClientAddress)
+	if bound := r.settings.Bounds.ConfigApplyTimeout; bound < controller.MaxConfigDelay {
+		klog.InfoS("configurations may be applied later than the settings demand", "bound", bound,
+			"delay", controller.MaxConfigDelay)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	serveErrors := make(chan error, 4) // one for each server
--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -48,6 +48,7 @@
 	settingsPath string
 	storeProxy   *proxy // between the entry and the store
 	process      *process
+	restarted    bool // its settings say that the system does not start for the first time
 }
 
 // server is a backend server. A restart replaces its process.
@@ -136,6 +137,13 @@
 // startEntry starts a new incarnation of an entry.
 func (c *cluster) startEntry(e *entry) {
 	c.t.Helper()
+	if e.process != nil && !e.restarted {
+		e.restarted = true
+		raw, err := os.ReadFile(e.settingsPath)
+		must(c.t, err)
+		text := strings.Replace(string(raw), "self.bootstrap=true", "self.bootstrap=false", 1)
+		must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
+	}
 	e.process = startProcess(c.t, e.name, "entry", "-settings", e.settingsPath)
 }
 
@@ -151,19 +159,28 @@
 			c.bundle.Version()+1, c.bundle.Version(), c.bundle.Digest())
 		text = strings.Replace(text, "version: 1\n", lineage, 1)
 	}
-	path := filepath.Join(c.dir, "bundle.yaml")
+	path := c.bundlePath()
 	must(c.t, os.WriteFile(path, []byte(text), 0o600))
 	for _, signer := range []string{"salma", "yusuf"} {
 		runProgram(c.t, "bundle", "sign", "-signer", signer,
 			"-key", filepath.Join(examplesDir, "keys", signer+".key.pem"), path)
 	}
-	runProgram(c.t, "bundle", "publish", "-timeout", "1m", "-store", c.store.address(),
-		"-signers", filepath.Join(examplesDir, "shashat", "signers.yaml"), path)
+	c.publishAgain()
 	bundle, err := bundler.Decode(path, []byte(text))
 	must(c.t, err)
 	c.bundle = bundle
 }
 
+// bundlePath returns the path of the newest bundle.
+func (c *cluster) bundlePath() string { return filepath.Join(c.dir, "bundle.yaml") }
+
+// publishAgain publishes the newest bundle, which the store may have lost.
+func (c *cluster) publishAgain() {
+	c.t.Helper()
+	runProgram(c.t, "bundle", "publish", "-timeout", "1m", "-store", c.store.address(),
+		"-signers", filepath.Join(examplesDir, "shashat", "signers.yaml"), c.bundlePath())
+}
+
 // setFaults sets the faults of a stand-in. It ignores the error if the process has exited, since its faults ended with it.
 func (c *cluster) setFaults(p *process, faults any) {
 	c.t.Helper()
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -1,9 +1,11 @@
 package verifier
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -78,7 +80,7 @@
 	count := int((*soakLength + loadTail).Seconds() * requestsPerSecond)
 	l := s.startLoad(s.entries, seed, count)
 	stopWatching := s.watchEntries()
-	s.runActions()
+	s.runActions(s.drawRestore(seed))
 	stopWatching()
 	s.awaitAgreement(s.entries...)
 	s.awaitAllAnswered()
@@ -108,14 +110,18 @@
 	run        func()
 }
 
-// runActions runs a random series of actions and waits until all have ended.
-func (s *soak) runActions() {
+// runActions runs a random series of actions, and further ones, and waits until all have ended.
+func (s *soak) runActions(further ...action) {
 	queues := map[string][]action{}
 	for at := time.Duration(0); at < *soakLength; at += s.randomDuration(100*time.Millisecond, 1500*time.Millisecond) {
 		a := s.drawAction()
 		a.startAfter = at
 		queues[a.target] = append(queues[a.target], a)
 	}
+	for _, a := range further {
+		queues[a.target] = append(queues[a.target], a)
+		slices.SortStableFunc(queues[a.target], func(a, b action) int { return cmp.Compare(a.startAfter, b.startAfter) })
+	}
 	var running sync.WaitGroup
 	for _, queue := range queues {
 		running.Go(func() {
@@ -239,7 +245,7 @@
 		{CutAnswers: count, GarbleAnswers: count},
 		{ExtraAnswers: count, Chunked: true},
 		{SlowFactor: 10, FailRequests: count},
-		{Shed: true, InvertHealthChecks: true},
+		{Shed: true, RetryAfterMS: 1000, InvertHealthChecks: true},
 	}[variant]
 	s.recordAction("faults of %s for %v: %+v", srv.id, duration, faults)
 	s.setFaults(srv.process, faults)
@@ -271,6 +277,30 @@
 	s.publishBundle([]string{"objective: 300ms", fmt.Sprintf("objective: %dms", 250+10*variant)})
 }
 
+// drawRestore returns the return of the store from an older copy. Its random numbers are apart from those of the other
+// actions, so that regression seeds keep their series.
+func (s *soak) drawRestore(seed uint64) action {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	age := time.Duration(random.Int64N(int64(5 * time.Second)))
+	away := time.Duration(random.Int64N(int64(3 * time.Second)))
+	a := s.newAction("operators", func() { s.restoreStore(age, away) })
+	a.startAfter = time.Duration(random.Int64N(int64(*soakLength)))
+	return a
+}
+
+// restoreStore makes the store come back from an older copy after it was away for a while. The operators publish their
+// bundle again.
+func (s *soak) restoreStore(age, away time.Duration) {
+	s.recordAction("store away for %v, back from a copy %v old", away, age)
+	s.setFaults(s.store, emulator.StoreFaults{Outage: true})
+	time.Sleep(away)
+	if err := post("http://"+s.store.address()+"/admin/restore", fmt.Sprintf(`{"age_ms":%d}`, age.Milliseconds())); err != nil {
+		s.t.Error(err)
+	}
+	s.setFaults(s.store, emulator.StoreFaults{})
+	s.publishAgain()
+}
+
 // watchEntries calls checkEntries every watchInterval until the returned function is called.
 func (s *soak) watchEntries() func() {
 	done := make(chan struct{})
