Stand-in servers repeat the request id in rejections

Cause: the fault case "leader cut off from the store" ended 4 requests as unknown: since an answer without an id on a reused connection counts as a late one, rejections of the stand-in, which left the id out, did so too. Change: the stand-in sets the id before anything else. Failing first: TestRejectionsRepeatTheRequestID.

--- a/internal/emulator/server_answer.go
+++ b/internal/emulator/server_answer.go
@@ -48,7 +48,6 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/octet-stream")
 	header.Set(HeaderBodySum, Sum(body))
-	header.Set(platform.HeaderRequestID, j.requestID)
 	header.Set(platform.HeaderSignature, s.signature(e))
 	s.setLeaving(header)
 	if s.draining() {
--- a/internal/emulator/server_requests.go
+++ b/internal/emulator/server_requests.go
@@ -34,6 +34,7 @@
 
 // serveRequest queues, executes and answers a request. The execution ends early if the client closes the connection.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID)) // also in rejections
 	j, status, reason := s.newJob(r)
 	if reason == "" {
 		status, reason = s.acquireSlot(r.Context(), j)
--- a/internal/emulator/server_test.go
+++ b/internal/emulator/server_test.go
@@ -205,3 +205,13 @@
 	is.Equal(server.serviceTime(started.Add(10*time.Second), false), time.Millisecond)
 	is.Equal(server.serviceTime(started.Add(10*time.Second), true), 5*time.Millisecond)
 }
+
+// TestRejectionsRepeatTheRequestID guards against a stand-in whose rejections can't be told from late ones for an earlier
+// request, unlike those of the platform's servers.
+func TestRejectionsRepeatTheRequestID(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(ServerSettings{ID: "s1", Keyed: true}, time.UnixMilli(1))
+	w := sendRequest(server, 7) // the server owns no keys
+	is.Equal(w.Code, http.StatusMisdirectedRequest)
+	is.True(w.Header().Get(platform.HeaderRequestID) != "")
+}
