Soak: lost versions of the bundle are published again in order; the first era is no return

An instance that had just started also logged its first look at the era as a return. Change: the soak publishes all versions in order, as operators have to; a return is logged and counted only when the era rises.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -132,7 +132,7 @@
 	before := c.eraApplied
 	c.eraApplied = era
 	c.era.Store(era)
-	if !c.catalogRead && c.table == nil {
+	if !c.elector.EraRose() {
 		return // the first answer of the store
 	}
 	c.options.Meter.Count(meter.StoreRestores)
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -216,6 +216,9 @@
 // Era returns the era of the store, as far as this instance knows.
 func (e *Elector) Era() uint64 { return e.era }
 
+// EraRose reports whether the store came back from an older copy since it first answered this instance.
+func (e *Elector) EraRose() bool { return e.eraRose }
+
 // TermsExhausted reports whether this instance could not be elected because the store's era or offset is too high for a
 // term.
 func (e *Elector) TermsExhausted() bool { return e.termsExhausted }
--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -71,7 +72,9 @@
 	entries   []*entry  // entry number n is entries[n-1]
 	admin     *inspector.Client
 	bundle    *bundler.Bundle
-	loadCount int // loads started so far; the run ID of the newest one ends with it
+	// bundlePaths are the files of all versions of the bundle.
+	bundlePaths []string
+	loadCount   int // loads started so far; the run ID of the newest one ends with it
 }
 
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
@@ -159,26 +162,34 @@
 			c.bundle.Version()+1, c.bundle.Version(), c.bundle.Digest())
 		text = strings.Replace(text, "version: 1\n", lineage, 1)
 	}
-	path := c.bundlePath()
+	path := filepath.Join(c.dir, fmt.Sprintf("bundle_%d.yaml", len(c.bundlePaths)+1))
+	c.bundlePaths = append(c.bundlePaths, path)
 	must(c.t, os.WriteFile(path, []byte(text), 0o600))
 	for _, signer := range []string{"salma", "yusuf"} {
 		runProgram(c.t, "bundle", "sign", "-signer", signer,
 			"-key", filepath.Join(examplesDir, "keys", signer+".key.pem"), path)
 	}
-	c.publishAgain()
+	runProgram(c.t, c.publishArgs(path)...)
 	bundle, err := bundler.Decode(path, []byte(text))
 	must(c.t, err)
 	c.bundle = bundle
 }
 
-// bundlePath returns the path of the newest bundle.
-func (c *cluster) bundlePath() string { return filepath.Join(c.dir, "bundle.yaml") }
+// publishArgs returns the command that publishes a signed bundle.
+func (c *cluster) publishArgs(path string) []string {
+	return []string{"bundle", "publish", "-timeout", "1m", "-store", c.store.address(),
+		"-signers", filepath.Join(examplesDir, "shashat", "signers.yaml"), path}
+}
 
-// publishAgain publishes the newest bundle, which the store may have lost.
+// publishAgain publishes all versions of the bundle again, in order: the store may have lost the newest ones, and rejects
+// those that it still has but the newest.
 func (c *cluster) publishAgain() {
 	c.t.Helper()
-	runProgram(c.t, "bundle", "publish", "-timeout", "1m", "-store", c.store.address(),
-		"-signers", filepath.Join(examplesDir, "shashat", "signers.yaml"), c.bundlePath())
+	newest := len(c.bundlePaths) - 1
+	for _, path := range c.bundlePaths[:newest] {
+		_ = exec.Command(binary, c.publishArgs(path)...).Run()
+	}
+	runProgram(c.t, c.publishArgs(c.bundlePaths[newest])...)
 }
 
 // setFaults sets the faults of a stand-in. It ignores the error if the process has exited, since its faults ended with it.
