--- a/internal/forwarder/endless_answer_test.go
+++ b/internal/forwarder/endless_answer_test.go
@@ -78,7 +78,7 @@
 			beginning: header + "Content-Length: 99999999999\r\n\r\n", repeated: "a", wantOnce: 502, maxBytes: maxBodyBytes,
 		},
 		"chunks": {
-			beginning: header + "Transfer-Encoding: chunked\r\n\r\n", repeated: "10\r\naaaaaaaaaaaaaaaa\r\n", wantOnce: 502,
+			beginning: header + "Transfer-Encoding: chunked\r\n\r\n", repeated: "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", wantOnce: 502,
 			maxBytes: maxWireBytes,
 		},
 		"chunk extension": {
