--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,6 +100,8 @@
 	context context.Context
 
 	table          *matcher.Table
+	config         []byte // the configuration of table as the store had it
+	configEra      uint64 // era of the store in which it was read
 	catalog        cataloger.Catalog
 	catalogRead    bool // whether the catalog was read at least once
 	owners         *partitioner.Map
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -110,7 +110,7 @@
 		Member: c.encodeSelf(), MapTerm: c.owners.Version().Term, MapSequence: c.owners.Version().Sequence,
 		MembersTerm: c.membersVersion.term, MembersVersion: c.membersVersion.number, StoreEra: c.elector.Era(),
 		Leaving: c.leavingServers.beginReport(), LeavingTerm: c.leavingServers.version.term, LeavingKnown: c.leavingServers.version.known,
-		LastLed: c.elector.LastLed(),
+		LastLed: c.elector.LastLed(), ConfigVersion: c.table.Version(),
 	}
 	for service, keys := range loads.Keys {
 		load := &herald.KeyLoad{Service: service}
@@ -169,6 +169,9 @@
 		c.applyOwners(reply.GetOwners())
 		c.applyMembers(reply.GetMembers())
 		c.applyLeaving(now, reply.GetLeaving())
+		if len(reply.GetConfig()) > 0 {
+			c.applyConfig(reply.GetConfig(), "leader", leader.Identity.Instance)
+		}
 	}
 }
 
@@ -324,6 +327,9 @@
 	}
 	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, members)
 	reply.Leaving = c.leavingFor(leaving)
+	if c.configEra < c.elector.Era() && request.GetConfigVersion() < c.table.Version() {
+		reply.Config = c.config
+	}
 	return reply
 }
 
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -9,8 +9,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/balancer"
+	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/internal/timekeeper"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // TestMessagesWithoutEndAreCut guards against memory that another instance takes by sending an answer without end.
@@ -83,3 +88,40 @@
 	is.Equal(other.leavingServers.incarnations, map[string]int64{"s1": 7})
 	is.Equal(leader.leavingFor(other.leavingServers.version), nil) // it knows all of them
 }
+
+// TestLeaderPassesOnALostConfiguration guards against an instance that starts after the store came back from an older copy,
+// and applies the older configuration that it finds there.
+func TestLeaderPassesOnALostConfiguration(t *testing.T) {
+	config := func(version uint64) []byte {
+		value, err := platform.EncodeConfig(bundler.New(version, nil, nil, bundler.Limits{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	tests := map[string]struct {
+		era  uint64 // of the store at the report
+		have uint64 // version that the instance has
+		want uint64 // version that it has afterwards
+	}{
+		"lost":                       {era: 2, have: 5, want: 7},
+		"not lost":                   {era: 1, have: 5, want: 5}, // the instance reads it from the store itself
+		"the instance is up to date": {era: 2, have: 7, want: 7},
+		"the instance has a newer":   {era: 2, have: 8, want: 8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := timekeeper.Now()
+			leader, other := newTestController(t, http.NotFound), newTestController(t, http.NotFound)
+			leader.elector.ObserveEra(now, 1)
+			leader.applyConfig(config(7))
+			leader.leaderState = &leaderState{members: map[string]*memberState{}, loads: map[string]*balancer.Load{}}
+			leader.elector.ObserveEra(now, test.era)
+			other.applyConfig(config(test.have))
+			reply := leader.handleReport(now, other.reportRequest(now, emptyLoads()))
+			other.handleReply(now, elector.Leader{}, reply)
+			is.Equal(other.table.Version(), test.want)
+		})
+	}
+}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -40,21 +40,27 @@
 			if r.Key != platform.KeyConfig || r.Value == nil {
 				continue
 			}
-			bundle, err := platform.DecodeConfig(r.Value)
-			if err != nil {
-				klog.InfoS("configuration ignored", "offset", r.Offset, "error", err)
-				continue
-			}
-			if bundle.Version() <= c.table.Version() {
-				continue
-			}
-			klog.InfoS("configuration applied", "version", bundle.Version(), "before", c.table.Version(), "offset", r.Offset)
-			c.table = matcher.NewTable(bundle)
-			c.viewOutdated = true
+			c.applyConfig(r.Value, "offset", r.Offset)
 		}
 	})
 }
 
+// applyConfig applies a configuration if it is newer than the present one. The fields say in the log where it came from.
+func (c *Controller) applyConfig(value []byte, fields ...any) {
+	bundle, err := platform.DecodeConfig(value)
+	if err != nil {
+		klog.InfoS("configuration ignored", append([]any{"error", err}, fields...)...)
+		return
+	}
+	if bundle.Version() <= c.table.Version() {
+		return
+	}
+	klog.InfoS("configuration applied",
+		append([]any{"version", bundle.Version(), "before", c.table.Version()}, fields...)...)
+	c.table, c.config, c.configEra = matcher.NewTable(bundle), value, c.elector.Era()
+	c.viewOutdated = true
+}
+
 // watchServers applies changes of the backend servers' registrations.
 func (c *Controller) watchServers(ctx context.Context) {
 	c.watchTopic(ctx, platform.TopicServers, func(now time.Time, read topicRead) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -502,6 +502,10 @@
 			deadline: now.Add(2 * time.Second), pool: resolver.ServerPool{Service: "s", Server: "k", Domain: "d"},
 			ownerMapVersion: partitioner.Version{Term: 3, Sequence: 9}, avoidServer: "x",
 		},
+		"route with spaces": {
+			service: "s", route: "paid orders %20 new", objective: now, deadline: now,
+			pool: resolver.ServerPool{Service: "s", Domain: "d"},
+		},
 		"without key": {
 			service: "s", route: "r", objective: now.Add(-time.Second), deadline: now,
 			pool: resolver.ServerPool{Service: "s", Domain: "d", Subset: 3},
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -58,11 +58,17 @@
 		key = strconv.Itoa(int(req.key))
 	}
 	return fmt.Sprintf("%s %s %s %s %d %t %s %d %d %d %d %s %d", req.pool.Service, encodeField(req.pool.Server),
-		req.pool.Domain, req.route, req.priority, req.idempotent, key, req.objective.Sub(now).Milliseconds(),
+		req.pool.Domain, spaceEscaper.Replace(req.route), req.priority, req.idempotent, key, req.objective.Sub(now).Milliseconds(),
 		req.deadline.Sub(now).Milliseconds(), req.ownerMapVersion.Term, req.ownerMapVersion.Sequence,
 		encodeField(req.avoidServer), req.pool.Subset)
 }
 
+// The replacers for names that may have spaces, at which the fields are split.
+var (
+	spaceEscaper   = strings.NewReplacer("%", "%25", " ", "%20")
+	spaceUnescaper = strings.NewReplacer("%20", " ", "%25", "%")
+)
+
 func encodeField(text string) string {
 	if text == "" {
 		return emptyField
@@ -94,7 +100,7 @@
 	req.pool = resolver.ServerPool{
 		Service: fields[0], Server: decodeField(fields[1]), Domain: fields[2], Subset: int(numbers[12]),
 	}
-	req.service, req.route, req.priority, req.idempotent = fields[0], fields[3], int(numbers[4]), fields[5] == "true"
+	req.service, req.route, req.priority, req.idempotent = fields[0], spaceUnescaper.Replace(fields[3]), int(numbers[4]), fields[5] == "true"
 	if fields[6] != emptyField {
 		key, err := strconv.ParseUint(fields[6], 10, 16)
 		if err != nil {
