Log writer survives empty lines and a second Close; keygen, owner and findings

Causes and changes, each with a test: an empty write ended the log for good and a second Close could block (the end is a channel now, not an empty line); keygen left a private key without its public one when the public file existed; owner skipped its check when an instance did not answer; the control characters U+0080 to U+009F of a document reached the terminal.

--- a/cmd/admin_test.go
+++ b/cmd/admin_test.go
@@ -65,10 +65,11 @@
 	entry1, entry2 := fakeSource{name: "entry_1", server: "render_01"}, fakeSource{name: "entry_2", server: "render_01"}
 	conflicting := fakeSource{name: "entry_3", server: "render_02"}
 	tests := map[string]struct {
-		instances []fakeSource
-		args      []string
-		code      ExitCode
-		want      []string
+		instances   []fakeSource
+		unreachable bool // another instance does not answer
+		args        []string
+		code        ExitCode
+		want        []string
 	}{
 		"status": {
 			instances: []fakeSource{entry1, entry2}, args: []string{"status"},
@@ -88,6 +89,10 @@
 			instances: []fakeSource{entry1, conflicting}, args: []string{"owner"}, code: ExitFailure,
 			want: []string{"conflicting owners: entry_1 names render_01"},
 		},
+		"two owners at one version, an instance does not answer": {
+			instances: []fakeSource{entry1, conflicting}, unreachable: true, args: []string{"owner"}, code: ExitFailure,
+			want: []string{"conflicting owners: entry_1 names render_01", "no answer"},
+		},
 		"timeline": {
 			instances: []fakeSource{entry1, entry2}, args: []string{"timeline"},
 			want: []string{"became leader  term=5", "2 events of 2 instances"},
@@ -103,7 +108,13 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			args := append([]string{tc.args[0], "-admin", startAdminServers(t, tc.instances...)}, tc.args[1:]...)
+			addresses := startAdminServers(t, tc.instances...)
+			if tc.unreachable {
+				closed := httptest.NewServer(http.NotFoundHandler())
+				addresses += "," + closed.Listener.Addr().String()
+				closed.Close()
+			}
+			args := append([]string{tc.args[0], "-admin", addresses}, tc.args[1:]...)
 			if tc.args[0] == "owner" {
 				args = append(args, "render_desk", "77")
 			}
--- a/cmd/bundle_keygen.go
+++ b/cmd/bundle_keygen.go
@@ -49,7 +49,13 @@
 		return err
 	}
 	text := base64.StdEncoding.EncodeToString(public) + "\n"
-	return writeNewFile(prefix+".pub", []byte(text), publicFileMode)
+	if err := writeNewFile(prefix+".pub", []byte(text), publicFileMode); err != nil {
+		if removeErr := os.Remove(prefix + ".key.pem"); removeErr != nil {
+			return errors.Wrapf(err, "%v; then", removeErr)
+		}
+		return err
+	}
+	return nil
 }
 
 // writeNewFile writes data to a new file at path. It fails if the file exists.
--- a/cmd/bundle_test.go
+++ b/cmd/bundle_test.go
@@ -146,6 +146,11 @@
 	is.Equal(info.Mode().Perm(), os.FileMode(privateFileMode))
 	code, _ = b.run("keygen", prefix)
 	is.Equal(code, ExitFailure)
+	is.NoErr(os.Remove(prefix + ".key.pem"))
+	code, _ = b.run("keygen", prefix) // the public key of the first pair exists
+	is.Equal(code, ExitFailure)
+	_, err = os.Stat(prefix + ".key.pem") // a private key that belongs to no public key is of no use
+	is.True(os.IsNotExist(err))
 }
 
 func TestBundleSignChecksSignerAndDropsStaleSignOffs(t *testing.T) {
--- a/cmd/owner.go
+++ b/cmd/owner.go
@@ -37,10 +37,11 @@
 	if err := writeOwners(stdout, flags.format, answers, answered); err != nil {
 		return reportError(err, stderr)
 	}
+	code = reportError(checkOwners(answered), stderr) // also if some instances did not answer
 	if len(answered) < len(answers) {
 		return ExitFailure
 	}
-	return reportError(checkOwners(answered), stderr)
+	return code
 }
 
 // checkOwners returns an error if two instances name different owners of the key at the same owner map version.
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"k8s.io/klog/v2"
@@ -21,18 +22,21 @@
 	onLine  func(line []byte)
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	closing sync.Once
+	closed  chan struct{} // closed by Close
+	done    chan struct{} // closed when all lines are written
 }
 
 // New returns an AsyncWriter that writes to out. Each line is also passed to onLine, which must not block and may be nil.
 func New(out io.Writer, onLine func(line []byte)) *AsyncWriter {
-	w := &AsyncWriter{onLine: onLine, lines: make(chan []byte, maxPendingLines), done: make(chan struct{})}
+	w := &AsyncWriter{
+		onLine: onLine, lines: make(chan []byte, maxPendingLines), closed: make(chan struct{}), done: make(chan struct{}),
+	}
 	go w.run(out)
 	return w
 }
 
-// Write implements io.Writer for one line, which must not be empty. It drops the line if maxPendingLines lines are waiting,
-// and never returns an error.
+// Write implements io.Writer for one line. It drops the line if maxPendingLines lines are waiting, and never returns an error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	if w.onLine != nil {
 		w.onLine(line)
@@ -49,34 +53,46 @@
 // failed write adds 1, however many lines its batch has.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the lines that wait, and blocks until they are written. It must be called once. Lines written after Close are
-// discarded; Dropped counts only those that no longer fit into the buffer.
+// Close writes the lines that wait, and blocks until they are written. Further calls do the same. Lines written after Close
+// are discarded; Dropped counts only those that no longer fit into the buffer.
 func (w *AsyncWriter) Close() {
-	w.lines <- nil
+	w.closing.Do(func() { close(w.closed) })
 	<-w.done
 }
 
-// run writes the waiting lines in batches, which saves system calls, until it receives the nil line that Close sends.
+// run writes the lines until Close is called and none is waiting.
 func (w *AsyncWriter) run(out io.Writer) {
 	defer close(w.done)
-	for open := true; open; {
-		batch := <-w.lines
-		if batch == nil {
-			return
-		}
-		for more := true; more && len(batch) < batchBytes; {
-			select {
-			case next := <-w.lines:
-				batch = append(batch, next...)
-				more, open = next != nil, next != nil
-			default:
-				more = false
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeBatch(out, line)
+		case <-w.closed:
+			for {
+				select {
+				case line := <-w.lines:
+					w.writeBatch(out, line)
+				default:
+					return
+				}
 			}
 		}
-		if _, err := out.Write(batch); err != nil {
-			w.dropped.Add(1)
+	}
+}
+
+// writeBatch writes a line together with those that wait, which saves system calls.
+func (w *AsyncWriter) writeBatch(out io.Writer, batch []byte) {
+	for more := true; more && len(batch) < batchBytes; {
+		select {
+		case next := <-w.lines:
+			batch = append(batch, next...)
+		default:
+			more = false
 		}
 	}
+	if _, err := out.Write(batch); err != nil {
+		w.dropped.Add(1)
+	}
 }
 
 // AttachKlog makes klog write only to w, each line once, for the whole process. The flags keep klog from writing errors to
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -76,3 +76,18 @@
 	is.Equal(out.String(), "one\n")
 	is.Equal(w.Dropped(), int64(maxPendingLines))
 }
+
+// TestEmptyWriteAndSecondCloseAreHarmless guards against a log that ends at an empty line, and against a shutdown that blocks
+// because the log is closed twice.
+func TestEmptyWriteAndSecondCloseAreHarmless(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out, nil)
+	for _, line := range []string{"one\n", "", "two\n"} {
+		_, err := w.Write([]byte(line))
+		is.NoErr(err)
+	}
+	w.Close()
+	w.Close()
+	is.Equal(out.String(), "one\ntwo\n")
+}
--- a/pkg/reporter/finding.go
+++ b/pkg/reporter/finding.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"strconv"
 	"strings"
+	"unicode"
 )
 
 // Code is the kind of a finding in snake case, such as unknown_key.
@@ -83,10 +84,10 @@
 	return strings.Map(replaceControl, b.String())
 }
 
-// replaceControl replaces ASCII control characters and the separators U+2028 and U+2029 by a space, so that text that a
-// finding quotes from the document can't break its line with these. The control characters U+0080 to U+009F are kept.
+// replaceControl replaces control characters and the separators U+2028 and U+2029 by a space, so that text that a finding
+// quotes from the document can't break its line, or control the terminal, with these.
 func replaceControl(r rune) rune {
-	if r < ' ' || r == 0x7f || r == '\u2028' || r == '\u2029' {
+	if unicode.IsControl(r) || r == '\u2028' || r == '\u2029' {
 		return ' '
 	}
 	return r
--- a/pkg/reporter/findings_test.go
+++ b/pkg/reporter/findings_test.go
@@ -39,3 +39,13 @@
 	is.Equal(len(f.List()), maxFindings)
 	is.True(strings.HasSuffix(f.Err().Error(), "and 4000 more findings"))
 }
+
+// TestFindingHasOneLineWithoutControlCharacters guards against text quoted from a document that breaks the line of its finding
+// or controls the operator's terminal.
+func TestFindingHasOneLineWithoutControlCharacters(t *testing.T) {
+	is := is.New(t)
+	for _, r := range []rune{'\n', 0x1b, 0x7f, 0x85, 0x9b, '\u2028', '\u2029'} {
+		is.Equal(replaceControl(r), ' ')
+	}
+	is.Equal(replaceControl('é'), 'é')
+}
