Owner map changes don't rebuild the view, and dispatchers are found once for each pool

Cause: each change of the owner map rebuilt the view in full (servers, subsets, domains: all of 719 servers on each of 195 machines), and each request hashed all members, with a lock for each, to find its dispatcher. Change: a view with another owner map shares the rest; the preferred dispatcher of a pool is kept with the members that it was chosen from. Ruled out: a smaller subset of members for the hash, since all instances must choose the same dispatcher. Test: TestDispatcherFromCache compares with a search.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -109,6 +109,7 @@
 	membersVersion membersVersion    // of members
 	leavingServers leavingServers    // servers that have said that they are leaving
 	viewOutdated   bool              // the view has to be rebuilt
+	ownersOutdated bool              // the view has an old owner map, and nothing else in it has changed
 
 	elector         *elector.Elector
 	eraApplied      uint64        // era of the store to which this instance has adapted
@@ -313,9 +314,14 @@
 	}
 	c.sendReport(now)
 	c.interruptOutdatedReads(now)
-	if c.viewOutdated {
-		c.viewOutdated = false
+	switch {
+	case c.viewOutdated || c.ownersOutdated && c.view == nil:
+		c.viewOutdated, c.ownersOutdated = false, false
 		c.updateView()
+	case c.ownersOutdated:
+		c.ownersOutdated = false
+		c.view = c.view.WithOwners(c.owners)
+		c.options.Forwarder.SetView(time.Now(), c.view) // the forwarder's times are of time.Now, not of timekeeper
 	}
 }
 
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -156,7 +156,7 @@
 // runLeader runs everything that is due on the leader.
 func (c *Controller) runLeader(now time.Time) {
 	l := c.leaderState
-	if c.viewOutdated {
+	if c.viewOutdated || c.ownersOutdated {
 		c.setServers(now) // the configuration may contain a new service
 	}
 	c.dropUnresponsiveMembers(now)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -197,14 +197,14 @@
 	partitioner.SetPausedUntil(time.Now(), segments) // the forwarder compares these with time.Now, not with timekeeper
 	if o.GetWhole() {
 		c.owners = (*partitioner.Map)(nil).With(version, segments)
-		c.viewOutdated = true
+		c.ownersOutdated = true
 		return
 	}
 	if current.Term != version.Term || current.Sequence < o.GetBase() {
 		return // the answer to the next report contains what is missing
 	}
 	c.owners = c.owners.With(version, segments)
-	c.viewOutdated = true
+	c.ownersOutdated = true
 }
 
 // applyMembers replaces the list of members by the leader's.
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -34,7 +34,7 @@
 			l.deltas = slices.Delete(l.deltas, 0, len(l.deltas)-maxDeltas)
 		}
 		c.owners = c.owners.With(partitioner.Version{Term: c.elector.Term(), Sequence: l.ownersSequence}, changed)
-		c.viewOutdated = true
+		c.ownersOutdated = true
 		l.unpublished = true
 	}
 	if l.unpublished && now.Sub(l.lastPublish) >= publishInterval {
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/matcher"
@@ -47,6 +48,29 @@
 	pools        map[ServerPool][]cataloger.Server
 	subsetCounts map[ServerPool]int  // number of subsets by service and domain, the only fields set in the keys
 	domains      map[string][]string // domains with ready servers by service, those with the most servers first
+	dispatchers  *dispatcherCache    // of Self and Members
+}
+
+// dispatcherCache holds the preferred dispatcher of each pool, which is found by a hash for each member. It is safe for
+// concurrent use.
+type dispatcherCache struct {
+	mu     sync.RWMutex
+	byPool map[ServerPool]Member
+}
+
+// get returns the preferred dispatcher of a pool, and calls find the first time.
+func (c *dispatcherCache) get(p ServerPool, find func() Member) Member {
+	c.mu.RLock()
+	m, ok := c.byPool[p]
+	c.mu.RUnlock()
+	if ok {
+		return m
+	}
+	m = find()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byPool[p] = m
+	return m
 }
 
 // New returns the View of self. servers must be sorted by id, so that all instances form the same subsets.
@@ -56,7 +80,7 @@
 	v := &View{
 		Self: self, Table: table, Owners: owners, Members: members,
 		servers: map[string]cataloger.Server{}, pools: map[ServerPool][]cataloger.Server{}, subsetCounts: map[ServerPool]int{},
-		domains: map[string][]string{},
+		domains: map[string][]string{}, dispatchers: &dispatcherCache{byPool: map[ServerPool]Member{}},
 	}
 	ready := map[ServerPool][]cataloger.Server{} // keys as in subsetCounts
 	for _, s := range servers {
@@ -87,6 +111,14 @@
 	return v
 }
 
+// WithOwners returns a View that differs from v only in the owner map. It shares everything else with v, which is much less
+// work than New.
+func (v *View) WithOwners(owners *partitioner.Map) *View {
+	changed := *v
+	changed.Owners = owners
+	return &changed
+}
+
 // Server returns the server with an id, in any state.
 func (v *View) Server(id string) (cataloger.Server, bool) {
 	s, ok := v.servers[id]
@@ -142,6 +174,15 @@
 // and so are other members for which avoid returns true. If the domain has none left, the instances of all domains are
 // considered, then this instance.
 func (v *View) Dispatcher(p ServerPool, avoid func(instance string) bool) Member {
+	preferred := v.dispatchers.get(p, func() Member { return v.findDispatcher(p, func(string) bool { return false }) })
+	if preferred.Instance == v.Self.Instance || !avoid(preferred.Instance) {
+		return preferred // it has the highest score of all, so also of those that are not avoided
+	}
+	return v.findDispatcher(p, avoid)
+}
+
+// findDispatcher implements Dispatcher without the cache.
+func (v *View) findDispatcher(p ServerPool, avoid func(instance string) bool) Member {
 	best, found := v.highestScored(p, true, avoid)
 	if !found {
 		best, found = v.highestScored(p, false, avoid)
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -141,3 +142,50 @@
 			ServerPool{Service: "relays", Domain: "d"}, avoidNobody, 2)[0].Instance, "large")
 	}
 }
+
+// TestDispatcherFromCache guards against a dispatcher that differs from the one that a search finds, when some instances are
+// avoided, for a view that shares the cache.
+func TestDispatcherFromCache(t *testing.T) {
+	is := is.New(t)
+	var members []Member
+	for i := range 20 {
+		members = append(members, Member{
+			Instance: fmt.Sprint("entry_", i), Domain: fmt.Sprint("d", i%3), Capacity: 100 + 10*i, Leaving: i%7 == 0,
+		})
+	}
+	first := New(members[5], nil, nil, nil, slices.Delete(slices.Clone(members), 5, 6))
+	for round := range 4 {
+		avoided := map[string]bool{}
+		for i := range round * 5 {
+			avoided[fmt.Sprint("entry_", i)] = true
+		}
+		avoid := func(instance string) bool { return avoided[instance] }
+		for i := range 50 {
+			p := ServerPool{Service: "desk", Server: fmt.Sprint("s", i), Domain: fmt.Sprint("d", i%4)}
+			for _, v := range []*View{first, first.WithOwners(nil)} {
+				is.Equal(v.Dispatcher(p, avoid), v.findDispatcher(p, avoid))
+			}
+		}
+	}
+}
+
+// BenchmarkDispatcher measures the choice of a dispatcher among as many instances as the largest deployments have.
+func BenchmarkDispatcher(b *testing.B) {
+	var members []Member
+	for i := range 195 {
+		members = append(members, Member{Instance: fmt.Sprint("entry_", i), Domain: fmt.Sprint("d", i%6), Capacity: 100 + i})
+	}
+	v := New(members[0], nil, nil, nil, members[1:])
+	p := ServerPool{Service: "desk", Server: "s1", Domain: "d1"}
+	none := func(string) bool { return false }
+	b.Run("cached", func(b *testing.B) {
+		for b.Loop() {
+			v.Dispatcher(p, none)
+		}
+	})
+	b.Run("searched", func(b *testing.B) {
+		for b.Loop() {
+			v.findDispatcher(p, none)
+		}
+	})
+}
