Leader keeps its ranges sorted, and looks for neighbours to merge five times a second

Cause: each event at the leader (reports, outcomes of grants) sorted all ranges several times: by id for the orders and the changes, and by key for the merge. Change: ranges are kept in the order of their ids; a step without changes builds no segments; neighbours are merged each 0.2 s, before their next renewal. Ruled out: merging only after moves, since ranges also become neighbours when an order in flight ends.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -157,6 +157,8 @@
 	fenceCount          uint64                      // number of fences used in this term
 	lastID              int                         // id of the range that was added last
 	ranges              map[int]*ownership          // by id
+	sorted              []*ownership                // the ranges, sorted by id
+	lastMerge           time.Time                   // when mergeNeighbours ran last
 	servers             map[string]cataloger.Server // by id, those of keyed services
 	exclusions          map[string]exclusion        // by server id
 	uncertainUntil      time.Time                   // until then servers that no plan names may have leases; see DistrustPlan
@@ -226,10 +228,18 @@
 	g.lastID++
 	o.id = g.lastID
 	g.ranges[o.id] = o
+	g.sorted = append(g.sorted, o) // ids rise
 	g.changed[o.id] = true
 	return o
 }
 
+// removeRange removes a range.
+func (g *Granter) removeRange(o *ownership) {
+	delete(g.ranges, o.id)
+	delete(g.changed, o.id)
+	g.sorted = slices.DeleteFunc(slices.Clone(g.sorted), func(other *ownership) bool { return other == o })
+}
+
 const (
 	// fenceCountBits is the number of low bits of a fence that count the fences of a term; the term takes the bits above.
 	fenceCountBits = 24
@@ -369,15 +379,9 @@
 	g.exclusions[server] = e
 }
 
-// sortedRanges returns the ranges sorted by id, so that the same events always result in the same orders.
-func (g *Granter) sortedRanges() []*ownership {
-	all := make([]*ownership, 0, len(g.ranges))
-	for _, o := range g.ranges {
-		all = append(all, o)
-	}
-	slices.SortFunc(all, func(a, b *ownership) int { return a.id - b.id })
-	return all
-}
+// sortedRanges returns the ranges sorted by id, so that the same events always result in the same orders. The caller must not
+// change the slice; ranges that are added or removed later do not show in it.
+func (g *Granter) sortedRanges() []*ownership { return g.sorted }
 
 // PredecessorStopped records that no earlier leader sends orders from now on. Orders that were sent before may still arrive,
 // so the leases of earlier leaders are waited for as if they had been granted now.
@@ -455,6 +459,9 @@
 
 // ChangedSegments returns the segments that have changed since the last call.
 func (g *Granter) ChangedSegments(now time.Time) []partitioner.Segment {
+	if len(g.changed) == 0 {
+		return nil
+	}
 	var segments []partitioner.Segment
 	for _, o := range g.sortedRanges() {
 		if g.changed[o.id] {
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -7,12 +7,19 @@
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 )
 
+// mergeInterval is the time between two checks for neighbours that can be merged, which sort all ranges. It is shorter than
+// the time between two renewals, which merging saves.
+const mergeInterval = 200 * time.Millisecond
+
 // Tick returns the orders that are due. It frees the ranges whose leases have all expired.
 func (g *Granter) Tick(now time.Time) []Order {
 	if g.fenceCount >= maxFenceCount {
 		return nil
 	}
-	g.mergeNeighbours()
+	if now.Sub(g.lastMerge) >= mergeInterval {
+		g.lastMerge = now
+		g.mergeNeighbours()
+	}
 	var orders []Order
 	for _, o := range g.sortedRanges() {
 		if !g.frozen {
@@ -171,7 +178,7 @@
 // mergeNeighbours merges adjacent ranges that are granted to the same server and have no order in flight or failing, so
 // that one order renews them.
 func (g *Granter) mergeNeighbours() {
-	all := g.sortedRanges()
+	all := slices.Clone(g.sortedRanges())
 	slices.SortFunc(all, func(a, b *ownership) int {
 		if a.Service != b.Service {
 			if a.Service < b.Service {
@@ -194,8 +201,7 @@
 		if a.nextOrderAt.Before(b.nextOrderAt) {
 			b.nextOrderAt = a.nextOrderAt
 		}
-		delete(g.ranges, a.id)
-		delete(g.changed, a.id)
+		g.removeRange(a)
 		g.changed[b.id] = true // otherwise an unpublished change of a would be lost
 	}
 }
