--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -51,54 +51,6 @@
 	Address     string // where other instances reach it
 }
 
-// Leader is a leader's record in the store. Term is that of TermOf for the record with which the term began, so that it is
-// never 0 and grows with each election.
-type Leader struct {
-	Identity Identity
-	Term     uint64
-	// Settled says that no leader of an earlier era can have changed an owner that the plan in the store names, and that this
-	// plan is of the era of Term.
-	Settled bool
-}
-
-// sameTerm reports whether two records are of the same leader and term.
-func (l Leader) sameTerm(other Leader) bool {
-	return l.Identity == other.Identity && l.Term == other.Term
-}
-
-const (
-	// termOffsetBits is the number of low bits of a term that hold one more than an offset; the era takes the bits above. At
-	// ten records a second they last for 6 years.
-	termOffsetBits = 31
-	// maxEra is the highest era that fits into a fence together with the offset and the count of package granter.
-	maxEra = 1<<8 - 1
-)
-
-// TermOf returns the term that begins with the record at an offset in an era of the store. ok is false if there is no
-// term for it, because the era or the offset is too high.
-func TermOf(era uint64, offset int64) (term uint64, ok bool) {
-	if era > maxEra || offset < 0 || offset >= 1<<termOffsetBits-1 {
-		return 0, false
-	}
-	return era<<termOffsetBits | uint64(offset+1), true
-}
-
-// EraOf returns the era in which a term began.
-func EraOf(term uint64) uint64 { return term >> termOffsetBits }
-
-// Election describes the beginning of a term of this instance.
-type Election struct {
-	// Predecessor is the previous leader, if it may still send orders; it is empty if that was an earlier incarnation of this
-	// instance, which has certainly stopped.
-	Predecessor Identity
-	// Continued says that this instance led until now and goes on with a new term.
-	Continued bool
-	// Certain says that the stored plan or, if Continued, the state of this instance has all changes of owners. Otherwise a
-	// leader whose record the store has lost may have made others. Its leader lease ends before UncertainUntil.
-	Certain        bool
-	UncertainUntil time.Time
-}
-
 // Call is a call to the store.
 type Call interface{ call() }
 
@@ -213,62 +165,6 @@
 	return election, true
 }
 
-// Era returns the era of the store, as far as this instance knows.
-func (e *Elector) Era() uint64 { return e.era }
-
-// EraRose reports whether the store came back from an older copy since it first answered this instance.
-func (e *Elector) EraRose() bool { return e.eraRose }
-
-// TermsExhausted reports whether this instance could not be elected because the store's era or offset is too high for a
-// term.
-func (e *Elector) TermsExhausted() bool { return e.termsExhausted }
-
-// continuationMargin is subtracted from ElectionTimeout to get the age of the last acknowledged append up to which a leader
-// knows that it was not replaced: another instance takes over at the earliest when it has seen no append of the leader for
-// ElectionTimeout, and clocks may run at slightly different rates.
-const continuationMargin = 200 * time.Millisecond
-
-// ObserveEra records the era of the store, from any of its answers or as another instance knows it. In a new era nothing
-// that was read before counts. A leader goes on sending orders with its leader lease, and continues with a new term as soon
-// as the store acknowledges it; a leader whose lease has expired ends its term.
-func (e *Elector) ObserveEra(now time.Time, era uint64) {
-	if e.eraKnown && era <= e.era {
-		return
-	}
-	rose := e.eraKnown
-	e.eraKnown, e.era, e.eraSeenAt = true, era, now
-	if !rose {
-		return
-	}
-	e.eraRose, e.synced, e.stored = true, false, Leader{}
-	if e.term == 0 {
-		return
-	}
-	if !e.Active(now) {
-		e.term = 0
-		return
-	}
-	e.certain = e.certain && !e.yielded && now.Sub(e.lastAckSent) < e.settings.ElectionTimeout-continuationMargin
-	e.renewAt = now
-}
-
-// Settle records that this leader's plan is in the store and that no leader of an earlier era can send orders any more. The
-// leader's record says so from the next append on, which is due at once.
-func (e *Elector) Settle(now time.Time) {
-	if e.term != 0 && EraOf(e.term) == e.era && !e.settled {
-		e.settled, e.certain, e.renewAt = true, true, now
-	}
-}
-
-// Settled reports whether Settle was called, or was not necessary, in the current term of this leader.
-func (e *Elector) Settled() bool { return e.settled }
-
-// RequestNewTerm makes this leader begin a new term with its next append, for example because it runs out of fences.
-func (e *Elector) RequestNewTerm() { e.wantsNewTerm = e.term != 0 }
-
-// RecordYield records that this leader has asked another instance to take over.
-func (e *Elector) RecordYield() { e.yielded = true }
-
 // RequestPlan requests that the plan with a sequence number is stored, instead of any requested before. 0 withdraws the
 // request.
 func (e *Elector) RequestPlan(sequence uint64) { e.requestedPlan = sequence }
@@ -437,14 +333,6 @@
 	return now.Sub(e.leaderSeenAt) > e.settings.ElectionTimeout && e.mayReplaceSilentLeader(now)
 }
 
-// mayReplaceSilentLeader reports whether this instance may replace a leader only because it gives no sign. A leader that goes
-// on after the store has come back from an older copy asks all instances that it knows whether they replaced it meanwhile.
-// So one that it may not know waits until its leader lease has expired, if the store can come back from copies.
-func (e *Elector) mayReplaceSilentLeader(now time.Time) bool {
-	return e.era == 0 || e.contact.sameTerm(e.leader) ||
-		now.Sub(e.leaderKnownAt) > e.settings.LeaseDuration+e.settings.ElectionTimeout
-}
-
 // takeoverCall returns the append that makes this instance the leader, or nil until its jitter has passed.
 func (e *Elector) takeoverCall(now time.Time) Call {
 	if e.takeoverAt.IsZero() {
@@ -457,20 +345,6 @@
 	return e.newTermCall(e.followsSettledPlan(e.stored))
 }
 
-// followsSettledPlan reports whether a leader that replaces the record previous in the store knows all changes of owners
-// from the stored plan.
-func (e *Elector) followsSettledPlan(previous Leader) bool {
-	switch {
-	case e.era == 0:
-		return true // a store that does not report its era does not come back from older copies
-	case previous.Term == 0:
-		return e.firstStart && !e.eraRose
-	case EraOf(previous.Term) == 0 && !previous.Settled:
-		return !e.eraRose // the record of a version without eras
-	}
-	return EraOf(previous.Term) == e.era && previous.Settled
-}
-
 // CompleteRead records the result of a ReadLeader: the era of the store, the next offset of the topic, the leader's record,
 // whose Term is 0 if there is none, and the sequence number of the stored plan of the leader's term, or 0.
 func (e *Elector) CompleteRead(now time.Time, era uint64, nextOffset int64, leader Leader, storedPlan uint64) {
