Clients are told the length of a pause that the leader knows, instead of waiting in vain

The owner map gave the length of a pause only for failed releases, so requests waited for up to 1 s and were told to come back after 0.5 s, when the keys were still not served: 655 of 733 refusals in four seconds came after half a second or more. Change: a range whose owner has answered its release carries the time until it can be granted; a request that would wait longer than requests wait for a move is refused at once with that time. Failing first: TestReleasedRangePublishesWhenItCanBeGranted ("0 != 4030"), TestRequestDoesNotWaitInVain (waits 30 s). Ruled out: granting sooner, since grants of the earlier leader may be applied late. Also: TestAnswersWithoutEnd ended at the request's 1.5 s once beside a load of 16; its requests now have a minute, so that only the bounds of the answer can end them.

--- a/internal/forwarder/endless_answer_test.go
+++ b/internal/forwarder/endless_answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -96,8 +97,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s, address := startEndlessServer(t, test.beginning, test.repeated)
-			f := newForwarder(t, &scriptedServer{address: address})
-			is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, test.wantOnce)
+			// The bounds of the answer end the request, not its deadline.
+			f := newForwarderWithTimeout(t, &scriptedServer{address: address}, time.Minute)
+			is.Equal(sendRequestWithTimeLeft(f, time.Minute, "POST", "/once/x", "", "").Code, test.wantOnce)
 			if test.wantOnce != 200 {
 				<-s.closed // the connection is not kept
 			}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -95,11 +95,19 @@
 // to 1999 have no owner for the next minute. p serves the service "plain", which has no keys. Each route has
 // MaxAttempts 2, which does not limit retries after a rejection; maxSends does.
 func newForwarder(t *testing.T, b *scriptedServer, members ...resolver.Member) *Forwarder {
+	t.Helper()
+	return newForwarderWithTimeout(t, b, 2*time.Second, members...)
+}
+
+// newForwarderWithTimeout is newForwarder with another timeout of all routes.
+func newForwarderWithTimeout(
+	t *testing.T, b *scriptedServer, timeout time.Duration, members ...resolver.Member,
+) *Forwarder {
 	t.Helper()
 	f := New(testHeaders, limiter.New(limiter.Settings{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}), meter.New())
 	route := func(name string, idempotent bool, service string) bundler.Route {
 		return bundler.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 2 * time.Second,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: timeout,
 			Objective: time.Second, MaxAttempts: 2, Services: []bundler.WeightedService{{Service: service, Weight: 1}},
 		}
 	}
@@ -124,10 +132,16 @@
 }
 
 func sendRequest(f http.Handler, method, path, key, body string) *httptest.ResponseRecorder {
+	return sendRequestWithTimeLeft(f, 1500*time.Millisecond, method, path, key, body)
+}
+
+func sendRequestWithTimeLeft(
+	f http.Handler, timeLeft time.Duration, method, path, key, body string,
+) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host = "h"
 	r.Header.Set("X-Id", "r1")
-	r.Header.Set("X-Left", "1500")
+	r.Header.Set("X-Left", strconv.FormatInt(timeLeft.Milliseconds(), 10))
 	if key != "" {
 		r.Header.Set("X-Key", key)
 	}
@@ -572,3 +586,22 @@
 		})
 	}
 }
+
+// TestRequestDoesNotWaitInVain guards against a request that waits for an owner although the leader has said that there is
+// none within the time for which requests wait, and against a Retry-After at which there still is none.
+func TestRequestDoesNotWaitInVain(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, startScriptedServer(t, answerOK))
+	f.moveTimeout = time.Minute / 2 // a wait would outlast the test
+	v := f.View()
+	pausedUntil := time.Now().Add(45 * time.Second)
+	owners := v.Owners.With(partitioner.Version{Term: 1, Sequence: 2}, []partitioner.Segment{{
+		Service: "keyed", Range: partitioner.Range{First: 0, Last: 999}, Server: "k", Moving: true, PausedUntil: pausedUntil,
+	}})
+	f.SetView(time.Now(), v.WithOwners(owners))
+	req := &clientRequest{service: "keyed", keyed: true, key: 5, deadline: time.Now().Add(time.Hour)}
+	r, ok := f.resolveOwner(context.Background(), time.Now(), req)
+	is.True(!ok)
+	is.Equal(r.outcome, refused)
+	is.True(r.retryAfter > 40*time.Second && r.retryAfter <= 45*time.Second)
+}
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -91,13 +91,15 @@
 				return result{}, true
 			}
 		}
-		// The leader expects no owner before PausedUntil, for example because the lease of a failed owner must expire first.
-		if segment.PausedUntil.After(req.deadline) {
-			return result{outcome: refused, reason: "owner_lost", retryAfter: segment.PausedUntil.Sub(now)}, false
-		}
 		if req.moveWaitStart.IsZero() {
 			req.moveWaitStart = now
 		}
+		// The leader expects no owner before PausedUntil, for example because the lease of a failed owner must expire first. A
+		// request that would wait in vain is refused at once.
+		waitEnd := req.moveWaitStart.Add(f.moveTimeout)
+		if segment.PausedUntil.After(req.deadline) || segment.PausedUntil.After(waitEnd) {
+			return result{outcome: refused, reason: "owner_lost", retryAfter: segment.PausedUntil.Sub(now)}, false
+		}
 		timer := time.NewTimer(min(req.deadline.Sub(now), req.moveWaitStart.Add(f.moveTimeout).Sub(now)))
 		select {
 		case <-viewChanged:
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -89,6 +89,7 @@
 	inherited        bool      // granted by an earlier leader and not yet by this one; the server serves it without a pause
 	failing          bool      // the latest order failed, a grant or a release
 	failingSince     time.Time // when the first of consecutive failed grants failed; only valid if a grant set failing
+	released         bool      // the server has answered the release, but may still apply a grant that it has not answered
 	serverEnded      bool      // the server has ended, and its leases with it; reset by markFree, not for a new incarnation
 }
 
@@ -430,7 +431,7 @@
 
 // startRelease starts the release of a range. Its next owner is nextOwner, or chosen by planOwner if nextOwner is empty.
 func (g *Granter) startRelease(now time.Time, o *ownership, nextOwner string) {
-	o.state, o.nextOwner, o.nextOrderAt, o.failing, o.handover = releasing, nextOwner, now, false, ""
+	o.state, o.nextOwner, o.nextOrderAt, o.failing, o.released, o.handover = releasing, nextOwner, now, false, false, ""
 	g.changed[o.id] = true
 }
 
@@ -485,7 +486,8 @@
 func (g *Granter) segment(now time.Time, o *ownership) partitioner.Segment {
 	s := partitioner.Segment{Service: o.Service, Range: o.Range, Server: o.Server}
 	s.Moving = o.state != granted && !(o.state == granting && o.inherited)
-	if (o.state == releasing && o.failing) || o.state == planned { // other pauses are short or of unknown length
+	// Other pauses are short or of unknown length.
+	if (o.state == releasing && (o.failing || o.released)) || o.state == planned {
 		s.PauseMS = uint32(max(0, o.latestExpiry().Sub(now).Milliseconds()))
 	}
 	return s
--- a/internal/granter/term_test.go
+++ b/internal/granter/term_test.go
@@ -132,3 +132,31 @@
 	}
 	is.Equal(g.exclusions["s1"].duration, 16*time.Second)
 }
+
+// TestReleasedRangePublishesWhenItCanBeGranted guards against clients that wait for a range which its owner has released, but
+// which can be granted to no other server before the leases of an earlier leader's unanswered grants have expired.
+func TestReleasedRangePublishesWhenItCanBeGranted(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2, flaws{})
+	sim.run(time.Second, 0)
+	sim.elect() // the ranges are inherited
+	sim.run(200*time.Millisecond, 0)
+	g := sim.leader().granter
+	inherited := g.sortedRanges()[0]
+	g.startRelease(sim.now, inherited, "") // as for a server that no longer gets requests
+	for _, order := range g.Tick(sim.now) {
+		if release, ok := order.(Release); ok {
+			g.CompleteRelease(sim.now, release, Accepted, "state")
+		}
+	}
+	is.Equal(inherited.state, releasing)
+	pause := inherited.unansweredExpiry.Sub(sim.now)
+	is.True(pause > 3*time.Second)
+	for _, s := range g.ChangedSegments(sim.now) {
+		if s.Range == inherited.Range {
+			is.Equal(s.PauseMS, uint32(pause.Milliseconds()))
+			return
+		}
+	}
+	t.Fatal("the pause was not published")
+}
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -290,5 +290,6 @@
 		g.planOwner(now, o)
 		return
 	}
-	o.handover = handover
+	o.handover, o.released = handover, true
+	g.changed[o.id] = true // the segment now says when the range can be granted
 }
