Operators' commands show a term as era and number; a comment says what counts as ungranted

Change: status and owner print 1:4; JSON and logs keep the number. One stale comment. Test: TestTermsAreShownByEra.

--- a/cmd/admin_test.go
+++ b/cmd/admin_test.go
@@ -152,3 +152,11 @@
 		})
 	}
 }
+
+// TestTermsAreShownByEra guards against terms that nobody can read because the era of the store is in their high bits.
+func TestTermsAreShownByEra(t *testing.T) {
+	is := is.New(t)
+	is.Equal(termText(4), "4")
+	is.Equal(termText(1<<31|4), "1:4")
+	is.Equal(versionText(inspector.Version{Term: 2<<31 | 7, Sequence: 9}), "2:7.9")
+}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 
+	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/inspector"
 )
 
@@ -60,8 +62,8 @@
 func writeInstances(w io.Writer, statuses []inspector.Status) {
 	fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREADY\tBUNDLE\tLEADER\tTERM\tOWNER MAP\tSTORE\tRUNNING\tWAITING")
 	for _, s := range statuses {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%s\t%d\t%s\t%s\t%d\t%d\n", s.Instance, s.Domain, s.Ready, s.BundleVersion,
-			leaderText(s), s.Leader.Term, versionText(s.OwnerMapVersion), storeText(s), s.Running, s.Waiting)
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%s\t%s\t%s\t%s\t%d\t%d\n", s.Instance, s.Domain, s.Ready, s.BundleVersion,
+			leaderText(s), termText(s.Leader.Term), versionText(s.OwnerMapVersion), storeText(s), s.Running, s.Waiting)
 	}
 	fmt.Fprintln(w)
 }
@@ -80,7 +82,17 @@
 	return "reached"
 }
 
-func versionText(v inspector.Version) string { return fmt.Sprintf("%d.%d", v.Term, v.Sequence) }
+func versionText(v inspector.Version) string {
+	return fmt.Sprintf("%s.%d", termText(v.Term), v.Sequence)
+}
+
+// termText returns a term as text: the era of the store, unless that is 0, and the term within it.
+func termText(term uint64) string {
+	if era := elector.EraOf(term); era > 0 {
+		return fmt.Sprintf("%d:%d", era, elector.NumberInEra(term))
+	}
+	return strconv.FormatUint(term, 10)
+}
 
 func writeMembers(w io.Writer, s inspector.Status) {
 	fmt.Fprintf(w, "INSTANCE, ACCORDING TO %s\tDOMAIN\tADDRESS\tLEAVING\tCAPACITY\n", s.Instance)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,8 +46,7 @@
 	releaseTimeout = 3 * time.Second
 	// balanceInterval is the time between two checks of the servers' load.
 	balanceInterval = 250 * time.Millisecond
-	// serversPerMove is the number of a service's servers for each range that may be ungranted at the same time. Ungranted
-	// ranges of other services count too, so that they delay the service's moves.
+	// serversPerMove is the number of a service's servers for each of its ranges that may be ungranted at the same time.
 	serversPerMove = 4
 	// minLeadershipDuration is how long a leader leads before it yields to a larger machine, whose capacity is at least
 	// yieldCapacityRatio times its own.
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -365,6 +365,7 @@
 	is := is.New(t)
 	is.True(term(t, 2, 0) > term(t, 1, 1<<30))
 	is.Equal(EraOf(term(t, 7, 5)), uint64(7))
+	is.Equal(NumberInEra(term(t, 7, 5)), uint64(6))
 	is.Equal(term(t, 0, 5), uint64(6)) // as before stores had eras
 	is.True(term(t, maxEra, 1<<termOffsetBits-2) < 1<<39)
 	for _, position := range []struct {
--- a/internal/elector/term.go
+++ b/internal/elector/term.go
@@ -37,6 +37,9 @@
 // EraOf returns the era in which a term began.
 func EraOf(term uint64) uint64 { return term >> termOffsetBits }
 
+// NumberInEra returns the part of a term that rises within its era.
+func NumberInEra(term uint64) uint64 { return term & (1<<termOffsetBits - 1) }
+
 // Election describes the beginning of a term of this instance.
 type Election struct {
 	// Predecessor is the previous leader, if it may still send orders; it is empty if that was an earlier incarnation of this
