--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabibank/wasabibank/internal/balancer"
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -125,3 +126,51 @@
 		})
 	}
 }
+
+// TestReplacedLeaderIsToldUntilItAnswers guards against a leader that goes on sending orders until its leader lease expires,
+// because the one message that it was replaced was lost and it reports to nobody.
+func TestReplacedLeaderIsToldUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	calls := make(chan struct{}, 16)
+	previous := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls <- struct{}{}
+		w.WriteHeader(http.StatusBadGateway)
+	}))
+	defer previous.Close()
+	now := timekeeper.Now()
+	c := newTestController(t, http.NotFound)
+	member := resolver.Member{Instance: "old", Incarnation: 3, Address: previous.Listener.Addr().String()}
+	c.leaderState = &leaderState{
+		since: now, membersVersion: 1, members: map[string]*memberState{},
+		predecessor:      elector.Identity{Instance: "old", Incarnation: 3, Address: member.Address},
+		predecessorState: &memberState{member: member},
+	}
+	for range 3 {
+		c.notifyPredecessor(now)
+		<-calls
+		(<-c.events)(now) // the message failed
+		c.notifyPredecessor(now.Add(predecessorPublishInterval - 1))
+		is.Equal(len(calls), 0)
+		now = now.Add(predecessorPublishInterval)
+	}
+	c.notifyPredecessor(now.Add(ElectionSettings.LeaseDuration)) // it has certainly stopped
+	is.True(!c.leaderState.predecessorState.publishing)
+}
+
+// TestUndecodablePlanGrantsNothingEarly guards against a new leader that takes a plan which it can't decode for none, and
+// grants ranges that other servers have.
+func TestUndecodablePlanGrantsNothingEarly(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	_, err := decodePlan([]byte{0xff})
+	is.True(err != nil)
+	l := newLeaderTerm(now, GrantSettings, 7, elector.Election{Certain: true}, storedPlan{exists: true, err: err})
+	servers := []cataloger.Server{{ID: "s1", Service: "desk", Slots: 2}}
+	l.granter.SetServers(now, []string{"desk"}, servers)
+	_, sequence, unstored := l.granter.Plan()
+	is.True(unstored)
+	l.granter.SetStoredPlans(sequence, sequence)
+	expiry := now.Add(ElectionSettings.LeaseDuration + GrantSettings.MaxLeaseLifetime())
+	is.Equal(len(l.granter.Tick(expiry.Add(-1))), 0)
+	is.Equal(len(l.granter.Tick(expiry)), 1)
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -505,6 +505,7 @@
 		<-done
 	}
 	is.True(!f.busy())
+	is.Equal(f.meter.Get(meter.RequestsCancelled), int64(3)) // also the one that was queued
 }
 
 // TestHopFieldsRoundTrip guards against requests and results that change on their way between two instances.
@@ -605,3 +606,26 @@
 	is.Equal(r.outcome, refused)
 	is.True(r.retryAfter > 40*time.Second && r.retryAfter <= 45*time.Second)
 }
+
+// TestInvalidTimeLeftIsRejected guards against a deadline that is computed from no number.
+func TestInvalidTimeLeftIsRejected(t *testing.T) {
+	for _, text := range []string{"NaN", "Inf", "-1", "1e300", "soon"} {
+		t.Run(text, func(t *testing.T) {
+			r := httptest.NewRequest("GET", "/idempotent/x", nil)
+			r.Host = "h"
+			r.Header.Set("X-Left", text)
+			w := httptest.NewRecorder()
+			newForwarder(t, startScriptedServer(t, answerOK)).ServeHTTP(w, r)
+			is.New(t).Equal(w.Code, 400)
+		})
+	}
+}
+
+// TestAnswerToHeadKeepsItsLength guards against an answer to HEAD that says the body of a GET would be empty.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	is := is.New(t)
+	b := startScriptedServer(t, "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\nContent-Length: 1234\r\n\r\n")
+	w := sendRequest(newForwarder(t, b), "HEAD", "/idempotent/x", "", "")
+	is.Equal(w.Code, 200)
+	is.Equal(w.Header().Get("Content-Length"), "1234")
+}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -78,7 +78,7 @@
 	RequestsUnknown:    {"requests_unknown", "Requests that may have been executed but got no valid server answer."},
 	RequestsForwarded:  {"requests_forwarded", "Times that a request was forwarded to its dispatcher, another instance."},
 	RequestsRepeated:   {"requests_repeated", "Retries sent to a backend server after an earlier attempt may have reached one."},
-	RequestsCancelled:  {"requests_cancelled", "Requests whose client disconnected, except in a queue of this instance."},
+	RequestsCancelled:  {"requests_cancelled", "Requests whose client disconnected."},
 	ServerPauses:       {"server_pauses", "Times that a backend server asked this instance for a pause, with 503 and Retry-After."},
 	InvalidRetryAfters: {"invalid_retry_afters", "Pauses asked for by a backend server that are not a number of seconds or too long."},
 	Appends:            {"appends", "Append calls to the platform's store."},
