Orders are not sent when an answer in time is unlikely; test processes claim their loopback addresses

Cause, from the log of a run that showed the same beside load: requests for keys of a move that the leader could not store wait up to 1 s, which is the test's whole time limit. The new owner was published 1.5 ms before the deadline of an order, which was sent all the same (a service time of 10 ms) and ended with 504, its outcome unknown. The queue started a request with a free slot whatever time it had left.

Change: the queues of an instance share the service times of each route. A request with less time left than the least of the last 10 to 20 s, or than 2 ms, is refused as not executed; so is an order (not idempotent) with less than the mean and two mean deviations of the answers of the last second. After a second without an answer the second rule rests, so that a route whose requests all have little time is measured again.

Beside it: the second number of the entries' loopback addresses was the process ID modulo 200, so that test processes started together could use the same addresses; 3 of 48 runs started together failed by that (200 "doubled", 420 "unexecuted", entries that exited). It is now claimed with a listener. A failed test's output leaves out the lines of answered requests.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -53,6 +53,7 @@
 	}
 	decision := q.queue.Offer(now, queuer.Request{
 		Class: req.route, Priority: req.priority, Objective: req.objective, Deadline: req.deadline, AvoidServer: req.avoidServer,
+		Unrepeatable: !req.idempotent,
 	})
 	switch d := decision.(type) {
 	case queuer.Start:
@@ -104,7 +105,7 @@
 func (f *Forwarder) queueFor(now time.Time, serverPool resolver.ServerPool) *poolQueue {
 	q := f.queues[serverPool]
 	if q == nil {
-		q = &poolQueue{waiters: map[queuer.Ticket]*waiter{}}
+		q = &poolQueue{queue: queuer.New(&f.serviceTimes), waiters: map[queuer.Ticket]*waiter{}}
 		f.queues[serverPool] = q
 		f.updateQueue(now, serverPool, q, f.view.Load())
 		f.queues[serverPool] = q // updateQueue drops an empty queue, but the caller needs it
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,6 +77,7 @@
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
+	serviceTimes     queuer.ServiceTimes        // of all queues
 	serverConnPools  map[string]*exchanger.Pool // by address
 	peerConnPools    map[string]*exchanger.Pool // by address
 	unreachableUntil map[string]time.Time       // by instance: until then it is not used as a dispatcher
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -31,6 +31,8 @@
 	// a usable server, the delay may be up to maxEjectionTime.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// minServiceTime is the time that any request needs at least. One with less time left is not sent.
+	minServiceTime = 2 * time.Millisecond
 )
 
 // Request is what the queue needs to know about a request.
@@ -40,6 +42,9 @@
 	Objective   time.Time // an answer after it is late
 	Deadline    time.Time // the client does not wait for an answer after it
 	AvoidServer string    // used only if no other server has a free slot
+	// Unrepeatable says that the client must not repeat the request if it gets no answer. It is sent only if an answer before
+	// the deadline is likely; others are sent if one is possible.
+	Unrepeatable bool
 }
 
 // Ticket identifies a waiting request.
@@ -116,8 +121,10 @@
 	mean time.Duration // service time
 }
 
-// Queue holds the requests for a set of servers. The zero Queue has no servers. It is not safe for concurrent use.
+// Queue holds the requests for a set of servers. The zero Queue has no servers, and shares no service times with other
+// queues. It is not safe for concurrent use.
 type Queue struct {
+	times         *ServiceTimes
 	servers       []*server
 	waiting       []*waitingRequest
 	classes       map[string]*class
@@ -126,6 +133,9 @@
 	loadDecayedAt time.Time
 }
 
+// New returns a queue without servers that shares times with other queues.
+func New(times *ServiceTimes) Queue { return Queue{times: times} }
+
 // Server is a backend server and its slots.
 type Server struct {
 	ID          string
@@ -231,7 +241,7 @@
 // Offer adds a new request to the load, and starts it, lets it wait or refuses it.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.addLoad(now, r)
-	if !now.Before(r.Deadline) { // no answer can be in time; the request counts in the load all the same
+	if !q.canAnswer(now, r) { // the request counts in the load all the same
 		return Refuse{RetryAfter: minRetryAfter}
 	}
 	if len(q.waiting) == 0 {
@@ -256,6 +266,19 @@
 	q.load += q.serviceTime(r).Seconds() / (loadWindow.Seconds() * float64(max(1, q.usableSlots(now))))
 }
 
+// canAnswer reports whether the time left until the request's deadline suffices for sending it now: whether it is at least
+// the least service time that its class had of late, and, for an unrepeatable request, the likely one.
+func (q *Queue) canAnswer(now time.Time, r Request) bool {
+	need := minServiceTime
+	if q.times != nil {
+		need = max(need, q.times.least(now, r.Class))
+		if r.Unrepeatable {
+			need = max(need, q.times.likely(now, r.Class))
+		}
+	}
+	return !now.Add(need).After(r.Deadline)
+}
+
 // decayLoad reduces the load by the fraction of loadWindow that has passed since its last reduction.
 func (q *Queue) decayLoad(now time.Time) {
 	if elapsed := now.Sub(q.loadDecayedAt); elapsed > 0 {
@@ -310,7 +333,7 @@
 	s.running--
 	switch outcome {
 	case Answered:
-		q.recordServiceTime(className, took)
+		q.recordServiceTime(now, className, took)
 		s.recordServiceTime(took)
 		s.failures, s.ejectionTime, s.probing = 0, 0, false
 	case Failed:
@@ -354,7 +377,11 @@
 	s.probing = true
 }
 
-func (q *Queue) recordServiceTime(className string, took time.Duration) {
+func (q *Queue) recordServiceTime(now time.Time, className string, took time.Duration) {
+	if q.times == nil {
+		q.times = &ServiceTimes{}
+	}
+	q.times.record(now, className, took)
 	c := q.classes[className]
 	if c == nil {
 		if q.classes == nil {
@@ -385,8 +412,8 @@
 	q.sort(now)
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
-		// With a free slot, a request is started before its deadline whatever its expected service time.
-		if s := q.pickServer(now, w.AvoidServer); s != nil && now.Before(w.Deadline) {
+		// With a free slot, a request is started whatever its expected service time, unless no answer can be in time.
+		if s := q.pickServer(now, w.AvoidServer); s != nil && q.canAnswer(now, w.Request) {
 			s.running++
 			change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
 			continue
@@ -450,6 +477,9 @@
 		usable := q.nextUsable(now)
 		return usable.Sub(now) <= minEjectionTime && usable.Add(need).Before(w.Deadline)
 	}
+	if !q.canAnswer(now, w.Request) {
+		return false
+	}
 	start := ahead / time.Duration(slots)
 	if q.missesObjective(now, w) {
 		if q.load >= overloadThreshold {
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -74,6 +75,62 @@
 	is.Equal(q.Waiting(), 1)
 }
 
+// TestRequestIsNotSentIfNoAnswerCanBeInTime guards against a request that a server executes in vain, and whose client can't
+// tell whether it was executed, although the time left was known to be too short when it was sent.
+func TestRequestIsNotSentIfNoAnswerCanBeInTime(t *testing.T) {
+	steady := []time.Duration{20 * time.Millisecond}
+	varying := slices.Repeat([]time.Duration{20 * time.Millisecond, 60 * time.Millisecond}, 20)
+	tests := map[string]struct {
+		measured     []time.Duration // service times of earlier requests of the class, in another queue
+		after        time.Duration   // time between those answers and the request
+		timeLeft     time.Duration   // of the request
+		unrepeatable bool
+		started      bool
+	}{
+		"less time than any request needs":          {timeLeft: time.Millisecond},
+		"nothing measured":                          {timeLeft: 5 * time.Millisecond, started: true},
+		"less time than the class needs":            {measured: steady, timeLeft: 19 * time.Millisecond},
+		"as much time as the class needs":           {measured: steady, timeLeft: 20 * time.Millisecond, started: true},
+		"less time, measured in the window before":  {measured: steady, after: 15 * time.Second, timeLeft: 19 * time.Millisecond},
+		"less time, but the measurement is too old": {measured: steady, after: 21 * time.Second, timeLeft: 19 * time.Millisecond, started: true},
+		"answer possible, not likely, repeatable":   {measured: varying, timeLeft: 30 * time.Millisecond, started: true},
+		"answer possible, not likely, unrepeatable": {measured: varying, timeLeft: 30 * time.Millisecond, unrepeatable: true},
+		"answer likely, unrepeatable":               {measured: varying, timeLeft: 100 * time.Millisecond, unrepeatable: true, started: true},
+		"unrepeatable, nothing measured for a while": {
+			measured: varying, after: 2 * time.Second, timeLeft: 30 * time.Millisecond, unrepeatable: true, started: true,
+		},
+		"unrepeatable, nothing measured": {timeLeft: 30 * time.Millisecond, unrepeatable: true, started: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var times ServiceTimes
+			other, q := New(&times), New(&times)
+			other.SetServers(start, []Server{{ID: "b", Slots: 1}})
+			for _, took := range test.measured {
+				is.Equal(other.Offer(start, request(0, 1000, 1000)), Start{Server: "b"})
+				other.Done(start, "b", "c", Answered, took)
+			}
+			now := start.Add(test.after)
+			r := Request{Class: "c", Objective: now, Deadline: now.Add(test.timeLeft), Unrepeatable: test.unrepeatable}
+			q.SetServers(now, []Server{{ID: "a", Slots: 1}})
+			_, started := q.Offer(now, r).(Start)
+			is.Equal(started, test.started)
+		})
+	}
+}
+
+// TestWaitingRequestIsRefusedIfNoAnswerCanBeInTime guards against a waiting request that is sent, when a slot becomes free,
+// with too little time left.
+func TestWaitingRequestIsRefusedIfNoAnswerCanBeInTime(t *testing.T) {
+	is := is.New(t)
+	q := busyQueue(t)
+	is.Equal(q.Offer(start, request(0, 1000, 250)), Wait{Ticket: 1})
+	change := q.Done(at(200), "a", "c", Answered, 200*time.Millisecond)
+	is.Equal(change.Started, nil)
+	is.Equal(len(change.Refused), 1)
+}
+
 // TestHigherPriorityDisplacesLower guards against a waiting request that keeps its place although requests of higher
 // priority use up the time until its deadline. Two of them are needed: behind one, it would still be answered in time.
 func TestHigherPriorityDisplacesLower(t *testing.T) {
--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,9 +42,28 @@
 var defaultSize = clusterSize{entries: 3, keyedServers: 3, unkeyedServers: 1}
 
 // clusterCount counts the clusters of this process. A cluster's number is part of its entries' loopback addresses, so that
-// clusters that run in parallel don't share addresses; the process ID in them separates test processes.
+// clusters that run in parallel don't share addresses; addressBlock in them separates test processes.
 var clusterCount atomic.Int32
 
+// addressBlock is the second number of the loopback addresses of this process's entries.
+var addressBlock int
+
+// claimAddressBlock sets addressBlock to a number that no other test process has. The claim lasts until the listener that it
+// returns is closed.
+func claimAddressBlock() (net.Listener, error) {
+	const first, count = 10, 200
+	for i := range count {
+		block := first + (os.Getpid()+i)%count
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%s", block, adminPort))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		addressBlock = block
+		return l, errors.Wrap(err, "claim an address block")
+	}
+	return nil, errors.New("other test processes have all address blocks")
+}
+
 // entry is an entry instance. A restart replaces its process.
 type entry struct {
 	name, ip     string
@@ -124,7 +145,7 @@
 	c.t.Helper()
 	n := len(c.entries) + 1
 	e := &entry{name: fmt.Sprintf("entry_%d", n), storeProxy: newProxy(c.t)}
-	e.ip = fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, c.number, n)
+	e.ip = fmt.Sprintf("127.%d.%d.%d", addressBlock, c.number, n)
 	e.storeProxy.setTarget(c.store.address())
 	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
 	must(c.t, err)
--- a/internal/verifier/process_test.go
+++ b/internal/verifier/process_test.go
@@ -32,6 +32,12 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
+	block, err := claimAddressBlock()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer block.Close()
 	binary = filepath.Join(dir, "wasabibank")
 	build := exec.Command("go", "build", "-o", binary, "../..")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -159,13 +165,20 @@
 // maxLoggedBytes is how much of a process's output a failed test logs.
 const maxLoggedBytes = 20_000
 
-// logOutput logs the last maxLoggedBytes of the output of the process.
+// logOutput logs the last maxLoggedBytes of the output of the process, without the lines of answered requests.
 func (p *process) logOutput(t *testing.T) {
 	data, err := os.ReadFile(p.outputPath)
 	if err != nil || len(data) == 0 {
 		return
 	}
-	t.Logf("%s wrote:\n%s", p.name, data[max(0, len(data)-maxLoggedBytes):])
+	var kept strings.Builder
+	for line := range strings.Lines(string(data)) {
+		if !strings.Contains(line, `outcome="answered"`) {
+			kept.WriteString(line)
+		}
+	}
+	output := kept.String()
+	t.Logf("%s wrote, without answered requests:\n%s", p.name, output[max(0, len(output)-maxLoggedBytes):])
 }
 
 // runProgram runs the program and requires that it succeeds.
