Hops end before the client's deadline, header_bytes is enforced, connections to instances that left are closed

The dispatcher's deadline is now 10 ms before that of the request, and the wait ends with it. - header_bytes of a configuration had no effect. A longer header is answered with 431, reason header_too_large. - Connections to instances that are gone stayed open until idle. They are closed with the next view. - drainMargin (1.2 s) was less than the delays that it covers, which sum up to 1.25 s; it is 1.3 s. - preferWriteError could return the error of its own abort. - Removed, without a caller or a test: limiter.CountRetry, queuer.MeanServiceTime, exchanger.IsErrPoolExhausted and Connection.Release. Streamed bodies have a test and stay.

Not changed: header_timeout and idle_timeout of a configuration, which the HTTP server takes at its start only.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -340,6 +340,9 @@
 	for _, s := range servers {
 		inUse[s.Address] = true
 	}
-	c.options.Forwarder.CloseUnusedServers(inUse)
 	c.orders.CloseUnused(inUse)
+	for _, m := range c.members {
+		inUse[m.Address] = true
+	}
+	c.options.Forwarder.CloseUnused(inUse)
 }
--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -55,10 +55,6 @@
 	return errors.As(err, &body)
 }
 
-// IsErrPoolExhausted reports whether err says that no connection became free in time: within the connect timeout and
-// before the deadline of the request.
-func IsErrPoolExhausted(err error) bool { return errors.Is(err, errPoolExhausted) }
-
 var (
 	errPoolClosed           = errors.New("pool is closed")
 	errPoolExhausted        = errors.New("no connection became free in time")
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -65,9 +65,6 @@
 	return Connection{pool: p, conn: c}, nil
 }
 
-// Release puts the unused connection back into the pool.
-func (c Connection) Release(now time.Time) { c.pool.put(c.conn, now) }
-
 // Do sends req and reads the header of the answer. The whole exchange, including the body of the answer, is aborted at
 // deadline or when ctx ends. The error is an ErrNotSent or an ErrMaybeSent; if its cause is an ErrBody, reading the body
 // of req failed. onInformational may be nil.
@@ -144,13 +141,19 @@
 }
 
 // preferWriteError returns the error of the background write or, if it has none, readErr. It aborts a write that is still in
-// progress, and then may return the error that results from this.
+// progress; the error that results from this is not returned.
 func (e *exchange) preferWriteError(readErr error) error {
 	if e.writeDone == nil {
 		return readErr
 	}
-	if err := e.abortWrite(); err != nil {
-		return err
+	select {
+	case err := <-e.writeDone:
+		e.writeDone = nil
+		if err != nil {
+			return err
+		}
+	default:
+		_ = e.abortWrite()
 	}
 	return readErr
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -270,15 +270,20 @@
 	return p
 }
 
-// CloseUnusedServers closes the connections to servers whose address is not in inUse. Connections to instances are not
-// closed here: an instance closes them itself when it leaves.
-func (f *Forwarder) CloseUnusedServers(inUse map[string]bool) {
+// CloseUnused closes the connections to servers and instances whose address is not in inUse.
+func (f *Forwarder) CloseUnused(inUse map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for address, p := range f.serverConnPools {
+	closeUnused(f.serverConnPools, inUse)
+	closeUnused(f.peerConnPools, inUse)
+}
+
+// closeUnused closes and deletes the pools whose address is not in inUse.
+func closeUnused(pools map[string]*exchanger.Pool, inUse map[string]bool) {
+	for address, p := range pools {
 		if !inUse[address] {
 			p.Close()
-			delete(f.serverConnPools, address)
+			delete(pools, address)
 		}
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -114,7 +114,7 @@
 	table := matcher.NewTable(bundler.New(1, []bundler.Service{{Name: "keyed", Keyed: true}, {Name: "plain"}}, []bundler.Route{
 		route("idempotent", true, "plain"), route("once", false, "plain"),
 		route("key", true, "keyed"), route("keyonce", false, "keyed"),
-	}, bundler.Limits{BodyBytes: 100}))
+	}, bundler.Limits{HeaderBytes: 1000, BodyBytes: 100}))
 	servers := []cataloger.Server{
 		{ID: "k", Service: "keyed", Address: b.address, Domain: "d", Slots: 2},
 		{ID: "p", Service: "plain", Address: b.address, Domain: "d", Slots: 2},
@@ -621,6 +621,69 @@
 	}
 }
 
+// TestTooLargeHeaderIsRejected guards against a limit of the configuration that has no effect.
+func TestTooLargeHeaderIsRejected(t *testing.T) {
+	tests := map[string]struct {
+		cookies, want int
+	}{
+		"within the limit":              {cookies: 1, want: 200},
+		"one field over the limit":      {cookies: 1000, want: 431},
+		"fields of one name over it":    {cookies: 500, want: 431},
+		"over it with the request line": {cookies: 950, want: 431},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest("GET", "/idempotent/x", nil)
+			r.Host = "h"
+			r.Header.Set("X-Id", "r1")
+			r.Header.Add("Cookie", strings.Repeat("c", test.cookies))
+			if test.cookies == 500 {
+				r.Header.Add("Cookie", strings.Repeat("c", test.cookies))
+			}
+			w := httptest.NewRecorder()
+			newForwarder(t, startScriptedServer(t, answerOK)).ServeHTTP(w, r)
+			is.New(t).Equal(w.Code, test.want)
+		})
+	}
+}
+
+// TestDispatcherAnswersBeforeTheClientsDeadline guards against an answer that another instance returns in time, but that
+// reaches the client too late.
+func TestDispatcherAnswersBeforeTheClientsDeadline(t *testing.T) {
+	is := is.New(t)
+	deadline := make(chan time.Time, 1)
+	peer := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var hop clientRequest
+		is.NoErr(hop.decodeHop(time.Now(), r.Header.Get(HeaderHop)))
+		deadline <- hop.deadline
+	}))
+	defer peer.Close()
+	b := startScriptedServer(t, answerOK)
+	f := newForwarderWithTimeout(t, b, time.Second, resolver.Member{
+		Instance: "dispatcher", Domain: "d", Address: strings.TrimPrefix(peer.URL, "http://"),
+	})
+	v := *f.view.Load()
+	v.Self.Domain, v.Self.Leaving = "elsewhere", true // the member in the server's failure domain is the dispatcher
+	f.SetView(time.Now(), &v)
+	sent := time.Now()
+	sendRequest(f, "POST", "/keyonce/x", "5", "order")
+	// The hop carries a duration, so its deadline is late by the time that the hop took.
+	is.True((<-deadline).Before(sent.Add(time.Second - answerMargin).Add(-hopMargin).Add(time.Since(sent))))
+}
+
+// TestConnectionsToUnusedAddressesAreClosed guards against connections that stay open to an instance that has left, while
+// those in use must stay.
+func TestConnectionsToUnusedAddressesAreClosed(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, startScriptedServer(t, answerOK))
+	gone, member := f.peerConnPool("127.0.0.1:1"), f.peerConnPool("127.0.0.1:2")
+	server := f.serverConnPool("127.0.0.1:3", 1)
+	f.CloseUnused(map[string]bool{"127.0.0.1:2": true, "127.0.0.1:3": true})
+	is.True(f.peerConnPool("127.0.0.1:1") != gone)
+	is.True(f.peerConnPool("127.0.0.1:2") == member)
+	is.True(f.serverConnPool("127.0.0.1:3", 1) == server)
+}
+
 // TestAnswerToHeadKeepsItsLength guards against an answer to HEAD that says the body of a GET would be empty.
 func TestAnswerToHeadKeepsItsLength(t *testing.T) {
 	is := is.New(t)
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -24,9 +24,9 @@
 	headerOutcome = "Wasabibank-Outcome"
 )
 
-// hopTimeoutMargin is how long after a request's deadline an instance still waits for the dispatcher's answer. It is longer
-// than answerMargin, so the answer may also reach the client after the time that the client allowed.
-const hopTimeoutMargin = 30 * time.Millisecond
+// hopMargin is subtracted from a request's deadline for its dispatcher, to leave time for returning the answer to the
+// instance that received the request.
+const hopMargin = 10 * time.Millisecond
 
 // hopFieldCount is the number of fields that encodeHop writes.
 const hopFieldCount = 13
@@ -158,8 +158,7 @@
 func (f *Forwarder) forwardTo(ctx context.Context, req *clientRequest, dispatcher resolver.Member) result {
 	now := time.Now()
 	v := f.view.Load()
-	answerDeadline := req.deadline.Add(hopTimeoutMargin)
-	connection, err := f.peerConnPool(dispatcher.Address).Acquire(ctx, now, answerDeadline)
+	connection, err := f.peerConnPool(dispatcher.Address).Acquire(ctx, now, req.deadline)
 	if err != nil {
 		if ctx.Err() != nil {
 			return result{outcome: abandoned, dispatcher: dispatcher.Instance, reason: reasonClientLeft}
@@ -169,12 +168,14 @@
 	}
 	f.meter.Count(meter.RequestsForwarded)
 	httpReq := req.newHTTPRequest(dispatcher.Address)
-	httpReq.Header.Set(HeaderHop, req.encodeHop(now))
+	hop := *req
+	hop.deadline = req.deadline.Add(-hopMargin)
+	httpReq.Header.Set(HeaderHop, hop.encodeHop(now))
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = context.WithoutCancel(ctx)
 	}
-	response, err := connection.Do(sendCtx, httpReq, answerDeadline, nil)
+	response, err := connection.Do(sendCtx, httpReq, req.deadline, nil)
 	var body []byte
 	if err == nil {
 		body, err = f.readAnswer(req, response.Body)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -68,6 +68,9 @@
 			req.deadline = clientDeadline
 		}
 	}
+	if headerBytes(r) > v.Table.Limits().HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+	}
 	req.deadline = req.deadline.Add(-answerMargin)
 	req.service = f.splitter.Pick(route)
 	service, ok := v.Table.Service(req.service)
@@ -90,6 +93,18 @@
 	return req, 0, ""
 }
 
+// headerBytes returns the size in bytes of the request line and the header fields of a request.
+func headerBytes(r *http.Request) int {
+	const lineOverhead = len(": \r\n")
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineOverhead + len("Host") + len(r.Host) + lineOverhead
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + lineOverhead
+		}
+	}
+	return total
+}
+
 // writeAnswer writes the final answer to the client, and logs the request. The log key "key" is 0 for a request without a
 // key. Package recorder recognises this line and that of refuse by their message.
 func (f *Forwarder) writeAnswer(w http.ResponseWriter, r *http.Request, start time.Time, req *clientRequest, res result) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -61,13 +61,6 @@
 	return true
 }
 
-// CountRetry takes a retry that has already happened from the budget, even if the budget is exhausted.
-func (b *RetryBudget) CountRetry(now time.Time, service string, instances int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refilledBucket(now, service, instances).tokens--
-}
-
 // maxTokens returns how many tokens a bucket holds at most: this instance's part of the extra retries, at least one.
 func (b *RetryBudget) maxTokens(instances int) float64 {
 	return max(1, extraUsed*b.settings.Extra/float64(max(1, instances)))
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -572,11 +572,3 @@
 	}
 	return min(max(minRetryAfter, total/time.Duration(slots)), maxRetryAfter)
 }
-
-// MeanServiceTime returns the mean service time of a server, or 0 if none was measured.
-func (q *Queue) MeanServiceTime(id string) time.Duration {
-	if s := q.findServer(id); s != nil {
-		return s.mean
-	}
-	return 0
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,11 +37,10 @@
 	// exitMargin is subtracted from the grace period, so that the process exits before SIGKILL.
 	exitMargin = 500 * time.Millisecond
 	// drainMargin is subtracted from the time within which a draining server must get no more requests. It covers the delay
-	// until all instances know that the server drains, but not the longest possible one: when a whole failure domain reads
-	// the store through other failure domains, the delay is one call and the pauses of package controller (batchDelay,
-	// relayWait, relayMargin), which sum up to 1.25 s. Then a draining server may get requests for a short time after it
-	// should get no more.
-	drainMargin = 1200 * time.Millisecond
+	// until all instances know that the server drains. The delay is longest when a whole failure domain reads the store through
+	// other failure domains: one call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to
+	// 1.25 s.
+	drainMargin = 1300 * time.Millisecond
 	// headerTimeout bounds the time to read the header of a client's request; the platform's clients send it within 3 s. The
 	// servers for other instances, readiness checks and the admin API have no such bound.
 	headerTimeout = 10 * time.Second
