--- a/cmd/load.go
+++ b/cmd/load.go
@@ -83,7 +83,7 @@
 		fmt.Fprintf(stderr, "wasabibank load: %v\n", err)
 		return ExitUsage
 	}
-	report, err := f.run(settings)
+	report, interrupted, err := f.run(settings)
 	if err != nil {
 		fmt.Fprintf(stderr, "wasabibank load: %v\n", err)
 		return ExitFailure
@@ -92,30 +92,36 @@
 		fmt.Fprintf(stderr, "wasabibank load: %v\n", err)
 		return ExitFailure
 	}
-	if report.Verdict != nil && !report.Passed() {
+	if interrupted {
+		fmt.Fprintln(stderr, "wasabibank load: ended by a signal")
+		return ExitFailure
+	}
+	if !report.AnswersIntact() || report.Verdict != nil && !report.Passed() {
 		return ExitFailure
 	}
 	return ExitSuccess
 }
 
-// run sends the load and, with -executions, verifies the outcomes. An interrupt or SIGTERM ends the sending.
-func (f *loadFlags) run(settings loadtester.Settings) (loadtester.Report, error) {
+// run sends the load and, with -executions, verifies the outcomes. An interrupt or SIGTERM ends the sending; interrupted
+// reports that.
+func (f *loadFlags) run(settings loadtester.Settings) (report loadtester.Report, interrupted bool, err error) {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	tally, err := loadtester.Run(ctx, settings)
 	if err != nil {
-		return loadtester.Report{}, err
+		return loadtester.Report{}, false, err
 	}
+	interrupted = ctx.Err() != nil
 	if f.executions == "" {
-		return tally.Report(nil), nil
+		return tally.Report(nil), interrupted, nil
 	}
 	time.Sleep(f.settle)
 	executions, err := loadtester.FetchExecutions(context.Background(), splitList(f.executions))
 	if err != nil {
-		return loadtester.Report{}, err
+		return loadtester.Report{}, interrupted, err
 	}
 	verdict := tally.Verify(executions)
-	return tally.Report(&verdict), nil
+	return tally.Report(&verdict), interrupted, nil
 }
 
 func (f *loadFlags) settings(stderr io.Writer) (loadtester.Settings, error) {
--- a/cmd/load_test.go
+++ b/cmd/load_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -27,7 +29,8 @@
 			posts: 2, code: ExitFailure, want: "30 answered, 0 not run, 0 unknown, 30 doubled, 0 cut, 0 second owners",
 		},
 		"answered but not collected": {
-			posts: 0, code: ExitFailure, want: "30 answered, 0 not run, 0 unknown, 0 doubled, 0 cut, 0 second owners",
+			posts: 0, code: ExitFailure, want: "30 answered, 0 not run, 0 unknown, 0 doubled, 0 cut, 0 second owners" +
+				", 30 answered but not executed",
 		},
 	}
 	for name, tc := range tests {
@@ -53,6 +56,35 @@
 	}
 }
 
+// TestLoadEndedByASignalFails guards against a part of a load that scripts take for the whole one.
+func TestLoadEndedByASignalFails(t *testing.T) {
+	is := is.New(t)
+	entry := startStandin(t, standin{
+		name: "server", handler: newStandinServer(emulator.ServerSettings{Slots: 8, QueueLimit: 100})})
+	stderr := &signallingWriter{t: t}
+	var stdout bytes.Buffer
+	args := []string{"load", "-entries", entry, "-host", "h", "-path", "/a/", "-rate", "100", "-count", "100000", "-progress", "5"}
+	is.Equal(Run(args, &stdout, stderr), ExitFailure)
+	is.True(strings.Contains(stderr.text.String(), "ended by a signal"))
+	is.True(strings.Contains(stdout.String(), "answered"))
+}
+
+// signallingWriter sends SIGTERM to its own process at the first write. The text must not be read before the last write.
+type signallingWriter struct {
+	t    *testing.T
+	once sync.Once
+	text bytes.Buffer
+}
+
+func (w *signallingWriter) Write(p []byte) (int, error) {
+	w.once.Do(func() {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			w.t.Error(err)
+		}
+	})
+	return w.text.Write(p)
+}
+
 func TestLoadReadsAPlanAndWritesJSON(t *testing.T) {
 	is := is.New(t)
 	// A stand-in server takes the place of an entry instance.
--- a/internal/controller/leaving.go
+++ b/internal/controller/leaving.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/meter"
 )
 
 // leavingServers are the backend servers that have said in an answer that they are leaving. Each instance tells the leader
@@ -63,6 +64,7 @@
 	if !c.leavingServers.add(server, incarnation) {
 		return
 	}
+	c.options.Meter.Count(meter.ServersLeaving)
 	klog.InfoS("server says that it is leaving", "server", server, "born", incarnation)
 	if c.catalog.Leave(now, c.options.DrainTimeout, server, incarnation) {
 		c.serversChanged(now)
--- a/internal/exchanger/exchange_test.go
+++ b/internal/exchanger/exchange_test.go
@@ -172,14 +172,15 @@
 		_, err = readAndClose(r)
 		is.NoErr(err)
 		<-s.closed
-		waitUntilStale(p)
+		waitUntilStale(t, p)
 		is.Equal(s.received.Load(), i+1)
 	}
 	is.Equal(s.accepted.Load(), int64(20))
 }
 
 // waitUntilStale waits until the server's close of the idle connection has arrived.
-func waitUntilStale(p *Pool) {
+func waitUntilStale(t *testing.T, p *Pool) {
+	t.Helper()
 	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		p.mu.Lock()
 		stale := len(p.idle) == 0 || p.idle[0].stale()
@@ -188,6 +189,7 @@
 			return
 		}
 	}
+	t.Fatal("the close of the idle connection has not arrived")
 }
 
 // TestRequestBeyondMaxConnectionsIsNotSent guards against more connections than a server allows, and against a connection
--- a/internal/exchanger/tls_test.go
+++ b/internal/exchanger/tls_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -49,10 +50,10 @@
 // TestWrongServerNameIsErrNotSent guards against a request that is sent to a server whose certificate has another name.
 func TestWrongServerNameIsErrNotSent(t *testing.T) {
 	is := is.New(t)
-	executed := false
-	_, p := newTLSPool(t, func(http.ResponseWriter, *http.Request) { executed = true })
+	var executed atomic.Bool
+	_, p := newTLSPool(t, func(http.ResponseWriter, *http.Request) { executed.Store(true) })
 	p.options.TLS.ServerName = "elsewhere.test"
 	_, err := do(p, newRequest("POST", "body"))
 	is.True(IsErrNotSent(err))
-	is.True(!executed)
+	is.True(!executed.Load())
 }
--- a/internal/inspector/handler_test.go
+++ b/internal/inspector/handler_test.go
@@ -77,14 +77,15 @@
 		},
 		"status fails": {path: "/status", err: errors.New("busy"), want: http.StatusServiceUnavailable},
 		"unknown path": {path: "/other", want: http.StatusNotFound},
-		"metrics":      {path: "/metrics", want: http.StatusNotFound}, // the metrics handler of this test answers 404
+		"metrics":      {path: "/metrics", want: http.StatusTeapot}, // as the metrics handler of this test answers
 		"timeline":     {path: "/timeline", want: http.StatusOK},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := httptest.NewRecorder()
-			NewHandler(fakeSource{err: tc.err}, http.NotFoundHandler()).ServeHTTP(
+			metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+			NewHandler(fakeSource{err: tc.err}, metrics).ServeHTTP(
 				w, httptest.NewRequest(http.MethodGet, tc.path, nil))
 			is.Equal(w.Code, tc.want)
 		})
--- a/internal/loadtester/report.go
+++ b/internal/loadtester/report.go
@@ -129,6 +129,9 @@
 	return causes
 }
 
+// AnswersIntact reports whether no answer was corrupted or mismatched. It needs no verdict.
+func (r Report) AnswersIntact() bool { return r.Corrupted+r.Mismatched == 0 }
+
 // Passed reports whether the run has a verdict and all of these hold:
 //   - Every request has one of the three outcomes.
 //   - No answer was corrupted or mismatched.
@@ -143,18 +146,29 @@
 	if v == nil || r.Sent != r.Answered+r.NotExecuted+r.Unknown {
 		return false
 	}
-	return r.Corrupted+r.Mismatched+v.Duplicated+v.OwnershipViolations+v.FalseNotExecuted+v.Unexecuted == 0
+	return r.AnswersIntact() && v.Duplicated+v.OwnershipViolations+v.FalseNotExecuted+v.Unexecuted == 0
 }
 
 // Summary returns the result in one line, which scripts parse. It uses the names of the JSON fields: doubled is
-// Verdict.Duplicated, cut is Corrupted and second owners is Verdict.OwnershipViolations.
+// Verdict.Duplicated, cut is Corrupted and second owners is Verdict.OwnershipViolations. Other violations follow if there are
+// any.
 func (r Report) Summary() string {
 	line := fmt.Sprintf("%d answered, %d not run, %d unknown", r.Answered, r.NotExecuted, r.Unknown)
 	if r.Verdict == nil {
-		return line + fmt.Sprintf(", %d cut", r.Corrupted)
+		return line + fmt.Sprintf(", %d cut", r.Corrupted) + nonZero(r.Mismatched, "foreign")
 	}
 	return line + fmt.Sprintf(", %d doubled, %d cut, %d second owners",
-		r.Verdict.Duplicated, r.Corrupted, r.Verdict.OwnershipViolations)
+		r.Verdict.Duplicated, r.Corrupted, r.Verdict.OwnershipViolations) + nonZero(r.Mismatched, "foreign") +
+		nonZero(r.Verdict.FalseNotExecuted, "executed but told not run") +
+		nonZero(r.Verdict.Unexecuted, "answered but not executed")
+}
+
+// nonZero returns a count and its name for Summary, or nothing if the count is 0.
+func nonZero(count int, name string) string {
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %d %s", count, name)
 }
 
 // WriteText writes the result as text, with one line for each class, cause and server.
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -15,11 +15,12 @@
 	RequestsCancelled
 	ServerPauses
 	InvalidRetryAfters
+	ServersLeaving
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + InvalidRetryAfters + 1
+	Appends Counter = iota + ServersLeaving + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -81,6 +82,7 @@
 	RequestsCancelled:  {"requests_cancelled", "Requests whose client disconnected."},
 	ServerPauses:       {"server_pauses", "Times that a backend server asked this instance for a pause, with 503 and Retry-After."},
 	InvalidRetryAfters: {"invalid_retry_afters", "Pauses asked for by a backend server that are not a number of seconds or too long."},
+	ServersLeaving:     {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
 	Appends:            {"appends", "Append calls to the platform's store."},
 	AppendsFailed:      {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:         {"store_reads", "Reads of the store's topics, directly or through another instance."},
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"slices"
@@ -98,12 +99,12 @@
 	return r.latency[int(q*float64(len(r.latency)-1))].Round(time.Millisecond)
 }
 
-// WriteReport simulates all loads with all policies and writes a table for each load. It returns the error of
-// writing a table; errors of writing its title or the empty line after it are ignored.
+// WriteReport simulates all loads with all policies and writes a table for each load.
 func WriteReport(w io.Writer, seed uint64) error {
+	var text bytes.Buffer // its writes can't fail
 	for _, l := range Loads() {
-		fmt.Fprintf(w, "%s: %s\n", l.Name(), l.Description())
-		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintf(&text, "%s: %s\n", l.Name(), l.Description())
+		table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
 		fmt.Fprintln(table,
 			"policy\twithin objective\tanswered\tpaid orders answered\trefused\ttimed out\tp50\tp99\tmean time to failure\t")
 		for _, p := range Policies() {
@@ -115,7 +116,8 @@
 		if err := table.Flush(); err != nil {
 			return err
 		}
-		fmt.Fprintln(w)
+		fmt.Fprintln(&text)
 	}
-	return nil
+	_, err := text.WriteTo(w)
+	return err
 }
--- a/internal/verifier/process_test.go
+++ b/internal/verifier/process_test.go
@@ -119,10 +119,13 @@
 	must(t, p.cmd.Process.Signal(sig))
 }
 
-// kill sends SIGKILL if the process still runs, and waits until it has exited. The exit counts as expected, even if the
-// process had exited before.
+// kill sends SIGKILL if the process still runs, and waits until it has exited. An exit before that is expected only if the
+// test caused it.
 func (p *process) kill(t *testing.T) {
 	t.Helper()
+	if p.hasExited() && !p.exitExpected.Load() {
+		t.Errorf("%s exited unexpectedly: %s", p.name, p.cmd.ProcessState)
+	}
 	p.exitExpected.Store(true)
 	if !p.hasExited() {
 		p.signal(t, syscall.SIGKILL)
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -9,8 +9,14 @@
 start() { name=$1; shift; "$@" >"build/trial/$name.out" 2>&1 & echo $! >"build/trial/$name.pid"; }
 # stop NAME SIGNAL sends the signal to a started process and waits until the process has exited.
 stop() { kill -$2 "$(cat build/trial/$1.pid)"; while kill -0 "$(cat build/trial/$1.pid)" 2>/dev/null; do sleep 0.1; done; }
-# await CONDITION waits without a timeout until the shell command CONDITION succeeds.
-await() { until eval "$1"; do sleep 0.2; done; }
+# await CONDITION waits until the shell command CONDITION succeeds, and fails after 60 s.
+await() {
+  local end=$((SECONDS + 60))
+  until eval "$1"; do
+    if [ $SECONDS -ge $end ]; then echo "timed out waiting for: $1" >&2; exit 1; fi
+    sleep 0.2
+  done
+}
 start store ./wasabibank standin store -listen 127.0.0.1:7400
 start collector ./wasabibank standin collector -listen 127.0.0.1:7410
 n=0
@@ -25,7 +31,12 @@
   sed "s/entry_1/entry_$i/; s/127.0.0.2/127.0.0.$((i + 1))/" docs/examples/node.conf >build/trial/entry_$i.conf
   start entry_$i ./wasabibank entry -settings build/trial/entry_$i.conf
 done
-trap "for p in build/trial/*.pid; do kill -TERM \$(cat \$p) 2>/dev/null || true; done" EXIT
+# stop_all ends all started processes and waits for them, so that the next run finds their addresses free.
+stop_all() {
+  for p in build/trial/*.pid; do kill -TERM "$(cat "$p")" 2>/dev/null || true; done
+  wait
+}
+trap stop_all EXIT
 all_admins=127.0.0.2:9464,127.0.0.3:9464,127.0.0.4:9464
 store=127.0.0.1:7400
 echo "## keygen"
@@ -73,7 +84,11 @@
   ./wasabibank bundle sign -signer $signer -key docs/examples/keys/$signer.key.pem build/trial/bundle_3_high.yaml >/dev/null
 done
 ./wasabibank bundle publish -store $store build/trial/bundle_3_low.yaml
-./wasabibank bundle publish -store $store build/trial/bundle_3_high.yaml
+# The second of two versions with the same parent is rejected.
+if ./wasabibank bundle publish -store $store build/trial/bundle_3_high.yaml; then
+  echo "the second version was not rejected" >&2
+  exit 1
+fi
 echo "## entry lost"
 # Column LEADER.
 leader=$(./wasabibank status -admin $all_admins | awk '$5 == "itself" {print $1}'); echo "leader $leader"
@@ -82,7 +97,7 @@
 stop $leader KILL
 await './wasabibank status -admin $other_admins | grep -q itself'
 sleep 4 # until the new leader counts the killed instance as lost
-./wasabibank status -admin $other_admins | head -4
+./wasabibank status -admin $other_admins | sed -n 1,4p # unlike head, sed reads all
 ./wasabibank timeline -admin $other_admins | grep -E 'did not answer|became leader|instance lost' | cut -c1-150 | tail -5
 start $leader ./wasabibank entry -settings build/trial/$leader.conf
 await './wasabibank status -admin $all_admins >/dev/null 2>&1'
@@ -100,9 +115,26 @@
 echo "## store unreachable"
 curl -s -X POST -d '{"outage":true}' http://127.0.0.1:7400/admin/faults; echo
 sleep 3 # until the instances notice that the store is unreachable
-./wasabibank status -admin $all_admins | head -4
+./wasabibank status -admin $all_admins | sed -n 1,4p
 curl -s -X POST -d '{"outage":false}' http://127.0.0.1:7400/admin/faults; echo
 sleep 2 # until the instances notice that the store is reachable again
 ./wasabibank timeline -admin $all_admins | grep -E 'store (unreachable|reachable again)' | cut -c1-150 | tail -4
+echo "## server wants a pause"
+curl -s -X POST -d '{"shed":true,"retry_after_ms":5000}' http://127.0.0.1:7424/admin/faults >/dev/null
+request_frame() {
+  curl -s -i -H 'Host: shelf.shashat.example' -H "Wasabibank-Request-Id: pause-$1" http://127.0.0.2:7401/frames/1 |
+    grep -iE '^(HTTP|retry-after)'
+}
+request_frame 1 || true
+request_frame 2 || true
+curl -s -X POST -d '{"shed":false,"retry_after_ms":0}' http://127.0.0.1:7424/admin/faults >/dev/null
+sleep 5 # until the pause has ended
+request_frame 3
+./wasabibank timeline -admin $all_admins | grep -E 'wants no requests' | cut -c1-150 | tail -4
+for i in 2 3 4; do curl -s http://127.0.0.$i:9464/metrics | grep -E '^server_pauses'; done
+echo "## store restored"
+curl -s -X POST -d '{"age_ms":2000}' http://127.0.0.1:7400/admin/restore; echo
+sleep 3 # until the leader has written again what was lost
+./wasabibank timeline -admin $all_admins | grep -E 'older copy|new term|complete and stored' | cut -c1-150
 echo "## metrics"
 curl -s http://127.0.0.2:9464/metrics | grep -E '^(requests_|leads_taken|grants_|appends|refusals_|request_time_le_(100|1s))'
