Owner maps apply many changes in one pass

A whole owner map, as each instance gets it from a new leader, took 1400 copies of up to 1400 segments; a publication of 70 changes 70 copies.

Change: the changed segments are sorted and merged into the list in one pass. Changes that overlap each other, which come together when an instance lags behind, are applied to each other first.

The property test against changes one by one passes 20,000 checks.

Ruled out: the dispatcher cache, which each new view begins empty: an instance uses about 14 pools a second there.

--- a/internal/partitioner/partitioner.go
+++ b/internal/partitioner/partitioner.go
@@ -135,47 +135,65 @@
 			next.services[service] = list
 		}
 	}
+	byService := map[string][]Segment{}
 	for _, s := range changed {
-		next.services[s.Service] = overlay(next.services[s.Service], s)
+		byService[s.Service] = append(byService[s.Service], s)
+	}
+	for service, list := range byService {
+		next.services[service] = overlay(next.services[service], withoutOverlaps(list))
 	}
 	return next
 }
 
-// overlay returns a new list in which s replaces what it overlaps. Adjacent segments that differ only in range are
-// merged.
-func overlay(list []Segment, s Segment) []Segment {
-	var out []Segment
-	inserted := false
-	insert := func() {
-		if !inserted {
-			inserted = true
-			out = appendMerged(out, s)
+// withoutOverlaps returns the changed segments sorted by keys. Where they overlap, the later one remains.
+func withoutOverlaps(changed []Segment) []Segment {
+	sorted := slices.SortedFunc(slices.Values(changed), func(a, b Segment) int {
+		return int(a.Range.First) - int(b.Range.First)
+	})
+	for i := 1; i < len(sorted); i++ {
+		if sorted[i].Range.Overlaps(sorted[i-1].Range) {
+			var latest []Segment
+			for _, s := range changed {
+				latest = overlay(latest, []Segment{s})
+			}
+			return latest
+		}
+	}
+	return sorted
+}
+
+// overlay returns a new list in which the changed segments, which must be sorted by keys and not overlap each other, replace
+// what they overlap. Adjacent segments that differ only in range are merged.
+func overlay(list, changed []Segment) []Segment {
+	out := make([]Segment, 0, len(list)+2*len(changed))
+	var old Segment // list[i], without the keys that were replaced
+	i := -1
+	advance := func() {
+		if i++; i < len(list) {
+			old = list[i]
 		}
 	}
-	// An old segment that overlaps s leaves a left part, a right part, both or neither.
-	for _, old := range list {
-		if old.Range.Last < s.Range.First {
+	advance()
+	for _, s := range changed {
+		for ; i < len(list) && old.Range.Last < s.Range.First; advance() {
 			out = appendMerged(out, old)
-			continue
 		}
-		if old.Range.First < s.Range.First {
+		if i < len(list) && old.Range.First < s.Range.First {
 			left := old
 			left.Range.Last = s.Range.First - 1
 			out = appendMerged(out, left)
 		}
-		if old.Range.First > s.Range.Last {
-			insert()
-			out = appendMerged(out, old)
-			continue
+		out = appendMerged(out, s)
+		for i < len(list) && old.Range.Last <= s.Range.Last {
+			advance()
 		}
-		if old.Range.Last > s.Range.Last {
-			insert()
-			right := old
-			right.Range.First = s.Range.Last + 1
-			out = appendMerged(out, right)
+		if i < len(list) && old.Range.First <= s.Range.Last {
+			old.Range.First = s.Range.Last + 1
 		}
 	}
-	insert()
+	for ; i < len(list); advance() {
+		out = appendMerged(out, old)
+	}
 	return out
 }
 
--- a/internal/partitioner/partitioner_test.go
+++ b/internal/partitioner/partitioner_test.go
@@ -1,6 +1,7 @@
 package partitioner
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -75,6 +76,67 @@
 	})
 }
 
+// TestWithManyChangesMatchesOneByOne compares changes that come together with the same changes one by one. It guards against
+// a batch in which an earlier change wins, or that loses keys.
+func TestWithManyChangesMatchesOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const lastKey = 99
+		drawChanges := func(label string) []Segment {
+			return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Segment {
+				first := rapid.Uint16Range(0, lastKey).Draw(t, "first")
+				last := rapid.Uint16Range(first, min(lastKey, first+rapid.Uint16Range(0, 30).Draw(t, "length"))).Draw(t, "last")
+				s := segment(first, last, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server"))
+				s.Service = rapid.SampledFrom([]string{"desk", "shelf"}).Draw(t, "service")
+				return s
+			}), 0, 12).Draw(t, label)
+		}
+		before := (*Map)(nil).With(Version{Sequence: 1}, drawChanges("before"))
+		changes := drawChanges("changes")
+		oneByOne := before
+		for _, s := range changes {
+			oneByOne = oneByOne.With(Version{Sequence: 2}, []Segment{s})
+		}
+		together := before.With(Version{Sequence: 2}, changes)
+		for _, service := range []string{"desk", "shelf"} {
+			for key := range uint16(lastKey + 1) {
+				want, wantFound := oneByOne.Find(service, key)
+				got, found := together.Find(service, key)
+				if found != wantFound || got.Server != want.Server {
+					t.Fatalf("%s, key %d: %q instead of %q", service, key, got.Server, want.Server)
+				}
+			}
+			for i, s := range together.Segments(service) {
+				if i > 0 && s.Range.First <= together.Segments(service)[i-1].Range.Last {
+					t.Fatalf("%s: segments overlap or are out of order at %s", service, s.Range)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkWith applies a whole owner map, and a publication of many changes, at the size of hundreds of machines.
+func BenchmarkWith(b *testing.B) {
+	all := make([]Segment, 0, 1400)
+	for i, r := range Divide(cap(all)) {
+		all = append(all, segment(r.First, r.Last, fmt.Sprintf("server-%d", i%700)))
+	}
+	var changed []Segment
+	for i := 0; i < len(all); i += 20 {
+		changed = append(changed, segment(all[i].Range.First, all[i].Range.Last, "other"))
+	}
+	m := (*Map)(nil).With(Version{}, all)
+	b.Run("whole map", func(b *testing.B) {
+		for range b.N {
+			(*Map)(nil).With(Version{}, all)
+		}
+	})
+	b.Run("70 changes", func(b *testing.B) {
+		for range b.N {
+			m.With(Version{}, changed)
+		}
+	})
+}
+
 // TestDivide guards against keys that are in no range or in two.
 func TestDivide(t *testing.T) {
 	for _, count := range []int{1, 3, 16, 215} {
