The leader encodes a plan only when it requests its append

Only the sequence number was needed.

Change: granter.UnstoredPlan returns that; Plan is called once for each request.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -184,7 +184,7 @@
 	l := c.leaderState
 	l.granter.SetStoredPlans(c.elector.StoredPlan(), c.elector.MaybeStoredPlan())
 	maps.DeleteFunc(l.plans, func(sequence uint64, _ []byte) bool { return sequence < c.elector.StoredPlan() })
-	assignments, sequence, unstored := l.granter.Plan()
+	sequence, unstored := l.granter.UnstoredPlan()
 	if !unstored {
 		return
 	}
@@ -193,6 +193,7 @@
 			c.elector.RequestPlan(0) // withdraws the request for the plan before, which is outdated
 			return
 		}
+		assignments, _, _ := l.granter.Plan()
 		l.requestedPlan, l.requestedAt = sequence, now
 		l.plans[sequence] = encodePlan(c.elector.Term(), sequence, assignments)
 	}
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -81,7 +81,7 @@
 		t.frozen, t.began = false, term
 		t.granter.ContinueTerm(term)
 	}
-	_, sequence, unstored := t.granter.Plan()
+	sequence, unstored := t.granter.UnstoredPlan()
 	return !unstored && storedSequence >= sequence
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -435,20 +435,28 @@
 	g.changed[o.id] = true
 }
 
+// UnstoredPlan returns the sequence number of the current plan, and whether it is not stored yet.
+func (g *Granter) UnstoredPlan() (sequence uint64, unstored bool) {
+	return max(g.planSequence, g.storedSequence), g.planSequence > g.storedSequence
+}
+
 // Plan returns the plan to store and its sequence number. If the current plan is stored already, unstored is false and
 // there are no assignments. A range that is being released is recorded with its present owner, which may still have a lease.
 func (g *Granter) Plan() (assignments []Assignment, sequence uint64, unstored bool) {
-	if g.planSequence <= g.storedSequence {
-		return nil, g.storedSequence, false
+	sequence, unstored = g.UnstoredPlan()
+	if !unstored {
+		return nil, sequence, false
 	}
-	for _, o := range g.sortedRanges() {
+	ranges := g.sortedRanges()
+	assignments = make([]Assignment, 0, len(ranges))
+	for _, o := range ranges {
 		assignment := o.Assignment
 		if o.state == free {
 			assignment.Server = ""
 		}
 		assignments = append(assignments, assignment)
 	}
-	return assignments, g.planSequence, true
+	return assignments, sequence, true
 }
 
 // SetStoredPlans records the sequence numbers of the newest plan that is known to be in the store, and of the newest one
