Instances join through the platform's seeds at the first start

Change: the role serves control, so that the platform names seeds. At the first start the instances that are no seeds ask a seed who leads, read the topics through the seeds, and call the store only if they know no leader after 2 s. Restarted instances don't rely on seeds. The controller's context exists before Run, since a seed may be asked before its control loop begins (a nil context made that call panic).

The verifier's clusters now start with a seed and one that is down; all cases of TestLoadUnderFaults pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,6 +88,9 @@
 	MaxRangeLeaseDuration time.Duration
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool
+	// Seeds are the addresses where other instances reach the seeds, a few instances through which this one joins at the first
+	// start. It is empty in a seed. Some may be down.
+	Seeds []string
 	// HeartbeatInterval is how often backend servers write their registrations to the store.
 	HeartbeatInterval time.Duration
 }
@@ -96,7 +99,8 @@
 type Controller struct {
 	options Options
 	events  chan func(now time.Time)
-	context context.Context
+	context context.Context // ends with Run
+	stop    context.CancelFunc
 
 	table          *matcher.Table
 	config         []byte // the configuration of table as the store had it
@@ -111,6 +115,7 @@
 	ownersOutdated bool              // the view has an old owner map, and nothing else in it has changed
 
 	elector         *elector.Elector
+	seeds           seeds
 	eraApplied      uint64        // era of the store to which this instance has adapted
 	termsExhausted  bool          // Elector.TermsExhausted, as logged last
 	era             atomic.Uint64 // eraApplied, for other goroutines
@@ -202,8 +207,14 @@
 		lastUnreachable: map[string]time.Time{},
 		peers:           newPeers(),
 	}
+	c.context, c.stop = context.WithCancel(context.Background()) // other instances may call before Run
 	interrupt := make(chan struct{})
 	c.interrupt.Store(&interrupt)
+	if o.FirstStart && len(o.Seeds) > 0 {
+		c.seeds = newSeeds(now, o.Self.Instance, o.Seeds)
+		c.elector.DeferCalls(c.seeds.until)
+		c.sources.Store(&sources{relays: c.seeds.addresses, others: c.seeds.addresses, seeds: true, domainSize: 1})
+	}
 	return c
 }
 
@@ -257,12 +268,19 @@
 
 // Run runs the control loop until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	c.context = ctx
+	defer c.stop()
+	unlink := context.AfterFunc(ctx, c.stop)
+	defer unlink()
 	c.options.Forwarder.OnLeaving(func(server string, incarnation int64) {
 		c.post(func(now time.Time) { c.serverLeaves(now, server, incarnation) })
 	})
-	go c.watchOperators(ctx)
-	go c.watchServers(ctx)
+	startDelay := c.seeds.startDelay()
+	for _, watch := range []func(context.Context){c.watchOperators, c.watchServers} {
+		go func() {
+			sleep(ctx, startDelay)
+			watch(ctx)
+		}()
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -311,6 +329,7 @@
 	if c.leaderState != nil {
 		c.runLeader(now)
 	}
+	c.askSeeds(now)
 	c.sendReport(now)
 	c.interruptOutdatedReads(now)
 	switch {
--- a/internal/controller/helpers_test.go
+++ b/internal/controller/helpers_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,6 +23,6 @@
 		Self: resolver.Member{Instance: "self", Domain: "d"}, Store: platform.NewStore(strings.TrimPrefix(store.URL, "http://")),
 		Forwarder: forwarder.New(forwarder.HeaderNames{}, limiter.New(limiter.Settings{}), counters), Meter: counters,
 	})
-	c.context = context.Background()
+	t.Cleanup(c.stop)
 	return c
 }
--- a/internal/controller/sources.go
+++ b/internal/controller/sources.go
@@ -1,11 +1,17 @@
 package controller
 
-import "github.com/wasabibank/wasabibank/internal/resolver"
+import (
+	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/internal/timekeeper"
+)
 
 // sources are the instances through which topics can be read.
 type sources struct {
 	relays []string // addresses of the relays of this instance, in order of preference
 	others []string // addresses of all other instances
+	// seeds says that the relays are the seeds: what is read through them is cached, as if this instance had read the store,
+	// so that it can be a relay itself once the members are known.
+	seeds bool
 	// domainSize is the number of instances in this failure domain.
 	domainSize int
 }
@@ -18,6 +24,9 @@
 
 // updateSources decides where this instance reads topics.
 func (c *Controller) updateSources(view *resolver.View) {
+	if len(c.members) == 0 && c.seeds.reliedOn(timekeeper.Now()) {
+		return // the seeds are the sources until the members are known
+	}
 	src := &sources{domainSize: 1}
 	// The leader reads the store itself, so that a relay that can't reach the store can't leave its whole domain
 	// outdated.
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -130,6 +130,7 @@
 		src = &sources{}
 	}
 	relayUnreachable := false
+	asked := timekeeper.Now()
 	for _, relay := range src.relays {
 		records, next, err := c.readFromRelay(ctx, w, relay)
 		if errors.Is(err, errReadInterrupted) && c.era.Load() > w.next.Era {
@@ -138,6 +139,9 @@
 		}
 		if err == nil || platform.IsErrExpired(err) {
 			c.markStoreReachable(w)
+			if src.seeds && err == nil {
+				c.cache.add(w.topic, w.full, records, next, asked.Add(-relayWait)) // a relay's cache may be that old
+			}
 			return records, next, err
 		}
 		if !errors.Is(err, errStoreUnreachable) && !errors.Is(err, errRelaySkipped) {
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -135,6 +135,9 @@
 	}
 }
 
+// DeferCalls keeps the instance from calling the store before until, so also from becoming the leader.
+func (e *Elector) DeferCalls(until time.Time) { e.nextCallAt = until }
+
 // Leader returns the current leader; ok is false while none is known.
 func (e *Elector) Leader() (leader Leader, ok bool) {
 	return e.leader, e.leader.Identity.Instance != ""
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,11 +95,23 @@
 	controlPlane := controller.New(controller.Options{
 		Self: self, Store: platform.NewStore(s.StoreAddress), Forwarder: dataPlane, Meter: counters,
 		DrainTimeout: s.Bounds.DrainTimeout - drainMargin, MaxRangeLeaseDuration: s.Bounds.MaxLeaseDuration,
-		FirstStart: s.FirstStart, HeartbeatInterval: s.HeartbeatInterval,
+		FirstStart: s.FirstStart, Seeds: seedAddresses(s), HeartbeatInterval: s.HeartbeatInterval,
 	})
 	return &Runner{settings: s, forwarder: dataPlane, controller: controlPlane, meter: counters, log: log, events: events}
 }
 
+// seedAddresses returns where the seeds are reached, or nil if this instance is one. The ports are the same on all machines.
+func seedAddresses(s platform.Settings) []string {
+	var addresses []string
+	for _, host := range s.Seeds {
+		if host == s.Address {
+			return nil
+		}
+		addresses = append(addresses, net.JoinHostPort(host, fmt.Sprint(s.PeerPort)))
+	}
+	return addresses
+}
+
 // capacity returns the capacity of a machine in thousandths of a core, which weights it against other machines.
 func capacity(s platform.Settings) int {
 	return max(1, int(min(s.CPUShare*1000, s.LinkMbps*millicoresPerMbps)))
--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -32,7 +32,7 @@
 	keyedService   = "render_desk"
 	unkeyedService = "template_shelf"
 	// The ports set in docs/examples/node.conf, and the port of the admin API.
-	clientPort, readyPort, adminPort = "7401", "7402", "9464"
+	clientPort, readyPort, peerPort, adminPort = "7401", "7402", "7403", "9464"
 )
 
 // clusterSize is the number of processes of each kind in a cluster.
@@ -151,6 +151,8 @@
 	must(c.t, err)
 	text := strings.NewReplacer("entry_1", e.name, "127.0.0.2", e.ip, "127.0.0.1:7400", e.storeProxy.address(),
 		"muscat_a", domains[n%len(domains)]).Replace(string(raw))
+	// entry_1 is the seed, beside one that never runs.
+	text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
 	e.settingsPath = filepath.Join(c.dir, e.name+".conf")
 	must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
 	c.entries = append(c.entries, e)
