A read that lacks records waits for its relay's next read

The relay had read within 0.6 s, so it did not read again, and answered at once that it had nothing new; the instance skipped it for 3 s and read the store itself, about three times a second.

Change: such a read waits at the relay for refreshWait, longer than the relay's pause between two reads. The bound of TestReadTimeoutsStayWithinBound already counts this wait.

--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -126,6 +126,28 @@
 	is.Equal(directStore.calls.Load(), int32(0))
 }
 
+// TestReadBehindTheLeaderWaitsForTheRelay guards against reads from the store by all instances of a domain while records come
+// often: the relay's last read was too recent for another one, and its next one follows within batchDelay.
+func TestReadBehindTheLeaderWaitsForTheRelay(t *testing.T) {
+	is := is.New(t)
+	relayStore, directStore := &countingStore{}, &countingStore{}
+	relay, address := newRelay(t, relayStore)
+	relay.cache.add(serversTopic, false, nil, platform.Position{Offset: 7}, timekeeper.Now())
+	c := newTestController(t, directStore.ServeHTTP)
+	c.sources.Store(&sources{relays: []string{address}, domainSize: 20})
+	c.leaderOffsets.Store(&leaderOffsets{
+		validUntil: timekeeper.Now().Add(time.Minute), offsets: map[string]int64{serversTopic: 8},
+	})
+	time.AfterFunc(batchDelay, func() {
+		relay.cache.add(serversTopic, false, []platform.Record{{Key: "k", Offset: 7}}, platform.Position{Offset: 8}, timekeeper.Now())
+	})
+	records, next, err := c.readNext(context.Background(), &watcher{topic: serversTopic, next: platform.Position{Offset: 7}})
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	is.Equal(next, platform.Position{Offset: 8})
+	is.Equal(relayStore.calls.Load()+directStore.calls.Load(), int32(0))
+}
+
 // TestUnreachableRelayIsSkipped guards against waiting for a relay that does not answer: the store itself is read at
 // once, and the next read goes through the second relay.
 func TestUnreachableRelayIsSkipped(t *testing.T) {
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -32,7 +32,7 @@
 	relayWait   = 600 * time.Millisecond
 	relayMargin = 400 * time.Millisecond
 	// refreshWait replaces relayWait for a read that makes the relay refresh its cache first, because records may be
-	// missing.
+	// missing. It is longer than batchDelay, so that a relay that has just read gets them with its own next read.
 	refreshWait = 300 * time.Millisecond
 	// leaderOffsetsMargin is how much later than due the leader's answer to a report may arrive before its offsets become
 	// invalid.
@@ -191,7 +191,7 @@
 	}
 	wait, timeout := relayWait, relayMargin
 	switch {
-	case behind || w.storeUnreachable || w.full:
+	case w.storeUnreachable || w.full:
 		wait = 0
 	case request.GetLook():
 		wait = refreshWait
