The error of a streamed body is stored before the wait for the answer ends

Cause: preferWriteError no longer takes the error that its own abort causes. The background write ended the wait for the answer before it stored the body's error, so that the reader could find no error yet, and lost it. The deadline that ends the wait is set after the error now.

Ruled out: a failed body on a connection that is used again (an exchange whose body failed closes its connection).

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -49,7 +49,7 @@
 	reused     bool
 }
 
-// Connection is a connection that was taken out of a Pool for one request. Exactly one of Do and Release must be called.
+// Connection is a connection that was taken out of a Pool for one request. Do must be called exactly once.
 type Connection struct {
 	pool *Pool
 	conn *conn
@@ -104,11 +104,12 @@
 // wait for the answer.
 func (e *exchange) writeStreamed(req *http.Request, done chan<- error) {
 	err := e.write(req)
-	if e.body.err != nil {
-		err = e.body.err
-		_ = e.conn.SetDeadline(pastDeadline)
+	if e.body.err == nil {
+		done <- err
+		return
 	}
-	done <- err
+	done <- e.body.err // before the wait ends, so that preferWriteError finds it
+	_ = e.conn.SetDeadline(pastDeadline)
 }
 
 func (e *exchange) write(req *http.Request) error {
