--- a/internal/controller/leaving.go
+++ b/internal/controller/leaving.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,6 +18,7 @@
 	version      leavingVersion   // of what was received from the leader
 	unreported   []*herald.LeavingServer
 	reported     []*herald.LeavingServer // in the report in flight
+	reportedTerm uint64                  // of the leader that gets the reports
 }
 
 // leavingVersion says how many of the leaving servers that the leader of a term knows were received from it.
@@ -33,12 +36,25 @@
 	return true
 }
 
-// beginReport returns the servers for a report, which are reported again if it fails.
-func (s *leavingServers) beginReport() []*herald.LeavingServer {
+// beginReport returns the servers for a report to the leader of a term, which are reported again if it fails. A leader may
+// not know what its predecessor was told, so the first report to it has all servers.
+func (s *leavingServers) beginReport(term uint64) []*herald.LeavingServer {
+	if term != s.reportedTerm {
+		s.reportedTerm, s.unreported = term, s.all()
+	}
 	s.reported, s.unreported = s.unreported, nil
 	return s.reported
 }
 
+// all returns all known servers, sorted by id.
+func (s *leavingServers) all() []*herald.LeavingServer {
+	var list []*herald.LeavingServer
+	for _, server := range slices.Sorted(maps.Keys(s.incarnations)) {
+		list = append(list, &herald.LeavingServer{Server: server, Incarnation: s.incarnations[server]})
+	}
+	return list
+}
+
 // reportFailed records that the report in flight got no answer.
 func (s *leavingServers) reportFailed() {
 	s.unreported = append(s.reported, s.unreported...)
@@ -50,9 +66,7 @@
 
 // handOver passes all known servers to the state of a new leader.
 func (s *leavingServers) handOver(l *leaderState) {
-	for server, incarnation := range s.incarnations {
-		l.leaving = append(l.leaving, &herald.LeavingServer{Server: server, Incarnation: incarnation})
-	}
+	l.leaving = append(l.leaving, s.all()...)
 	s.reported, s.unreported = nil, nil
 }
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -106,10 +106,11 @@
 
 // reportRequest returns a report with the given loads.
 func (c *Controller) reportRequest(now time.Time, loads forwarder.Loads) *herald.ReportRequest {
+	leader, _ := c.elector.Leader()
 	request := &herald.ReportRequest{
 		Member: c.encodeSelf(), MapTerm: c.owners.Version().Term, MapSequence: c.owners.Version().Sequence,
 		MembersTerm: c.membersVersion.term, MembersVersion: c.membersVersion.number, StoreEra: c.elector.Era(),
-		Leaving: c.leavingServers.beginReport(), LeavingTerm: c.leavingServers.version.term, LeavingKnown: c.leavingServers.version.known,
+		Leaving: c.leavingServers.beginReport(leader.Term), LeavingTerm: c.leavingServers.version.term, LeavingKnown: c.leavingServers.version.known,
 		LastLed: c.elector.LastLed(), ConfigVersion: c.table.Version(),
 	}
 	for service, keys := range loads.Keys {
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -70,12 +70,12 @@
 	c := newTestController(t, http.NotFound)
 	c.serverLeaves(now, "s1", 7)
 	c.serverLeaves(now, "s1", 7) // each answer says so
-	is.Equal(len(c.leavingServers.beginReport()), 1)
+	is.Equal(len(c.leavingServers.beginReport(1)), 1)
 	c.leavingServers.reportFailed()
-	reported := c.leavingServers.beginReport()
+	reported := c.leavingServers.beginReport(1)
 	is.Equal(len(reported), 1)
 	c.leavingServers.reportAnswered()
-	is.Equal(len(c.leavingServers.beginReport()), 0)
+	is.Equal(len(c.leavingServers.beginReport(1)), 0)
 
 	leader := newTestController(t, http.NotFound)
 	leader.leaderState = &leaderState{}
@@ -90,6 +90,29 @@
 	is.Equal(leader.leavingFor(other.leavingServers.version), nil) // it knows all of them
 }
 
+// TestNewLeaderHearsOfLeavingServers guards against a server that stays in use because only a leader that was replaced, and
+// those who told it, know that it is leaving.
+func TestNewLeaderHearsOfLeavingServers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := newTestController(t, http.NotFound)
+	leader := elector.Leader{Identity: elector.Identity{Instance: "first", Address: "127.0.0.1:1"}, Term: 1}
+	c.elector.ObserveLeader(now, leader)
+	c.serverLeaves(now, "s2", 8)
+	c.serverLeaves(now, "s1", 7)
+	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 2)
+	c.leavingServers.reportAnswered()
+	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 0)
+	c.leavingServers.reportAnswered()
+	leader.Identity.Instance, leader.Term = "second", 2
+	c.elector.ObserveLeader(now, leader)
+	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 2)
+	c.leavingServers.reportFailed()
+	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 2)
+	c.leavingServers.reportAnswered()
+	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 0)
+}
+
 // TestLeaderPassesOnALostConfiguration guards against an instance that starts after the store came back from an older copy,
 // and applies the older configuration that it finds there.
 func TestLeaderPassesOnALostConfiguration(t *testing.T) {
--- a/internal/controller/store_test.go
+++ b/internal/controller/store_test.go
@@ -24,6 +24,8 @@
 	is.True(fallbackInterval+maxReadRetryDelay+peerCallTimeout+batchDelay < bound)
 	// The relay's call to the store hangs while another instance makes it refresh its cache.
 	is.True(refreshWait+relayMargin+2*platform.PollTimeout+batchDelay < bound)
+	// A read that lacks records waits until the relay has read again.
+	is.True(refreshWait > batchDelay)
 	// The relay can't reach the store: the leader's next answer shows that there is more, then the store itself is read.
 	is.True(batchDelay+maxReportInterval+relayWait < bound)
 	// The leader can't reach it either: it notices when its next renewal is late, and its next answer interrupts the waiting
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -42,9 +42,9 @@
 	Objective   time.Time // an answer after it is late
 	Deadline    time.Time // the client does not wait for an answer after it
 	AvoidServer string    // used only if no other server has a free slot
-	// Unrepeatable says that the client must not repeat the request if it gets no answer. It is sent only if an answer before
-	// the deadline is likely; others are sent if one is possible.
-	Unrepeatable bool
+	// NotIdempotent says that the request must not be repeated if it gets no answer. It is sent only if an answer before the
+	// deadline is likely; others are sent if one is possible.
+	NotIdempotent bool
 }
 
 // Ticket identifies a waiting request.
@@ -267,12 +267,12 @@
 }
 
 // canAnswer reports whether the time left until the request's deadline suffices for sending it now: whether it is at least
-// the least service time that its class had of late, and, for an unrepeatable request, the likely one.
+// the least service time that its class had of late, and, for a request that is not idempotent, the likely one.
 func (q *Queue) canAnswer(now time.Time, r Request) bool {
 	need := minServiceTime
 	if q.times != nil {
 		need = max(need, q.times.least(now, r.Class))
-		if r.Unrepeatable {
+		if r.NotIdempotent {
 			need = max(need, q.times.likely(now, r.Class))
 		}
 	}
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -81,25 +81,25 @@
 	steady := []time.Duration{20 * time.Millisecond}
 	varying := slices.Repeat([]time.Duration{20 * time.Millisecond, 60 * time.Millisecond}, 20)
 	tests := map[string]struct {
-		measured     []time.Duration // service times of earlier requests of the class, in another queue
-		after        time.Duration   // time between those answers and the request
-		timeLeft     time.Duration   // of the request
-		unrepeatable bool
-		started      bool
+		measured      []time.Duration // service times of earlier requests of the class, in another queue
+		after         time.Duration   // time between those answers and the request
+		timeLeft      time.Duration   // of the request
+		notIdempotent bool
+		started       bool
 	}{
-		"less time than any request needs":          {timeLeft: time.Millisecond},
-		"nothing measured":                          {timeLeft: 5 * time.Millisecond, started: true},
-		"less time than the class needs":            {measured: steady, timeLeft: 19 * time.Millisecond},
-		"as much time as the class needs":           {measured: steady, timeLeft: 20 * time.Millisecond, started: true},
-		"less time, measured in the window before":  {measured: steady, after: 15 * time.Second, timeLeft: 19 * time.Millisecond},
-		"less time, but the measurement is too old": {measured: steady, after: 21 * time.Second, timeLeft: 19 * time.Millisecond, started: true},
-		"answer possible, not likely, repeatable":   {measured: varying, timeLeft: 30 * time.Millisecond, started: true},
-		"answer possible, not likely, unrepeatable": {measured: varying, timeLeft: 30 * time.Millisecond, unrepeatable: true},
-		"answer likely, unrepeatable":               {measured: varying, timeLeft: 100 * time.Millisecond, unrepeatable: true, started: true},
-		"unrepeatable, nothing measured for a while": {
-			measured: varying, after: 2 * time.Second, timeLeft: 30 * time.Millisecond, unrepeatable: true, started: true,
+		"less time than any request needs":            {timeLeft: time.Millisecond},
+		"nothing measured":                            {timeLeft: 5 * time.Millisecond, started: true},
+		"less time than the class needs":              {measured: steady, timeLeft: 19 * time.Millisecond},
+		"as much time as the class needs":             {measured: steady, timeLeft: 20 * time.Millisecond, started: true},
+		"less time, measured in the window before":    {measured: steady, after: 15 * time.Second, timeLeft: 19 * time.Millisecond},
+		"less time, but the measurement is too old":   {measured: steady, after: 21 * time.Second, timeLeft: 19 * time.Millisecond, started: true},
+		"answer possible, not likely, idempotent":     {measured: varying, timeLeft: 30 * time.Millisecond, started: true},
+		"answer possible, not likely, not idempotent": {measured: varying, timeLeft: 30 * time.Millisecond, notIdempotent: true},
+		"answer likely, not idempotent":               {measured: varying, timeLeft: 100 * time.Millisecond, notIdempotent: true, started: true},
+		"not idempotent, nothing measured for a while": {
+			measured: varying, after: 2 * time.Second, timeLeft: 30 * time.Millisecond, notIdempotent: true, started: true,
 		},
-		"unrepeatable, nothing measured": {timeLeft: 30 * time.Millisecond, unrepeatable: true, started: true},
+		"not idempotent, nothing measured": {timeLeft: 30 * time.Millisecond, notIdempotent: true, started: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -112,7 +112,7 @@
 				other.Done(start, "b", "c", Answered, took)
 			}
 			now := start.Add(test.after)
-			r := Request{Class: "c", Objective: now, Deadline: now.Add(test.timeLeft), Unrepeatable: test.unrepeatable}
+			r := Request{Class: "c", Objective: now, Deadline: now.Add(test.timeLeft), NotIdempotent: test.notIdempotent}
 			q.SetServers(now, []Server{{ID: "a", Slots: 1}})
 			_, started := q.Offer(now, r).(Start)
 			is.Equal(started, test.started)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,9 +37,9 @@
 	// exitMargin is subtracted from the grace period, so that the process exits before SIGKILL.
 	exitMargin = 500 * time.Millisecond
 	// drainMargin is subtracted from the time within which a draining server must get no more requests. It covers the delay
-	// until all instances know that the server drains. The delay is longest when a whole failure domain reads the store through
-	// other failure domains: one call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to
-	// 1.25 s.
+	// until the instances know that the server drains, up to that of a failure domain that reads the store through others: one
+	// call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to 1.25 s. The delay is longer
+	// while the relay of a domain reaches neither the store nor most other instances.
 	drainMargin = 1300 * time.Millisecond
 	// headerTimeout bounds the time to read the header of a client's request; the platform's clients send it within 3 s. The
 	// servers for other instances, readiness checks and the admin API have no such bound.
@@ -55,7 +55,7 @@
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of the memory that the instance may use. Near
 	// the soft limit, garbage is collected more often.
 	memoryLimitRatio = 0.7
-	// bufferedRatio is the part of the memory that bodies of requests and answers may take together.
+	// bufferedRatio is the part of the memory that the bodies of answers may take together.
 	bufferedRatio = 0.25
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
 	millicoresPerMbps = 16
--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -36,10 +36,14 @@
 )
 
 // clusterSize is the number of processes of each kind in a cluster.
-type clusterSize struct{ entries, keyedServers, unkeyedServers int }
+type clusterSize struct {
+	entries, keyedServers, unkeyedServers int
+	// seeded says that the settings name seeds: entry_1 and one that never runs.
+	seeded bool
+}
 
 // defaultSize is the size of the clusters of all tests but the soak.
-var defaultSize = clusterSize{entries: 3, keyedServers: 3, unkeyedServers: 1}
+var defaultSize = clusterSize{entries: 3, keyedServers: 3, unkeyedServers: 1, seeded: true}
 
 // clusterCount counts the clusters of this process. A cluster's number is part of its entries' loopback addresses, so that
 // clusters that run in parallel don't share addresses; addressBlock in them separates test processes.
@@ -87,6 +91,7 @@
 	t         *testing.T
 	dir       string
 	number    int
+	seeded    bool // the settings name seeds
 	store     *process
 	collector *process
 	servers   []*server // first those with keys
@@ -101,7 +106,7 @@
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
 // owner. keyedServerFlags are added to the command line of the keyed servers.
 func newCluster(t *testing.T, size clusterSize, keyedServerFlags ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), admin: inspector.NewClient(adminTimeout)}
+	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, admin: inspector.NewClient(adminTimeout)}
 	t.Cleanup(c.admin.Close)
 	c.store = startStandin(t, "store", "standin", "store")
 	c.collector = startStandin(t, "collector", "standin", "collector")
@@ -151,8 +156,9 @@
 	must(c.t, err)
 	text := strings.NewReplacer("entry_1", e.name, "127.0.0.2", e.ip, "127.0.0.1:7400", e.storeProxy.address(),
 		"muscat_a", domains[n%len(domains)]).Replace(string(raw))
-	// entry_1 is the seed, beside one that never runs.
-	text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
+	if c.seeded {
+		text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
+	}
 	e.settingsPath = filepath.Join(c.dir, e.name+".conf")
 	must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
 	c.entries = append(c.entries, e)
--- a/internal/verifier/fault_cases_test.go
+++ b/internal/verifier/fault_cases_test.go
@@ -26,13 +26,22 @@
 	keyedServerFlags []string
 	// forbidUnknown requires that no request ends with the outcome unknown.
 	forbidUnknown bool
+	// unseeded leaves the seeds out of the settings.
+	unseeded bool
 	// avoidedEntry is the number, from 1, of an entry to which clients send no requests; 0 is none.
 	avoidedEntry int
 }
 
 // faultCases are the cases of TestLoadUnderFaults, by name.
 var faultCases = map[string]faultCase{
-	"no fault": {forbidUnknown: true, injectFault: func(*cluster, *load) {}},
+	"no fault":           {forbidUnknown: true, injectFault: func(*cluster, *load) {}},
+	"no fault, no seeds": {forbidUnknown: true, unseeded: true, injectFault: func(*cluster, *load) {}},
+	"leader killed, no seeds": {unseeded: true, injectFault: func(c *cluster, _ *load) {
+		e := c.awaitLeader()
+		e.process.kill(c.t)
+		c.awaitAgreement(c.entriesExcept(e)...)
+		c.startEntry(e)
+	}},
 	"entry killed": {injectFault: func(c *cluster, _ *load) {
 		e := c.entriesExcept(c.awaitLeader())[0]
 		e.process.kill(c.t)
@@ -147,7 +156,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			c := newCluster(t, defaultSize, tc.keyedServerFlags...)
+			size := defaultSize
+			size.seeded = !tc.unseeded
+			c := newCluster(t, size, tc.keyedServerFlags...)
 			entries := c.entries
 			if tc.avoidedEntry > 0 {
 				entries = c.entriesExcept(c.entries[tc.avoidedEntry-1])
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -72,7 +72,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
-	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2)}
+	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2), seeded: seed%2 == 0}
 	s := &soak{cluster: newCluster(t, size), random: rand.New(rand.NewPCG(seed, seed))}
 	t.Cleanup(s.logActions)
 	s.started = time.Now()
