Limits that backend servers name are logged and counted

Cause: the incident of server limits can't be traced in logs or counters: none says whether an instance knows of a limit.

Change: package throttler keeps the latest statement of each server; an instance logs when a server names, changes or withdraws its limit and counts it (server_limits, invalid_server_limits, limited_servers). The stand-in of a server can name one. Nothing is held back yet.

Ruled out: logging each answer that names a limit, which would be a line for each request.

Measured: TestServerLimitIsCounted and the tests of throttler, forwarder, meter, docchecker, emulator and controller pass.

--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -148,15 +148,18 @@
 	s.counts.Rejected[reason]++
 	s.mu.Unlock()
 	w.Header().Set(platform.HeaderNotExecuted, reason)
-	s.setLeaving(w.Header())
+	s.setSignals(w.Header())
 	writeJSON(w, status, errorBody{Message: reason})
 }
 
-// setLeaving sets the header of a server that is about to end.
-func (s *Server) setLeaving(header http.Header) {
+// setSignals sets the headers of a server that is about to end, or that limits its requests.
+func (s *Server) setSignals(header http.Header) {
 	if s.draining() {
 		header.Set(platform.HeaderLeaving, platform.LeavingValue)
 	}
+	if limit := s.faults.get().Limit; limit != "" {
+		header.Set(platform.HeaderLimit, limit)
+	}
 }
 
 // serviceTime returns the service time of an execution that starts at now; inWarmup says that its key is in its
--- a/internal/emulator/server_answer.go
+++ b/internal/emulator/server_answer.go
@@ -49,7 +49,7 @@
 	header.Set("Content-Type", "application/octet-stream")
 	header.Set(HeaderBodySum, Sum(body))
 	header.Set(platform.HeaderSignature, s.signature(e))
-	s.setLeaving(header)
+	s.setSignals(header)
 	if s.draining() {
 		header.Set("Connection", "close")
 	}
--- a/internal/emulator/server_faults.go
+++ b/internal/emulator/server_faults.go
@@ -7,6 +7,9 @@
 	Shed bool `json:"shed"`
 	// RetryAfterMS is sent as Retry-After, in milliseconds, when the server is full; 0 means that it is not sent.
 	RetryAfterMS int64 `json:"retry_after_ms"`
+	// Limit is the number of requests a second that the server names as its limit in all answers; empty means none. The server
+	// accepts more all the same.
+	Limit string `json:"limit"`
 	// SlowFactor multiplies service times; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
 	// InvertHealthChecks inverts the answers to health checks.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -192,7 +192,7 @@
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
 	if sameRequest {
-		f.observeServer(time.Now(), server, response.Status, response.Header)
+		f.observeServer(time.Now(), now, server, response.Status, response.Header)
 	}
 	r := f.interpretAnswer(req, response.Status, response.Header, body, sameRequest)
 	r.server = serverID
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
 const (
@@ -58,6 +59,8 @@
 	ShardKey    string // key of a request to a keyed service
 	// Leaving has LeavingValue on the answers of a server that is about to end.
 	Leaving, LeavingValue string
+	// Limit names how many requests a second a server takes from all instances together.
+	Limit string
 }
 
 // Forwarder forwards the requests that clients send to an instance, and those of the server pools that the instance
@@ -82,6 +85,7 @@
 	peerConnPools    map[string]*exchanger.Pool // by address
 	unreachableUntil map[string]time.Time       // by instance: until then it is not used as a dispatcher
 	pauses           map[string]pause           // by server id
+	limits           throttler.Limits
 	loads            loads
 }
 
@@ -126,6 +130,8 @@
 	close(*f.viewChanged.Swap(&next))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.limits.Retain(func(server string) bool { _, ok := v.Server(server); return ok })
+	f.countLimitedServers()
 	for serverPool, q := range f.queues {
 		f.updateQueue(now, serverPool, q, v)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", Signature: "X-Signature",
-	NotExecuted: "X-Not-Executed", ShardKey: "X-Key",
+	NotExecuted: "X-Not-Executed", ShardKey: "X-Key", Limit: "Server-Limit",
 }
 
 // scriptedServer is a backend server that answers each request with the next of its scripted answers, and repeats the last
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
 // maxPause bounds the time for which a server can ask for no requests with one answer.
@@ -27,10 +28,11 @@
 	f.onLeaving = onLeaving
 }
 
-// observeServer records what an answer says about the server itself: that it is leaving, or that it wants no requests for
-// a while.
-func (f *Forwarder) observeServer(now time.Time, server cataloger.Server, status int, header http.Header) {
+// observeServer records what the answer to a request that was sent at a given time says about the server itself: that it is
+// leaving, how many requests it takes, or that it wants none for a while.
+func (f *Forwarder) observeServer(now, sent time.Time, server cataloger.Server, status int, header http.Header) {
 	f.observeLeaving(server, header)
+	f.observeLimit(now, sent, server, status, header)
 	text := header.Get("Retry-After")
 	if status != http.StatusServiceUnavailable || text == "" {
 		return
@@ -63,6 +65,43 @@
 	}
 }
 
+// observeLimit records the limit that an answer names, or that it names none. An answer with the status 421 may come from
+// another server that has taken over the address, so it withdraws no limit.
+func (f *Forwarder) observeLimit(now, sent time.Time, server cataloger.Server, status int, header http.Header) {
+	text := header.Get(f.headers.Limit)
+	if text == "" {
+		if status == http.StatusMisdirectedRequest {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.limits.NotNamed(now, sent, server.ID, server.Incarnation) {
+			f.countLimitedServers()
+			klog.InfoS("server no longer limits its requests", "server", server.ID)
+		}
+		return
+	}
+	rate, err := throttler.ParseRate(text)
+	if err != nil {
+		f.meter.Count(meter.InvalidServerLimits)
+		klog.InfoS("limit that a server names is invalid", "server", server.ID, "error", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.limits.Named(now, server.ID, server.Incarnation, rate) {
+		limit, _ := f.limits.Get(server.ID, server.Incarnation)
+		f.meter.Count(meter.ServerLimits)
+		f.countLimitedServers()
+		klog.InfoS("server limits its requests", "server", server.ID, "rate", rate, "for", now.Sub(limit.Since))
+	}
+}
+
+// countLimitedServers sets the gauge of the servers that name a limit. The caller holds mu.
+func (f *Forwarder) countLimitedServers() {
+	f.meter.Set(meter.LimitedServers, int64(f.limits.Servers()))
+}
+
 // parseRetryAfter parses the Retry-After of a server, a number of seconds that may have a fraction. A longer time than
 // maxPause is cut to that, and any other text means no pause; both are invalid.
 func parseRetryAfter(text string) (wanted time.Duration, valid bool) {
--- a/internal/forwarder/server_signals_test.go
+++ b/internal/forwarder/server_signals_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
@@ -47,6 +49,45 @@
 	}
 }
 
+// limitedAnswer returns an answer in which the server names a limit, or none if it is empty.
+func limitedAnswer(limit string) string {
+	if limit == "" {
+		return answerOK
+	}
+	return strings.Replace(answerOK, "X-Id", "Server-Limit: "+limit+"\r\nX-Id", 1)
+}
+
+// TestServerLimitIsCounted guards against operators who can't see that a server limits its requests, or no longer does.
+func TestServerLimitIsCounted(t *testing.T) {
+	tests := map[string]struct {
+		limits                  []string // of consecutive answers
+		named, invalid, limited int64
+	}{
+		"none":                {limits: []string{""}},
+		"named":               {limits: []string{"100", "100"}, named: 1, limited: 1},
+		"changed":             {limits: []string{"100", "90.5"}, named: 2, limited: 1},
+		"withdrawn":           {limits: []string{"100", ""}, named: 1},
+		"invalid":             {limits: []string{"few"}, invalid: 1},
+		"invalid after valid": {limits: []string{"100", "-1"}, named: 1, invalid: 1, limited: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var answers []string
+			for _, limit := range test.limits {
+				answers = append(answers, limitedAnswer(limit))
+			}
+			f := newForwarder(t, startScriptedServer(t, answers...))
+			for range test.limits {
+				is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 200)
+			}
+			is.Equal(f.meter.Get(meter.ServerLimits), test.named)
+			is.Equal(f.meter.Get(meter.InvalidServerLimits), test.invalid)
+			is.Equal(f.meter.GetGauge(meter.LimitedServers), test.limited)
+		})
+	}
+}
+
 // TestPausedServerGetsNoRequests guards against requests that reach a server although it has answered that it wants none
 // for a while, and against clients that are not told for how long.
 func TestPausedServerGetsNoRequests(t *testing.T) {
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -16,11 +16,13 @@
 	ServerPauses
 	InvalidRetryAfters
 	ServersLeaving
+	ServerLimits
+	InvalidServerLimits
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + ServersLeaving + 1
+	Appends Counter = iota + InvalidServerLimits + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -48,8 +50,9 @@
 	RequestsRunning
 	RequestsWaiting
 	LogLinesDropped
+	LimitedServers
 
-	gaugeCount = int(LogLinesDropped) + 1
+	gaugeCount = int(LimitedServers) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -73,30 +76,32 @@
 }
 
 var counterDescriptions = [counterCount]Description{
-	RequestsReceived:   {"requests_received", "Requests that clients sent to this instance."},
-	RequestsAnswered:   {"requests_answered", "Requests answered with the backend server's complete answer."},
-	RequestsNotRun:     {"requests_not_run", "Requests whose client was told that they were not executed."},
-	RequestsUnknown:    {"requests_unknown", "Requests that may have been executed but got no valid server answer."},
-	RequestsForwarded:  {"requests_forwarded", "Times that a request was forwarded to its dispatcher, another instance."},
-	RequestsRepeated:   {"requests_repeated", "Retries sent to a backend server after an earlier attempt may have reached one."},
-	RequestsCancelled:  {"requests_cancelled", "Requests whose client disconnected."},
-	ServerPauses:       {"server_pauses", "Times that a backend server asked this instance for a pause, with 503 and Retry-After."},
-	InvalidRetryAfters: {"invalid_retry_afters", "Pauses asked for by a backend server that are not a number of seconds or too long."},
-	ServersLeaving:     {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
-	Appends:            {"appends", "Append calls to the platform's store."},
-	AppendsFailed:      {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
-	StoreReads:         {"store_reads", "Reads of the store's topics, directly or through another instance."},
-	StoreReadsFailed:   {"store_reads_failed", "Reads of the store's topics that failed."},
-	StoreGaps:          {"store_gaps", "Times that records of the store expired before this instance read them."},
-	StoreRestores:      {"store_restores", "Times that the store came back from an older copy while this instance ran."},
-	ReportsSent:        {"reports_sent", "Reports sent to the leader."},
-	ReportsFailed:      {"reports_failed", "Reports that the leader did not answer."},
-	LeadsTaken:         {"leads_taken", "Times that this instance became the leader."},
-	MovesStarted:       {"moves_started", "Moves of key ranges that this instance chose as leader, started or not."},
-	GrantsSent:         {"grants_sent", "Grants sent to backend servers, renewals included."},
-	GrantsRefused:      {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
-	GrantsFailed:       {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
-	ReleasesSent:       {"releases_sent", "Releases sent to backend servers."},
+	RequestsReceived:    {"requests_received", "Requests that clients sent to this instance."},
+	RequestsAnswered:    {"requests_answered", "Requests answered with the backend server's complete answer."},
+	RequestsNotRun:      {"requests_not_run", "Requests whose client was told that they were not executed."},
+	RequestsUnknown:     {"requests_unknown", "Requests that may have been executed but got no valid server answer."},
+	RequestsForwarded:   {"requests_forwarded", "Times that a request was forwarded to its dispatcher, another instance."},
+	RequestsRepeated:    {"requests_repeated", "Retries sent to a backend server after an earlier attempt may have reached one."},
+	RequestsCancelled:   {"requests_cancelled", "Requests whose client disconnected."},
+	ServerPauses:        {"server_pauses", "Times that a backend server asked this instance for a pause, with 503 and Retry-After."},
+	InvalidRetryAfters:  {"invalid_retry_afters", "Pauses asked for by a backend server that are not a number of seconds or too long."},
+	ServersLeaving:      {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
+	ServerLimits:        {"server_limits", "Times that an answer to this instance named a new or changed limit of its backend server."},
+	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
+	Appends:             {"appends", "Append calls to the platform's store."},
+	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
+	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
+	StoreReadsFailed:    {"store_reads_failed", "Reads of the store's topics that failed."},
+	StoreGaps:           {"store_gaps", "Times that records of the store expired before this instance read them."},
+	StoreRestores:       {"store_restores", "Times that the store came back from an older copy while this instance ran."},
+	ReportsSent:         {"reports_sent", "Reports sent to the leader."},
+	ReportsFailed:       {"reports_failed", "Reports that the leader did not answer."},
+	LeadsTaken:          {"leads_taken", "Times that this instance became the leader."},
+	MovesStarted:        {"moves_started", "Moves of key ranges that this instance chose as leader, started or not."},
+	GrantsSent:          {"grants_sent", "Grants sent to backend servers, renewals included."},
+	GrantsRefused:       {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
+	GrantsFailed:        {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
+	ReleasesSent:        {"releases_sent", "Releases sent to backend servers."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
@@ -104,6 +109,7 @@
 	Members:         {"members", "Entry instances that this instance knows, including itself."},
 	RequestsRunning: {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
 	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
+	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
 	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
