Dispatchers keep the limit that a server names

What callers saw: nothing at first; a server in need got 3 to 7 requests a second at limits of 1.3 and 2.2, and could not recover.

The class: a signal of a server that nobody heeds.

Change: the queue of a server has a token bucket with the named rate; a request begins only with a token and a free slot. Tokens are kept for a quarter of a second and one request, and a queue that learns of a limit starts without any, since another instance may just have sent requests. The capacity of a limited server is the lesser of its slots and of what its rate lets begin within a service time, so that load, waiting times and refusals follow from it: what the limit leaves no room for is refused on arrival, with the time until there is room.

Ruled out: a limit for each instance (the named rate divided by the number of instances): all requests to a server pass through its dispatcher, and a share would leave most of the rate unused.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,6 +154,9 @@
 		if p, ok := f.pauses[s.ID]; ok && p.incarnation == s.Incarnation {
 			server.PausedUntil = p.until
 		}
+		if limit, ok := f.limits.Get(s.ID, s.Incarnation); ok {
+			server.Limited, server.Rate = true, limit.Rate
+		}
 		servers = append(servers, server)
 	}
 	f.notifyWaiters(q, q.queue.SetServers(now, servers))
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -76,7 +76,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.limits.NotNamed(now, sent, server.ID, server.Incarnation) {
-			f.countLimitedServers()
+			f.limitChanged(now, server)
 			klog.InfoS("server no longer limits its requests", "server", server.ID)
 		}
 		return
@@ -92,11 +92,20 @@
 	if f.limits.Named(now, server.ID, server.Incarnation, rate) {
 		limit, _ := f.limits.Get(server.ID, server.Incarnation)
 		f.meter.Count(meter.ServerLimits)
-		f.countLimitedServers()
+		f.limitChanged(now, server)
 		klog.InfoS("server limits its requests", "server", server.ID, "rate", rate, "for", now.Sub(limit.Since))
 	}
 }
 
+// limitChanged passes the limit of a server to the queues. The caller holds mu.
+func (f *Forwarder) limitChanged(now time.Time, server cataloger.Server) {
+	f.countLimitedServers()
+	limit, limited := f.limits.Get(server.ID, server.Incarnation)
+	for _, q := range f.queues {
+		f.notifyWaiters(q, q.queue.SetLimit(now, server.ID, limited, limit.Rate))
+	}
+}
+
 // countLimitedServers sets the gauge of the servers that name a limit. The caller holds mu.
 func (f *Forwarder) countLimitedServers() {
 	f.meter.Set(meter.LimitedServers, int64(f.limits.Servers()))
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -1,14 +1,16 @@
 // Package queuer orders the requests that wait for a set of backend servers, and decides which of them is sent next and
 // which are refused. It does no I/O and never blocks; the current time is an argument.
 //
-// It handles overload: a server never gets more concurrent requests than it has slots, requests that can still meet their
-// latency objective are sent before late ones, those of a higher priority before others, and a request that would have to
+// It handles overload: a server never gets more concurrent requests than it has slots, nor more a second than its limit, if it
+// has one; requests that can still meet their latency objective are sent before late ones, those of a higher priority before others, and a request that would have to
 // wait and can't be answered before its deadline is refused as soon as that is known.
 package queuer
 
 import (
 	"slices"
 	"time"
+
+	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
 const (
@@ -31,6 +33,9 @@
 	// a usable server, the delay may be up to maxEjectionTime.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// maxLimitRetryAfter bounds the delay after which a client is asked to retry because of a server's limit. The limit may be
+	// withdrawn, and keys move away from a server with a low one.
+	maxLimitRetryAfter = 5 * time.Second
 	// minServiceTime is the time that any request needs at least. One with less time left is not sent.
 	minServiceTime = 2 * time.Millisecond
 )
@@ -108,7 +113,8 @@
 	ejectionTime time.Duration // of the last ejection; 0 once a request was Answered
 	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
 	pausedUntil  time.Time     // until then the server wants no requests
-	removed      bool          // gets no new requests, and is dropped when none runs on it
+	limit        throttler.Bucket
+	removed      bool // gets no new requests, and is dropped when none runs on it
 }
 
 type waitingRequest struct {
@@ -141,6 +147,8 @@
 	ID          string
 	Slots       int
 	PausedUntil time.Time // until then it wants no requests; the zero Time if it has not asked for a pause
+	Limited     bool      // whether it names a limit
+	Rate        float64   // the limit in requests a second
 }
 
 // SetServers replaces the servers, and starts or refuses waiting requests accordingly. Requests that run on a removed
@@ -158,6 +166,7 @@
 		known.slots, known.removed = s.Slots, false
 		known.pausedUntil = time.Time{} // a new incarnation of the server has not asked for the pause
 		known.pause(now, s.PausedUntil)
+		known.setLimit(now, s.Limited, s.Rate)
 	}
 	q.dropRemoved()
 	return q.advance(now)
@@ -192,17 +201,55 @@
 	return total
 }
 
-// usableSlots returns how many requests the usable servers may run concurrently at now.
-func (q *Queue) usableSlots(now time.Time) int {
-	total := 0
+// capacity returns how many requests the usable servers are likely to run concurrently under load: as many as they have
+// slots, or as many as their limits let begin within a service time.
+func (q *Queue) capacity(now time.Time) float64 {
+	total := 0.0
 	for _, s := range q.servers {
 		if s.usable(now) {
-			total += s.maxRunning()
+			total += s.capacity()
 		}
 	}
 	return total
 }
 
+// capacity returns how many requests the server is likely to run concurrently under load.
+func (s *server) capacity() float64 {
+	slots := float64(s.maxRunning())
+	rate, limited := s.limit.Rate()
+	if !limited {
+		return slots
+	}
+	mean := s.mean
+	if mean == 0 {
+		mean = initialServiceTime
+	}
+	return min(slots, rate*mean.Seconds())
+}
+
+// limitDelay returns how long it takes until the limits of the usable servers let a request begin behind a number of others
+// that wait.
+func (q *Queue) limitDelay(now time.Time, ahead int) time.Duration {
+	rates, first := 0.0, time.Duration(-1)
+	for _, s := range q.servers {
+		if !s.usable(now) {
+			continue
+		}
+		rate, limited := s.limit.Rate()
+		if !limited {
+			return 0
+		}
+		rates += rate
+		if delay := s.limit.Delay(now); first < 0 || delay < first {
+			first = delay
+		}
+	}
+	if first < 0 {
+		return 0
+	}
+	return first + time.Duration(float64(ahead)/rates*float64(time.Second))
+}
+
 func (s *server) usable(now time.Time) bool { return !s.removed && !now.Before(s.usableFrom()) }
 
 // usableFrom returns when the server may get requests again.
@@ -221,6 +268,26 @@
 	}
 }
 
+// setLimit sets or ends the limit of the server's requests a second.
+func (s *server) setLimit(now time.Time, limited bool, rate float64) {
+	if limited {
+		s.limit.SetRate(now, rate)
+		return
+	}
+	s.limit.Unlimit()
+}
+
+// SetLimit sets the limit in requests a second that a server names, or ends it. Waiting requests that can't be answered in time
+// are refused.
+func (q *Queue) SetLimit(now time.Time, serverID string, limited bool, rate float64) Change {
+	s := q.findServer(serverID)
+	if s == nil {
+		return Change{}
+	}
+	s.setLimit(now, limited, rate)
+	return q.advance(now)
+}
+
 // Pause keeps requests from a server until a given time, because it has asked for that. Waiting requests that can't be
 // answered in time are refused.
 func (q *Queue) Pause(now time.Time, serverID string, until time.Time) Change {
@@ -246,7 +313,7 @@
 	}
 	if len(q.waiting) == 0 {
 		if s := q.pickServer(now, r.AvoidServer); s != nil {
-			s.running++
+			s.start(now)
 			return Start{Server: s.id}
 		}
 	}
@@ -263,7 +330,21 @@
 // addLoad adds the expected service time of a request to the load.
 func (q *Queue) addLoad(now time.Time, r Request) {
 	q.decayLoad(now)
-	q.load += q.serviceTime(r).Seconds() / (loadWindow.Seconds() * float64(max(1, q.usableSlots(now))))
+	q.load += q.serviceTime(r).Seconds() / (loadWindow.Seconds() * q.divisor(now))
+}
+
+// divisor returns the capacity, or 1 without a usable server, so that loads and times can be divided by it.
+func (q *Queue) divisor(now time.Time) float64 {
+	if capacity := q.capacity(now); capacity > 0 {
+		return capacity
+	}
+	return 1
+}
+
+// start begins a request at the server.
+func (s *server) start(now time.Time) {
+	s.running++
+	s.limit.Take(now)
 }
 
 // canAnswer reports whether the time left until the request's deadline suffices for sending it now: whether it is at least
@@ -295,12 +376,12 @@
 	return initialServiceTime
 }
 
-// pickServer returns the server for the next request, or nil if no slot is free: the one with the largest share of
+// pickServer returns the server for the next request, or nil if no slot is free within the limits: the one with the largest share of
 // free slots, and among equals the fastest. avoid is picked only if no other server has a free slot.
 func (q *Queue) pickServer(now time.Time, avoid string) *server {
 	var best *server
 	for _, s := range q.servers {
-		if !s.usable(now) || s.running >= s.maxRunning() {
+		if !s.usable(now) || s.running >= s.maxRunning() || !s.limit.Allows(now) {
 			continue
 		}
 		if best == nil || s.betterThan(best, avoid) {
@@ -414,7 +495,7 @@
 	for _, w := range q.waiting {
 		// With a free slot, a request is started whatever its expected service time, unless no answer can be in time.
 		if s := q.pickServer(now, w.AvoidServer); s != nil && q.canAnswer(now, w.Request) {
-			s.running++
+			s.start(now)
 			change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
 			continue
 		}
@@ -430,12 +511,12 @@
 func (q *Queue) refuseInfeasible(now time.Time) []Refused {
 	var refused []Refused
 	ahead := q.runningWork()
-	slots := q.usableSlots(now)
+	capacity := q.capacity(now)
 	retryAfter := q.retryAfter(now) // before the loop compacts q.waiting
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		need := q.serviceTime(w.Request)
-		if q.mayWait(now, w, ahead, slots, need) {
+		if q.mayWait(now, w, waitAhead{work: ahead, requests: len(kept)}, capacity, need) {
 			ahead += need
 			kept = append(kept, w)
 			continue
@@ -462,25 +543,30 @@
 	return first
 }
 
-// finishTime returns when a request with the service time need would be answered if requests with the total service time
-// ahead are executed before it.
-func (q *Queue) finishTime(now time.Time, ahead, need time.Duration) time.Time {
-	return now.Add(ahead/time.Duration(max(1, q.usableSlots(now))) + need)
+// waitAhead is what is executed before a waiting request.
+type waitAhead struct {
+	work     time.Duration // total service time, also of the requests that run
+	requests int           // of those that wait
+}
+
+// delay returns how long it takes until a request behind ahead can begin, with a capacity of the servers or, without any, 1.
+func (q *Queue) delay(now time.Time, ahead waitAhead, capacity float64) time.Duration {
+	return max(time.Duration(float64(ahead.work)/capacity), q.limitDelay(now, ahead.requests))
 }
 
 // mayWait reports whether a request with the service time need may wait: whether it would be answered before its deadline if
-// requests with the total service time ahead are executed before it. Without a usable server, requests wait only for one
+// ahead is executed before it. Without a usable server, requests wait only for one
 // that is usable within minEjectionTime. A request that misses its objective may not wait under overload; with less
 // load, its wait is taken to grow with the load, because new requests run before it.
-func (q *Queue) mayWait(now time.Time, w *waitingRequest, ahead time.Duration, slots int, need time.Duration) bool {
-	if slots == 0 {
+func (q *Queue) mayWait(now time.Time, w *waitingRequest, ahead waitAhead, capacity float64, need time.Duration) bool {
+	if capacity == 0 {
 		usable := q.nextUsable(now)
 		return usable.Sub(now) <= minEjectionTime && usable.Add(need).Before(w.Deadline)
 	}
 	if !q.canAnswer(now, w.Request) {
 		return false
 	}
-	start := ahead / time.Duration(slots)
+	start := q.delay(now, ahead, capacity)
 	if q.missesObjective(now, w) {
 		if q.load >= overloadThreshold {
 			return false
@@ -505,16 +591,17 @@
 // its objective.
 func (q *Queue) feasible(now time.Time, added *waitingRequest) bool {
 	q.sort(now)
-	ahead := q.runningWork()
+	ahead := waitAhead{work: q.runningWork()}
 	for _, w := range q.waiting {
 		need := q.serviceTime(w.Request)
 		if w == added {
-			if q.load >= overloadThreshold && q.finishTime(now, ahead, need).After(w.Objective) {
+			if q.load >= overloadThreshold && now.Add(q.delay(now, ahead, q.divisor(now))+need).After(w.Objective) {
 				return false // its late answer would make those behind it late as well
 			}
-			return q.mayWait(now, w, ahead, q.usableSlots(now), need)
+			return q.mayWait(now, w, ahead, q.capacity(now), need)
 		}
-		ahead += need
+		ahead.work += need
+		ahead.requests++
 	}
 	return false
 }
@@ -559,16 +646,18 @@
 	return 1
 }
 
-// retryAfter estimates how long it takes to execute all running and waiting requests, within the bounds of the delay after
-// which a client is asked to retry. Without a usable server, it is the time until one may be used again.
+// retryAfter estimates how long it takes until all running and waiting requests are executed and the limits of the servers let
+// another one begin, within the bounds of the delay after which a client is asked to retry. Without a usable server, it is the
+// time until one may be used again.
 func (q *Queue) retryAfter(now time.Time) time.Duration {
 	total := q.runningWork()
 	for _, w := range q.waiting {
 		total += q.serviceTime(w.Request)
 	}
-	slots := q.usableSlots(now)
-	if slots == 0 {
+	capacity := q.capacity(now)
+	if capacity == 0 {
 		return max(minRetryAfter, q.nextUsable(now).Sub(now))
 	}
-	return min(max(minRetryAfter, total/time.Duration(slots)), maxRetryAfter)
+	work := min(time.Duration(float64(total)/capacity), maxRetryAfter)
+	return max(minRetryAfter, work, min(q.limitDelay(now, len(q.waiting)), maxLimitRetryAfter))
 }
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -310,3 +310,44 @@
 		is.Equal(r.RetryAfter, change.Refused[0].RetryAfter)
 	}
 }
+
+// TestServerLimitSpacesRequests guards against a server with a limit that gets more requests a second than it names, whatever
+// slots are free, and against requests that wait although another server may take them.
+func TestServerLimitSpacesRequests(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{}
+	q.SetServers(start, []Server{{ID: "a", Slots: 4, Limited: true, Rate: 2}})
+	started := 0
+	for ms := 0; ms < 10_000; ms += 50 { // 20 requests a second
+		if _, ok := q.Offer(at(ms), request(0, ms+3000, ms+3000)).(Start); ok {
+			started++
+			q.Done(at(ms), "a", "c", Answered, 10*time.Millisecond)
+		}
+		for _, s := range q.Advance(at(ms)).Started {
+			started++
+			q.Done(at(ms), s.Server, "c", Answered, 10*time.Millisecond)
+		}
+	}
+	is.True(started <= 21)
+	is.True(started >= 19)
+	q.SetServers(at(10_000), []Server{{ID: "a", Slots: 4, Limited: true, Rate: 2}, {ID: "b", Slots: 4}})
+	is.Equal(q.Waiting(), 2) // the free server has taken the others
+	q.SetServers(at(10_000), []Server{{ID: "b", Slots: 4}})
+}
+
+// TestLimitedServerRefusesWhatItCannotTake guards against clients that wait until their deadline for a server whose limit
+// leaves no room for them, and against a Retry-After at which there is none either.
+func TestLimitedServerRefusesWhatItCannotTake(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{}
+	q.SetServers(start, []Server{{ID: "a", Slots: 4, Limited: true, Rate: 0.5}})
+	refusal, ok := q.Offer(start, request(0, 1500, 1500)).(Refuse)
+	is.True(ok) // the first request may begin after 2 s
+	is.True(refusal.RetryAfter >= 2*time.Second && refusal.RetryAfter < 2100*time.Millisecond)
+	is.Equal(q.Offer(start, request(0, 2500, 2500)), Wait{Ticket: 2})
+	refusal, ok = q.Offer(start, request(0, 3500, 3500)).(Refuse)
+	is.True(ok) // the second one after 4 s
+	is.True(refusal.RetryAfter >= 4*time.Second && refusal.RetryAfter < 4100*time.Millisecond)
+	change := q.SetLimit(start, "a", false, 0)
+	is.Equal(change.Started, []Started{{Ticket: 2, Server: "a"}}) // at once when the limit is withdrawn
+}
