Limits of servers reach all instances and the balancer

What callers saw: while dispatchers change, a server in need gets more than it takes; keys stay with a server that can't serve them.

Only the instance that gets an answer heeds the limit in it; a new dispatcher starts without it, and the leader does not count with it.

Change: instances report changed limits to the leader with their incarnation, age and start; the leader numbers them and passes on what an instance lacks with its answers to reports and with publications, without a call to the store. The first report to a leader of another term has all. Instances also learn the limit from answers that come through the dispatcher. The later answer counts; an instance's own one counts more than an echo within a second. State is bounded by the servers that are registered. The capacity of a limited server for the balancer is its rate times the mean service time, so keys move to servers that can serve them. /status names each server's limit and since when.

Ruled out: a record in the store (a write for each change and a read by all); a publication for each change: until it is needed the dispatcher itself keeps the limit, and the next report is at most a second away.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -111,8 +111,9 @@
 	members        []resolver.Member // without Self
 	membersVersion membersVersion    // of members
 	leavingServers leavingServers    // servers that have said that they are leaving
-	viewOutdated   bool              // the view has to be rebuilt
-	ownersOutdated bool              // the view has an old owner map, and nothing else in it has changed
+	limitReports   limitReports
+	viewOutdated   bool // the view has to be rebuilt
+	ownersOutdated bool // the view has an old owner map, and nothing else in it has changed
 
 	elector         *elector.Elector
 	seeds           seeds
@@ -149,7 +150,8 @@
 	deltas         []delta
 	members        map[string]*memberState // by instance
 	membersVersion uint64
-	leaving        []*herald.LeavingServer   // in the order in which they became known
+	leaving        []*herald.LeavingServer // in the order in which they became known
+	limits         limitLog
 	pausedUntil    map[string]time.Time      // by server id: until then it wants no requests from some instance
 	loads          map[string]*balancer.Load // by service
 	serviceTimes   map[string]*serviceTime   // by server id
@@ -183,6 +185,7 @@
 	ownerMapVersion partitioner.Version
 	membersVersion  membersVersion
 	leavingVersion  leavingVersion
+	limitsVersion   limitsVersion
 }
 
 // membersVersion is the version of the list of members: a leader's term, and a number that it assigns.
@@ -274,6 +277,9 @@
 	c.options.Forwarder.OnLeaving(func(server string, incarnation int64) {
 		c.post(func(now time.Time) { c.serverLeaves(now, server, incarnation) })
 	})
+	c.options.Forwarder.OnLimit(func(server string) {
+		c.post(func(time.Time) { c.limitChanged(server) })
+	})
 	startDelay := c.seeds.startDelay()
 	for _, watch := range []func(context.Context){c.watchOperators, c.watchServers} {
 		go func() {
@@ -351,6 +357,9 @@
 	servers := c.catalog.Servers()
 	view := resolver.New(c.self(), c.table, servers, c.owners, c.members)
 	c.view = view
+	if c.leaderState != nil {
+		c.leaderState.limits.retain(func(server string) bool { _, ok := view.Server(server); return ok })
+	}
 	c.updateSources(view)
 	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
 	c.options.Meter.Set(meter.Members, int64(len(c.members)+1))
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -71,6 +71,7 @@
 		}
 	}
 	c.leavingServers.handOver(l)
+	c.handOverLimits(l)
 	c.setServers(now)
 	c.restartOwnerMap(now)
 	c.publish(now)
@@ -336,7 +337,11 @@
 // it, but not all at once.
 const pausedCapacityRatio = 0.5
 
-// capacities returns the relative capacity of each server: its slots, weighted by its speed.
+// minLimitedCapacity is the least capacity of a server that names a limit, in slots.
+const minLimitedCapacity = 0.01
+
+// capacities returns the relative capacity of each server: its slots, weighted by its speed, or the slots that its limit
+// lets it use.
 func (c *Controller) capacities(now time.Time, servers []string) map[string]float64 {
 	total, count := 0.0, 0.0
 	for _, id := range servers {
@@ -357,6 +362,9 @@
 		if now.Before(c.leaderState.pausedUntil[id]) {
 			capacities[id] *= pausedCapacityRatio
 		}
+		if limit, limited := c.options.Forwarder.Limit(id, registration.Incarnation); limited && mean > 0 {
+			capacities[id] = min(capacities[id], max(limit.Rate*mean, minLimitedCapacity))
+		}
 	}
 	return capacities
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -92,12 +92,15 @@
 				c.elector.ReportFailed(leader, refused)
 				c.unreported.Add(loads)
 				c.leavingServers.reportFailed()
+				c.limitReports.reportFailed()
 				return
 			}
 			if reply.GetLeading() {
 				c.leavingServers.reportAnswered()
+				c.limitReports.reportAnswered()
 			} else {
 				c.leavingServers.reportFailed()
+				c.limitReports.reportFailed()
 			}
 			c.handleReply(now, leader, reply)
 		})
@@ -112,6 +115,8 @@
 		MembersTerm: c.membersVersion.term, MembersVersion: c.membersVersion.number, StoreEra: c.elector.Era(),
 		Leaving: c.leavingServers.beginReport(leader.Term), LeavingTerm: c.leavingServers.version.term, LeavingKnown: c.leavingServers.version.known,
 		LastLed: c.elector.LastLed(), ConfigVersion: c.table.Version(),
+		Limits:     c.encodeLimits(c.limitReports.beginReport(leader.Term, c.options.Forwarder.LimitedServers())),
+		LimitsTerm: c.limitReports.version.term, LimitsVersion: c.limitReports.version.number,
 	}
 	for service, keys := range loads.Keys {
 		load := &herald.KeyLoad{Service: service}
@@ -170,6 +175,7 @@
 		c.applyOwners(reply.GetOwners())
 		c.applyMembers(reply.GetMembers())
 		c.applyLeaving(now, reply.GetLeaving())
+		c.applyLimits(reply.GetLimits())
 		if len(reply.GetConfig()) > 0 {
 			c.applyConfig(reply.GetConfig(), "leader", leader.Identity.Instance)
 		}
@@ -242,6 +248,7 @@
 			c.applyOwners(request.GetOwners())
 			c.applyMembers(request.GetMembers())
 			c.applyLeaving(now, request.GetLeaving())
+			c.applyLimits(request.GetLimits())
 		}
 		return &herald.PublishReply{Member: c.encodeSelf(), Leading: c.leaderState != nil}
 	})
@@ -316,18 +323,23 @@
 	for _, s := range request.GetLeaving() {
 		c.serverLeaves(now, s.GetServer(), s.GetIncarnation())
 	}
+	for _, server := range c.learnLimits(request.GetLimits()) {
+		c.leaderState.limits.record(server)
+	}
 	ownerMapVersion := partitioner.Version{Term: request.GetMapTerm(), Sequence: request.GetMapSequence()}
 	members := membersVersion{term: request.GetMembersTerm(), number: request.GetMembersVersion()}
 	leaving := leavingVersion{term: request.GetLeavingTerm(), known: request.GetLeavingKnown()}
+	limits := limitsVersion{term: request.GetLimitsTerm(), number: request.GetLimitsVersion()}
 	if m := c.leaderState.members[request.GetMember().GetInstance()]; m != nil && !m.publishing {
 		m.ownerMapVersion, m.membersVersion, m.leavingVersion = ownerMapVersion, members, leaving
+		m.limitsVersion = limits
 	}
 	if c.shouldYieldTo(now, request.GetMember().GetInstance()) {
 		reply.Yields = true
 		c.elector.RecordYield()
 	}
 	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, members)
-	reply.Leaving = c.leavingFor(leaving)
+	reply.Leaving, reply.Limits = c.leavingFor(leaving), c.limitsFor(limits)
 	if c.configEra < c.elector.Era() && request.GetConfigVersion() < c.table.Version() {
 		reply.Config = c.config
 	}
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -80,7 +80,10 @@
 		return
 	}
 	m.publishing, m.publishAgain = true, false
-	request := &herald.PublishRequest{Lead: c.knownLeader(), Owners: owners, Members: members, Leaving: leaving}
+	limits := c.limitsFor(m.limitsVersion) // they alone can wait for the next report
+	request := &herald.PublishRequest{
+		Lead: c.knownLeader(), Owners: owners, Members: members, Leaving: leaving, Limits: limits,
+	}
 	peer := c.peers.get(m.member.Address)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.context, peerCallTimeout)
@@ -105,6 +108,9 @@
 			if leaving != nil {
 				m.leavingVersion = leavingVersion{term: leaving.GetTerm(), known: leaving.GetKnown()}
 			}
+			if limits != nil {
+				m.limitsVersion = limitsVersion{term: limits.GetTerm(), number: limits.GetVersion()}
+			}
 			if m.publishAgain {
 				c.publishTo(now, m)
 			}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -53,6 +53,10 @@
 		if server.Ranges > 0 && c.view != nil {
 			server.Dispatcher = dispatcherOf(c.view, s.ID)
 		}
+		if limit, limited := c.options.Forwarder.Limit(s.ID, s.Incarnation); limited {
+			server.Limited, server.Limit = true, limit.Rate
+			server.LimitedSeconds = time.Since(limit.Since).Seconds()
+		}
 		list = append(list, server)
 	}
 	return list
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,6 +77,7 @@
 	moveTimeout        time.Duration // the constant, except in tests
 	buffers            bufferBudget
 	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
+	onLimit            func(server string)                    // see OnLimit; may be nil
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -193,10 +193,11 @@
 	}
 	response.Header.Del(headerOutcome)
 	r.dispatcher = dispatcher.Instance
-	// A server that leaves gets nothing more from this instance either, should it become the dispatcher. The view from
+	// What the server says about itself holds for this instance too, should it become the dispatcher. The view from
 	// before the hop can't have a later incarnation than the one that answered.
 	if server, ok := v.Server(r.server); ok && r.outcome == answered {
 		f.observeLeaving(server, response.Header)
+		f.observeHopLimit(time.Now(), now, server, response.Header)
 	}
 	return r
 }
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -65,44 +65,112 @@
 	}
 }
 
-// observeLimit records the limit that an answer names, or that it names none. An answer with the status 421 may come from
-// another server that has taken over the address, so it withdraws no limit.
+// observeLimit records the limit that an answer names, or that it names none, and calls onLimit if that is a change.
 func (f *Forwarder) observeLimit(now, sent time.Time, server cataloger.Server, status int, header http.Header) {
-	text := header.Get(f.headers.Limit)
+	if f.recordLimit(now, sent, server, status, header.Get(f.headers.Limit)) && f.onLimit != nil {
+		f.onLimit(server.ID)
+	}
+}
+
+// recordLimit records the limit that an answer names in text, or none if that is empty, and reports whether it is a change. An
+// answer with the status 421 may come from another server that has taken over the address, so it withdraws no limit.
+func (f *Forwarder) recordLimit(now, sent time.Time, server cataloger.Server, status int, text string) bool {
+	if text == "" && status == http.StatusMisdirectedRequest {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if text == "" {
-		if status == http.StatusMisdirectedRequest {
-			return
+		if !f.limits.NotNamed(now, sent, server.ID, server.Incarnation) {
+			return false
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.limits.NotNamed(now, sent, server.ID, server.Incarnation) {
-			f.limitChanged(now, server)
-			klog.InfoS("server no longer limits its requests", "server", server.ID)
-		}
-		return
+		f.limitChanged(now, server.ID, server.Incarnation)
+		klog.InfoS("server no longer limits its requests", "server", server.ID)
+		return true
 	}
 	rate, err := throttler.ParseRate(text)
 	if err != nil {
 		f.meter.Count(meter.InvalidServerLimits)
 		klog.InfoS("limit that a server names is invalid", "server", server.ID, "error", err)
+		return false
+	}
+	if !f.limits.Named(now, server.ID, server.Incarnation, rate) {
+		return false
+	}
+	f.limitChanged(now, server.ID, server.Incarnation)
+	limit, _ := f.limits.Get(server.ID, server.Incarnation)
+	f.meter.Count(meter.ServerLimits)
+	klog.InfoS("server limits its requests", "server", server.ID, "rate", rate, "for", now.Sub(limit.Since))
+	return true
+}
+
+// observeHopLimit records what an answer that came through the dispatcher says about the limit of its server, so that this
+// instance keeps it should it become the dispatcher. The dispatcher itself reports the limit.
+func (f *Forwarder) observeHopLimit(now, sent time.Time, server cataloger.Server, header http.Header) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, ok := f.limits.Statement(server.ID)
+	text := header.Get(f.headers.Limit)
+	rate, err := throttler.ParseRate(text)
+	switch {
+	case text == "" && (!ok || !known.Limited || sent.Before(known.At)):
 		return
+	case text != "" && err != nil: // the dispatcher counts and logs it
+		return
+	}
+	s := throttler.Statement{Server: server.ID, Incarnation: server.Incarnation, Limited: text != "", At: now}
+	s.Limit = throttler.Limit{Rate: rate, Since: now}
+	if ok && known.Limited && known.Incarnation == server.Incarnation {
+		s.Limit.Since = known.Limit.Since
+	}
+	if f.limits.Learn(s) {
+		f.limitChanged(now, server.ID, server.Incarnation)
 	}
+}
+
+// OnLimit registers a function that is called with each server whose limit an answer to this instance changes. It must be called before the first request.
+func (f *Forwarder) OnLimit(onLimit func(server string)) { f.onLimit = onLimit }
+
+// Limit returns the limit of an incarnation of a server, and false if it names none.
+func (f *Forwarder) Limit(server string, incarnation int64) (throttler.Limit, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Get(server, incarnation)
+}
+
+// LimitStatement returns the latest statement of a server about its limit, and false if it has never named one.
+func (f *Forwarder) LimitStatement(server string) (throttler.Statement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Statement(server)
+}
+
+// LimitedServers returns the servers that have named a limit, also those that have withdrawn it.
+func (f *Forwarder) LimitedServers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.All()
+}
+
+// LearnLimit records a statement of a server that another instance has passed on, and reports whether that is a change.
+func (f *Forwarder) LearnLimit(now time.Time, s throttler.Statement) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.limits.Named(now, server.ID, server.Incarnation, rate) {
-		limit, _ := f.limits.Get(server.ID, server.Incarnation)
-		f.meter.Count(meter.ServerLimits)
-		f.limitChanged(now, server)
-		klog.InfoS("server limits its requests", "server", server.ID, "rate", rate, "for", now.Sub(limit.Since))
+	if !f.limits.Learn(s) {
+		return false
 	}
+	f.limitChanged(now, s.Server, s.Incarnation)
+	klog.InfoS("limit of a server learned from another instance", "server", s.Server, "limited", s.Limited, "rate", s.Limit.Rate,
+		"for", now.Sub(s.Limit.Since), "age", now.Sub(s.At))
+	return true
 }
 
-// limitChanged passes the limit of a server to the queues. The caller holds mu.
-func (f *Forwarder) limitChanged(now time.Time, server cataloger.Server) {
+// limitChanged passes the limit of an incarnation of a server to the queues. The caller holds mu.
+func (f *Forwarder) limitChanged(now time.Time, server string, incarnation int64) {
 	f.countLimitedServers()
-	limit, limited := f.limits.Get(server.ID, server.Incarnation)
+	limit, limited := f.limits.Get(server, incarnation)
 	for _, q := range f.queues {
-		f.notifyWaiters(q, q.queue.SetLimit(now, server.ID, limited, limit.Rate))
+		f.notifyWaiters(q, q.queue.SetLimit(now, server, limited, limit.Rate))
 	}
 }
 
--- a/internal/inspector/answers.go
+++ b/internal/inspector/answers.go
@@ -67,6 +67,11 @@
 	Keys   int `json:"keys"`
 	// Dispatcher is the instance that keeps the server's queue; it is empty if the server owns no keys.
 	Dispatcher string `json:"front"`
+	// Limited says that the server names a limit: Limit requests a second from all instances together, and LimitedSeconds ago it
+	// first named one.
+	Limited        bool    `json:"limited"`
+	Limit          float64 `json:"limit"`
+	LimitedSeconds float64 `json:"limited_s"`
 }
 
 // OwnerAnswer is the answer to GET /owner: the owner of a key according to one instance.
--- a/internal/throttler/limits.go
+++ b/internal/throttler/limits.go
@@ -3,7 +3,9 @@
 package throttler
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -130,6 +132,9 @@
 	return s.Statement, true
 }
 
+// All returns the servers that have ever named a limit and were not dropped, sorted by id.
+func (l *Limits) All() []string { return slices.Sorted(maps.Keys(l.statements)) }
+
 // Servers returns how many servers name a limit.
 func (l *Limits) Servers() int {
 	count := 0
