An instance that ceases to be a dispatcher hands over the requests for limited servers

What callers saw: a server in need gets up to twice its limit for seconds while an instance joins or shuts down.

Cause: two instances act as the dispatcher. An instance that shuts down told the others that it is leaving, and went on dispatching for its own clients until it ended, as its own view did not say so. And requests that wait at the previous dispatcher, at a limited server for seconds, go on being sent beside those of the new one.

Change: announcing that it leaves renews the instance's own view, so it forwards to its successor. When a new view names another dispatcher for a pool with a limited server, the waiting requests end with dispatcher_changed, and the instances that received them send them to the new one. Requests for servers without a limit finish where they wait, as before.

Ruled out: that the restarted instances send without knowing the limit: by the log they learn it from the leader within 10 ms; the surplus came from the instance that was shutting down, 14 requests in 3.3 s beside 13 of its successor.

Measured: TestWaitingRequestsFollowTheDispatcher (three cases) and TestLeavingInstanceStopsDispatching failed before and pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -308,6 +308,7 @@
 func (c *Controller) AnnounceLeaving() {
 	c.post(func(now time.Time) {
 		c.leaving = true
+		c.viewOutdated = true      // its own view must name another dispatcher as well
 		c.lastReport = time.Time{} // report at once
 		if c.leaderState != nil {
 			c.leaderState.membersVersion++
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -113,6 +113,23 @@
 	is.Equal(len(c.reportRequest(now, emptyLoads()).GetLeaving()), 0)
 }
 
+// TestLeavingInstanceStopsDispatching guards against an instance that goes on dispatching beside its successor while it shuts
+// down, so that servers get twice as many requests as they take.
+func TestLeavingInstanceStopsDispatching(t *testing.T) {
+	is := is.New(t)
+	c := newTestController(t, http.NotFound)
+	value, err := platform.EncodeConfig(bundler.New(1, nil, nil, bundler.Limits{}))
+	is.NoErr(err)
+	c.applyConfig(value)
+	c.catalogRead = true
+	c.step(timekeeper.Now())
+	is.True(!c.view.Self.Leaving)
+	c.AnnounceLeaving()
+	(<-c.events)(timekeeper.Now())
+	c.step(timekeeper.Now())
+	is.True(c.view.Self.Leaving)
+}
+
 // TestLeaderPassesOnALostConfiguration guards against an instance that starts after the store came back from an older copy,
 // and applies the older configuration that it finds there.
 func TestLeaderPassesOnALostConfiguration(t *testing.T) {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -15,7 +15,7 @@
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
 	server, r, ok := f.acquireSlot(ctx, req)
 	if !ok {
-		if r.outcome == moved {
+		if r.outcome == moved && req.keyed {
 			return f.awaitNewOwner(ctx, req, r)
 		}
 		return r
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,10 +10,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/limiter"
 	"github.com/wasabibank/wasabibank/internal/matcher"
@@ -138,15 +140,23 @@
 	}
 }
 
-// updateQueue applies a view to the queue of a server pool: it ends the wait of requests whose keys have moved, sets the
-// queue's servers, and drops the queue if it is empty then. The caller holds mu.
+// updateQueue applies a view to the queue of a server pool: it ends the wait of requests that another dispatcher must queue,
+// sets the queue's servers, and drops the queue if it is empty then. The caller holds mu.
 func (f *Forwarder) updateQueue(now time.Time, serverPool resolver.ServerPool, q *poolQueue, v *resolver.View) {
+	handOver := f.handsOver(serverPool, q.view, v)
 	for ticket, w := range q.waiters {
-		if w.req.keyed && notOwner(v, w.req) {
-			q.queue.Cancel(ticket)
-			delete(q.waiters, ticket)
-			w.done <- waitResult{result: result{outcome: moved, reason: "keys_moved"}}
+		reason := ""
+		switch {
+		case w.req.keyed && notOwner(v, w.req):
+			reason = "keys_moved"
+		case handOver:
+			reason = "dispatcher_changed"
+		default:
+			continue
 		}
+		q.queue.Cancel(ticket)
+		delete(q.waiters, ticket)
+		w.done <- waitResult{result: result{outcome: moved, reason: reason}}
 	}
 	q.view = v
 	var servers []queuer.Server
@@ -166,6 +176,22 @@
 	}
 }
 
+// handsOver reports whether this instance ceases to be the dispatcher of a pool with a server that names a limit. Its waiting
+// requests and those of the new dispatcher would together exceed the limit. Without a limit the requests finish here, as they
+// have waited already. The caller holds mu.
+func (f *Forwarder) handsOver(serverPool resolver.ServerPool, before, v *resolver.View) bool {
+	limited := slices.ContainsFunc(v.Servers(serverPool), func(s cataloger.Server) bool {
+		_, ok := f.limits.Get(s.ID, s.Incarnation)
+		return ok
+	})
+	return limited && before != nil && dispatchesItself(before, serverPool) && !dispatchesItself(v, serverPool)
+}
+
+// dispatchesItself reports whether by a view its own instance is the dispatcher of a pool.
+func dispatchesItself(v *resolver.View, serverPool resolver.ServerPool) bool {
+	return v.Dispatcher(serverPool, func(string) bool { return false }).Instance == v.Self.Instance
+}
+
 // notOwner reports whether, according to v, the server of the request's pool does not own the request's key. It is false
 // for a view older than the one by which the pool was chosen.
 func notOwner(v *resolver.View, req *clientRequest) bool {
--- a/internal/forwarder/server_signals_test.go
+++ b/internal/forwarder/server_signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -89,6 +90,41 @@
 	}
 }
 
+// TestWaitingRequestsFollowTheDispatcher guards against two instances that each send a server as many requests as it takes, since
+// requests go on waiting at an instance that is no longer the dispatcher.
+func TestWaitingRequestsFollowTheDispatcher(t *testing.T) {
+	for _, path := range []string{"/key/x", "/idempotent/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			b := startScriptedServer(t, limitedAnswer("1"))
+			second := newForwarder(t, b)
+			peer := httptest.NewServer(http.HandlerFunc(second.ServeHop))
+			defer peer.Close()
+			f := newForwarder(t, b)
+			is.Equal(sendRequest(f, "POST", path, "5", "").Code, 200) // names the limit
+			done := make(chan int)
+			go func() { done <- sendRequest(f, "POST", path, "5", "").Code }()
+			for _, waiting := f.RequestCounts(); waiting == 0; _, waiting = f.RequestCounts() {
+				time.Sleep(time.Millisecond)
+			}
+			v := f.View()
+			self := v.Self
+			self.Leaving = true
+			var servers []cataloger.Server
+			for _, id := range []string{"k", "p"} {
+				s, _ := v.Server(id)
+				servers = append(servers, s)
+			}
+			other := resolver.Member{Instance: "other", Domain: "d", Address: peer.Listener.Addr().String()}
+			f.SetView(time.Now(), resolver.New(self, v.Table, servers, v.Owners, []resolver.Member{other}))
+			_, waiting := f.RequestCounts()
+			is.Equal(waiting, 0)
+			is.Equal(<-done, 200) // by the new dispatcher
+			is.Equal(f.meter.Get(meter.RequestsForwarded), int64(1))
+		})
+	}
+}
+
 // TestPausedServerGetsNoRequests guards against requests that reach a server although it has answered that it wants none
 // for a while, and against clients that are not told for how long.
 func TestPausedServerGetsNoRequests(t *testing.T) {
