Dispatchers that stand in or disagree stay within a server's limit

What callers saw: nothing; a server in need gets up to three times its limit for seconds after its dispatcher was suspended or cut off.

Change: at an instance that is not the dispatcher by its own view, a request waits for a server's limit for 1 s at most; what has no room in that time is refused on arrival. An instance that has had no contact to a leader for 2 s uses half of each limit.

Ruled out: handing the waiting requests of a substitute back after 1 s: a dispatcher that is still suspended would leave them unknown. A smaller part for substitutes at any time: it would halve what a server gets while its dispatcher is away.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,8 +112,9 @@
 	membersVersion membersVersion    // of members
 	leavingServers leavingServers    // servers that have said that they are leaving
 	limitReports   limitReports
-	viewOutdated   bool // the view has to be rebuilt
-	ownersOutdated bool // the view has an old owner map, and nothing else in it has changed
+	lastContact    time.Time // when a leader last answered this instance, or this instance led
+	viewOutdated   bool      // the view has to be rebuilt
+	ownersOutdated bool      // the view has an old owner map, and nothing else in it has changed
 
 	elector         *elector.Elector
 	seeds           seeds
@@ -202,7 +203,7 @@
 	now := timekeeper.Now()
 	self := elector.Identity{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation, Address: o.Self.Address}
 	c := &Controller{
-		options: o, events: make(chan func(time.Time), 256),
+		options: o, lastContact: now, events: make(chan func(time.Time), 256),
 		elector:         elector.New(ElectionSettings, now, self, jitterPosition(o.Self), o.FirstStart),
 		lastStep:        now,
 		grantSettings:   limitedGrantSettings(o.MaxRangeLeaseDuration),
@@ -336,6 +337,10 @@
 	if c.leaderState != nil {
 		c.runLeader(now)
 	}
+	if c.leaderState != nil && c.elector.Active(now) {
+		c.lastContact = now
+	}
+	c.options.Forwarder.ShareLimits(time.Now(), now.Sub(c.lastContact))
 	c.askSeeds(now)
 	c.sendReport(now)
 	c.interruptOutdatedReads(now)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -169,6 +169,7 @@
 	offsets := decodeLeaderOffsets(now, c.reportInterval()+leaderOffsetsMargin, reply)
 	c.leaderOffsets.Store(offsets)
 	if reply.GetLeading() {
+		c.lastContact = now
 		if c.sources.Load() == nil || len(c.sources.Load().relays) == 0 {
 			c.checkLeaderOffsets(offsets)
 		}
@@ -245,6 +246,7 @@
 		c.updateLeadership(now)
 		if leader, ok := c.elector.Leader(); ok && leader.Term == request.GetLead().GetTerm() {
 			c.elector.ObserveContact(leader)
+			c.lastContact = now
 			c.applyOwners(request.GetOwners())
 			c.applyMembers(request.GetMembers())
 			c.applyLeaving(now, request.GetLeaving())
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -53,7 +53,7 @@
 	}
 	decision := q.queue.Offer(now, queuer.Request{
 		Class: req.route, Priority: req.priority, Objective: req.objective, Deadline: req.deadline, AvoidServer: req.avoidServer,
-		NotIdempotent: !req.idempotent,
+		NotIdempotent: !req.idempotent, Substitute: !dispatchesItself(q.view, req.pool),
 	})
 	switch d := decision.(type) {
 	case queuer.Start:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,6 +89,7 @@
 	unreachableUntil map[string]time.Time       // by instance: until then it is not used as a dispatcher
 	pauses           map[string]pause           // by server id
 	limits           throttler.Limits
+	limitShare       float64 // part of the limits that this instance uses
 	loads            loads
 }
 
@@ -118,7 +119,7 @@
 		headers: headers, budget: budget, meter: m, moveTimeout: moveTimeout,
 		queues:          map[resolver.ServerPool]*poolQueue{},
 		serverConnPools: map[string]*exchanger.Pool{}, peerConnPools: map[string]*exchanger.Pool{},
-		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, loads: newLoads(),
+		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, limitShare: 1, loads: newLoads(),
 	}
 	f.buffers.limit = defaultBufferBytes
 	viewChanged := make(chan struct{})
@@ -166,7 +167,7 @@
 			server.PausedUntil = p.until
 		}
 		if limit, ok := f.limits.Get(s.ID, s.Incarnation); ok {
-			server.Limited, server.Rate = true, limit.Rate
+			server.Limited, server.Rate = true, f.limitShare*limit.Rate
 		}
 		servers = append(servers, server)
 	}
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -170,7 +170,25 @@
 	f.countLimitedServers()
 	limit, limited := f.limits.Get(server, incarnation)
 	for _, q := range f.queues {
-		f.notifyWaiters(q, q.queue.SetLimit(now, server, limited, limit.Rate))
+		f.notifyWaiters(q, q.queue.SetLimit(now, server, limited, f.limitShare*limit.Rate))
+	}
+}
+
+// ShareLimits sets the part of the limits of servers that this instance uses, from the time since it was last in contact with
+// a leader.
+func (f *Forwarder) ShareLimits(now time.Time, silence time.Duration) {
+	share := throttler.Share(silence)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if share == f.limitShare {
+		return
+	}
+	f.limitShare = share
+	for _, server := range f.limits.All() {
+		if s, ok := f.limits.Statement(server); ok && s.Limited {
+			f.limitChanged(now, server, s.Incarnation)
+			klog.InfoS("part of a server's limit that is used here changed", "server", server, "rate", s.Limit.Rate, "part", share)
+		}
 	}
 }
 
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -36,6 +36,8 @@
 	// maxLimitRetryAfter bounds the delay after which a client is asked to retry because of a server's limit. The limit may be
 	// withdrawn, and keys move away from a server with a low one.
 	maxLimitRetryAfter = 5 * time.Second
+	// maxSubstituteWait is how long requests wait for the limits of servers at an instance that stands in for their dispatcher.
+	maxSubstituteWait = time.Second
 	// minServiceTime is the time that any request needs at least. One with less time left is not sent.
 	minServiceTime = 2 * time.Millisecond
 )
@@ -50,6 +52,9 @@
 	// NotIdempotent says that the request must not be repeated if it gets no answer. It is sent only if an answer before the
 	// deadline is likely; others are sent if one is possible.
 	NotIdempotent bool
+	// Substitute says that this instance stands in for the dispatcher of the servers, which may be back soon. The request waits
+	// for the limit of a server for maxSubstituteWait at most, so that the two soon send no longer beside each other.
+	Substitute bool
 }
 
 // Ticket identifies a waiting request.
@@ -120,6 +125,7 @@
 type waitingRequest struct {
 	Request
 	ticket Ticket
+	since  time.Time
 }
 
 // class holds the measurements of a request class.
@@ -318,7 +324,7 @@
 		}
 	}
 	q.lastTicket++
-	w := &waitingRequest{Request: r, ticket: q.lastTicket}
+	w := &waitingRequest{Request: r, ticket: q.lastTicket, since: now}
 	q.waiting = append(q.waiting, w)
 	if !q.feasible(now, w) {
 		q.Cancel(w.ticket)
@@ -566,6 +572,9 @@
 	if !q.canAnswer(now, w.Request) {
 		return false
 	}
+	if w.Substitute && now.Add(q.limitDelay(now, ahead.requests)).After(w.since.Add(maxSubstituteWait)) {
+		return false
+	}
 	start := q.delay(now, ahead, capacity)
 	if q.missesObjective(now, w) {
 		if q.load >= overloadThreshold {
--- a/internal/throttler/bucket_test.go
+++ b/internal/throttler/bucket_test.go
@@ -53,3 +53,32 @@
 	b.Take(now)
 	is.True(!b.Allows(now))
 }
+
+// TestTwoDispatchersWithoutLeaderStayWithinLimit guards against a server that gets twice its limit for as long as no leader makes
+// two instances agree on its dispatcher.
+func TestTwoDispatchersWithoutLeaderStayWithinLimit(t *testing.T) {
+	for name, rate := range map[string]float64{"few": 2.7, "many": 80} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const window = 4 * time.Second
+			var sent []time.Time
+			buckets := make([]Bucket, 2)
+			for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+				for i := range buckets {
+					buckets[i].SetRate(now, Share(now.Sub(start))*rate)
+					for buckets[i].Allows(now) {
+						buckets[i].Take(now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			first := 0
+			for i, now := range sent {
+				for now.Sub(sent[first]) >= window {
+					first++
+				}
+				is.True(float64(i-first+1) <= 1.5*rate*window.Seconds()+5)
+			}
+		})
+	}
+}
