--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -74,19 +76,22 @@
 	is := is.New(t)
 	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2), seeded: seed%2 == 0}
 	s := &soak{cluster: newCluster(t, size), random: rand.New(rand.NewPCG(seed, seed))}
+	limited := s.addLimitedServer()
 	t.Cleanup(s.logActions)
 	s.started = time.Now()
 	loadTail := 6 * time.Second // how long the load continues after soak.length
 	count := int((*soakLength + loadTail).Seconds() * requestsPerSecond)
 	l := s.startLoad(s.entries, seed, count)
 	stopWatching := s.watchEntries()
-	s.runActions(s.drawRestore(seed))
+	phases := s.drawLimits(seed)
+	s.runActions(s.drawRestore(seed), s.limitAction(limited, phases))
 	stopWatching()
 	s.awaitAgreement(s.entries...)
 	s.awaitAllAnswered()
 	report := s.verifyLoad(l)
 	is.Equal(report.Sent, count)
 	is.True(report.Answered > 0)
+	s.checkLimits(limited, phases)
 }
 
 // logActions logs the actions if the test failed.
@@ -301,6 +306,60 @@
 	s.publishAgain()
 }
 
+// addLimitedServer adds a server that only limitAction disturbs. It is not one of s.servers, from which the other actions draw.
+func (s *soak) addLimitedServer() *server {
+	limited := s.addServer("shelf_limited", unkeyedService)
+	s.servers = s.servers[:len(s.servers)-1]
+	return limited
+}
+
+// limitPhase is a time in which a server names a limit.
+type limitPhase struct {
+	rate       float64
+	length     time.Duration
+	start, end time.Time // when it was in force
+}
+
+// drawLimits returns two limits that a server names one after the other. Its random numbers are apart from those of the other
+// actions, so that regression seeds keep their series.
+func (s *soak) drawLimits(seed uint64) []*limitPhase {
+	random := rand.New(rand.NewPCG(^seed, seed))
+	var phases []*limitPhase
+	for range 2 {
+		rate := 0.5 + math.Round(random.Float64()*40)/10
+		phases = append(phases, &limitPhase{rate: rate, length: limitGrace + time.Duration(random.Int64N(int64(5*time.Second)))})
+	}
+	return phases
+}
+
+// limitAction makes a server name limits one after the other, and then withdraw the last one.
+func (s *soak) limitAction(srv *server, phases []*limitPhase) action {
+	return s.newAction(srv.id, func() {
+		for _, p := range phases {
+			s.recordAction("%s limits its requests to %v a second for %v", srv.id, p.rate, p.length)
+			s.setFaults(srv.process, emulator.ServerFaults{Limit: strconv.FormatFloat(p.rate, 'f', -1, 64)})
+			p.start = time.Now()
+			time.Sleep(p.length)
+			p.end = time.Now()
+		}
+		s.recordAction("%s withdraws its limit", srv.id)
+		s.setFaults(srv.process, emulator.ServerFaults{})
+	})
+}
+
+// checkLimits checks that a server got no more than it tolerates in each phase, from limitGrace after its start. Requests of
+// instances that were killed, suspended or cut off count as well.
+func (s *soak) checkLimits(srv *server, phases []*limitPhase) {
+	executions := s.fetchExecutions()
+	for _, p := range phases {
+		most := mostInWindow(executions, srv.id, p.start.Add(limitGrace), p.end, limitWindow)
+		s.t.Logf("%s, limit %v a second: %d requests in %v, %d tolerated", srv.id, p.rate, most, limitWindow, toleratedInWindow(p.rate))
+		if most > toleratedInWindow(p.rate) {
+			s.t.Errorf("%s got more requests than it tolerates", srv.id)
+		}
+	}
+}
+
 // watchEntries calls checkEntries every watchInterval until the returned function is called.
 func (s *soak) watchEntries() func() {
 	done := make(chan struct{})
