A request keeps its fingerprint when it comes again, and ended servers are noticed

Change: a fingerprint of method, host, URI, client address and body in the line of each request and, in a header of its own, between instances. When the server's side ends a connection before the answer, the instance connects once more: if that is refused, the server has ended, which is logged with its incarnation, the request and its fingerprint, and counted (servers_ended). Package quarantiner keeps what is known about such requests, bounded; nothing uses it yet. The stand-in of a server can crash on a request.

Ruled out: waiting for the registration to expire: three heartbeats, longer than the bound. A connection that gets no answer does not count, as a server that is cut off looks the same.

--- a/cmd/standin_server.go
+++ b/cmd/standin_server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -54,6 +55,8 @@
 		"duration of the server warm-up, in which executions are slower")
 	flags.DurationVar(&s.settings.KeyWarmup, "cold-keys", 0, "duration of the key warm-up, for keys granted without a handover")
 	flags.Float64Var(&s.settings.ColdFactor, "cold-factor", 4, "factor by which executions are slower during a warm-up")
+	flags.StringVar(&s.settings.CrashOn, "crash-on", "", "exit when it begins to execute a request whose URI contains this text")
+	s.settings.OnCrash = func() { os.Exit(int(ExitFailure)) }
 	if code, ok := parseFlags(flags, args, 0, 0); !ok {
 		return code
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -42,6 +42,10 @@
 	KeyWarmup time.Duration
 	// ColdFactor multiplies service times during a warm-up; values below 1 mean 1.
 	ColdFactor float64
+	// CrashOn makes the server call OnCrash, which must not return, when it begins to execute a request whose URI contains it.
+	// Empty means that no request does that.
+	CrashOn string
+	OnCrash func()
 	// OnExecution, if not nil, is called at the start and at the end of each execution. It is called with the server's
 	// mutex locked, so that an execution is recorded before its answer can be sent, and must not call the server.
 	OnExecution func(Execution)
--- a/internal/emulator/server_requests.go
+++ b/internal/emulator/server_requests.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
@@ -146,6 +147,9 @@
 	e.Sequence = s.sequence
 	s.running[j] = true
 	s.recordExecution(e)
+	if s.settings.CrashOn != "" && strings.Contains(r.RequestURI, s.settings.CrashOn) {
+		s.settings.OnCrash()
+	}
 	return e, inWarmup, ""
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -23,7 +23,7 @@
 	start := time.Now()
 	r = f.exchange(ctx, start, req, server)
 	f.releaseSlot(time.Now(), start, req, server, r)
-	return r
+	return f.observeExecution(ctx, start, req, r)
 }
 
 // awaitNewOwner waits until the request's key has an owner again, and names this owner in r. An instance that forwarded the
@@ -204,7 +204,10 @@
 
 // exchangeFailure returns the result of an exchange that ended without a complete answer.
 func (f *Forwarder) exchangeFailure(ctx context.Context, req *clientRequest, serverID string, err error) result {
-	r := result{outcome: broken, server: serverID, maybeSent: true, reason: "no_whole_answer: " + err.Error()}
+	r := result{
+		outcome: broken, server: serverID, maybeSent: true, connectionLost: isConnectionLost(err),
+		reason: "no_whole_answer: " + err.Error(),
+	}
 	if exchanger.IsErrNotSent(err) {
 		r = result{outcome: unreached, server: serverID, reason: "not_sent: " + err.Error()}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/wasabibank/wasabibank/internal/limiter"
 	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/internal/throttler"
@@ -83,11 +84,12 @@
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
-	serviceTimes     queuer.ServiceTimes        // of all queues
-	serverConnPools  map[string]*exchanger.Pool // by address
-	peerConnPools    map[string]*exchanger.Pool // by address
-	unreachableUntil map[string]time.Time       // by instance: until then it is not used as a dispatcher
-	pauses           map[string]pause           // by server id
+	serviceTimes     queuer.ServiceTimes             // of all queues
+	serverConnPools  map[string]*exchanger.Pool      // by address
+	peerConnPools    map[string]*exchanger.Pool      // by address
+	unreachableUntil map[string]time.Time            // by instance: until then it is not used as a dispatcher
+	pauses           map[string]pause                // by server id
+	endedServers     map[quarantiner.Crash]time.Time // when it was noticed that a server had ended while it executed requests
 	limits           throttler.Limits
 	limitShare       float64 // part of the limits that this instance uses
 	loads            loads
@@ -119,7 +121,8 @@
 		headers: headers, budget: budget, meter: m, moveTimeout: moveTimeout,
 		queues:          map[resolver.ServerPool]*poolQueue{},
 		serverConnPools: map[string]*exchanger.Pool{}, peerConnPools: map[string]*exchanger.Pool{},
-		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, limitShare: 1, loads: newLoads(),
+		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, limitShare: 1,
+		endedServers: map[quarantiner.Crash]time.Time{}, loads: newLoads(),
 	}
 	f.buffers.limit = defaultBufferBytes
 	viewChanged := make(chan struct{})
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -13,6 +13,7 @@
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
@@ -20,6 +21,8 @@
 const (
 	// HeaderHop marks a request that another instance received from a client, and carries that instance's routing decision.
 	HeaderHop = "Wasabibank-Hop"
+	// headerFingerprint carries the fingerprint of a request that another instance received, in hexadecimal.
+	headerFingerprint = "Wasabibank-Fingerprint"
 	// headerOutcome carries the dispatcher's result in the answer to a hop.
 	headerOutcome = "Wasabibank-Outcome"
 )
@@ -171,6 +174,7 @@
 	hop := *req
 	hop.deadline = req.deadline.Add(-hopMargin)
 	httpReq.Header.Set(HeaderHop, hop.encodeHop(now))
+	httpReq.Header.Set(headerFingerprint, strconv.FormatUint(uint64(req.fingerprint), 16))
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = context.WithoutCancel(ctx)
@@ -235,6 +239,10 @@
 	defer func() { f.buffers.release(req.buffered) }()
 	req.id = r.Header.Get(f.headers.RequestID)
 	req.header.Del(HeaderHop)
+	if f, err := strconv.ParseUint(req.header.Get(headerFingerprint), 16, 64); err == nil { // an earlier version sends none
+		req.fingerprint = quarantiner.Fingerprint(f)
+	}
+	req.header.Del(headerFingerprint)
 	writeHopAnswer(w, f.dispatch(r.Context(), req))
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
@@ -24,6 +25,8 @@
 	header http.Header // end-to-end headers
 	body   []byte
 
+	fingerprint quarantiner.Fingerprint // the same when the request comes again
+
 	service    string
 	route      string
 	priority   int
@@ -43,6 +46,9 @@
 	buffered        int64               // bytes of its answers that were taken from the buffer budget
 }
 
+// name returns the method, host and URI of the request, for operators.
+func (req *clientRequest) name() string { return req.method + " " + req.host + req.uri }
+
 // readFrom sets the parts of a client's request that are forwarded. It returns errBodyTooLarge if the body has more than
 // maxBodyBytes.
 func (req *clientRequest) readFrom(r *http.Request, maxBodyBytes int64) error {
@@ -108,6 +114,8 @@
 	// reasonClientLeft says that the client left before the answer. releaseSlot then records nothing about the server, and
 	// countResult counts the request as cancelled.
 	reasonClientLeft = "client_left"
+	// reasonServerEnded says that the server has ended while it executed the request.
+	reasonServerEnded = "server_ended"
 )
 
 // result is the outcome of an attempt, with the server's answer or the reason why there is none.
@@ -117,6 +125,7 @@
 	header          http.Header
 	body            []byte
 	toHead          bool                // answer to a HEAD request, which has no body
+	connectionLost  bool                // the server's side ended the connection before the answer was complete
 	server          string              // that was tried; if moved: the new owner, empty if unknown
 	maybeSent       bool                // whether it may have reached a server
 	retryAfter      time.Duration       // if rejected, how long the server wants no requests, or 0
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/pkg/bundler"
 )
@@ -90,6 +93,11 @@
 	} else if err != nil {
 		return nil, http.StatusBadRequest, "bad_body"
 	}
+	client, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		client = r.RemoteAddr
+	}
+	req.fingerprint = quarantiner.NewFingerprint(req.method, req.host, req.uri, client, req.body)
 	return req, 0, ""
 }
 
@@ -134,7 +142,7 @@
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
 		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "server", res.server,
-		"front", res.dispatcher, "arrivals", req.sends,
+		"front", res.dispatcher, "arrivals", req.sends, "fingerprint", fmt.Sprintf("%016x", uint64(req.fingerprint)),
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
 		"took", time.Since(start), "retry_after", res.retryAfter, "write_error", err)
 }
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -18,11 +18,12 @@
 	ServersLeaving
 	ServerLimits
 	InvalidServerLimits
+	ServersEnded
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + InvalidServerLimits + 1
+	Appends Counter = iota + ServersEnded + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -88,6 +89,7 @@
 	ServersLeaving:      {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
 	ServerLimits:        {"server_limits", "Times that an answer to this instance named a new or changed limit of its backend server."},
 	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
+	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
--- /dev/null
+++ b/internal/quarantiner/quarantiner.go
@@ -0,0 +1,242 @@
+// Package quarantiner decides which requests are no longer sent to backend servers because each server that executes them
+// crashes. A request is identified by its fingerprint, which stays the same when the request comes again. The package does no
+// I/O; the current time is an argument.
+//
+// It handles a request that crashes every server, repeated by clients and instances: after a few crashes, counted over all
+// instances, the request is barred. Requests that ran beside it on a server that crashed are suspects as well. Since no two
+// suspects run on one server at a time, and an answer clears a suspect, only a request that crashes servers by itself is barred.
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashesToBar is the number of servers that have crashed under a request when it is barred.
+	crashesToBar = 3
+	// barDuration is how long after the last crash a request is barred. Then it is a suspect again, which one more crash bars.
+	barDuration = 10 * time.Minute
+	// retention is how long after its last event a request is forgotten.
+	retention = 2 * barDuration
+	// maxRecords bounds the requests that are kept. The one with the oldest event is dropped for a new one; barred requests go
+	// last.
+	maxRecords = 4096
+	// maxNameBytes bounds the name of a request.
+	maxNameBytes = 200
+)
+
+// Fingerprint identifies a request across its repetitions; 0 means unknown.
+type Fingerprint uint64
+
+// NewFingerprint returns the fingerprint of a request. The client's address is part of it, so that a request of one client does
+// not bar those of others; the request's id is not, as each repetition has its own.
+func NewFingerprint(method, host, uri, clientAddress string, body []byte) Fingerprint {
+	h := xxhash.New()
+	for _, part := range []string{method, host, uri, clientAddress} {
+		_, _ = h.WriteString(part) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return Fingerprint(max(1, h.Sum64()))
+}
+
+// Crash is an incarnation of a backend server that ended while it executed a request.
+type Crash struct {
+	Server      string
+	Incarnation int64
+}
+
+// Verdict says how a request is treated: Clear, Suspect or Barred.
+type Verdict interface{ verdict() }
+
+// Clear is the verdict on a request under which no server has crashed.
+type Clear struct{}
+
+// Suspect is the verdict on a request that ran on servers when these crashed. It must not run beside another suspect.
+type Suspect struct{}
+
+// Barred is the verdict on a request that must not be sent to a server.
+type Barred struct {
+	Since   time.Time // of the crash that barred it
+	Crashes int       // servers that have crashed under it, as far as is known
+}
+
+func (Clear) verdict()   {}
+func (Suspect) verdict() {}
+func (Barred) verdict()  {}
+
+// Record is what is known about a request.
+type Record struct {
+	Fingerprint Fingerprint
+	Name        string              // method, host and URI, for operators
+	Crashes     map[Crash]time.Time // when each was noticed, since ClearedAt
+	ClearedAt   time.Time           // when a server last answered the request; zero if none did
+}
+
+// lastEvent returns the time of the last crash or answer.
+func (r *Record) lastEvent() time.Time {
+	last := r.ClearedAt
+	for _, at := range r.Crashes {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// verdict returns the verdict on the request.
+func (r *Record) verdict(now time.Time) Verdict {
+	if len(r.Crashes) == 0 {
+		return Clear{}
+	}
+	times := slices.SortedFunc(maps.Values(r.Crashes), time.Time.Compare)
+	if len(times) < crashesToBar || now.Sub(times[len(times)-1]) >= barDuration {
+		return Suspect{}
+	}
+	return Barred{Since: times[crashesToBar-1], Crashes: len(times)}
+}
+
+// Quarantine holds the records of requests under which servers have crashed. The zero Quarantine is empty. It is not safe for
+// concurrent use.
+type Quarantine struct {
+	records map[Fingerprint]*Record
+}
+
+// Verdict returns the verdict on a request.
+func (q *Quarantine) Verdict(now time.Time, f Fingerprint) Verdict {
+	r := q.records[f]
+	if r == nil {
+		return Clear{}
+	}
+	return r.verdict(now)
+}
+
+// Crashed records that a server has crashed while it executed a request, and reports whether that was not known.
+func (q *Quarantine) Crashed(now time.Time, f Fingerprint, name string, crash Crash) bool {
+	return q.Merge(now, Record{Fingerprint: f, Name: name, Crashes: map[Crash]time.Time{crash: now}})
+}
+
+// Answered records that a server has answered a request, and reports whether that clears it.
+func (q *Quarantine) Answered(now time.Time, f Fingerprint) bool {
+	r := q.records[f]
+	if r == nil || len(r.Crashes) == 0 {
+		return false
+	}
+	r.clear(now)
+	return true
+}
+
+// clear drops the crashes up to a time at which a server answered the request.
+func (r *Record) clear(at time.Time) {
+	if at.After(r.ClearedAt) {
+		r.ClearedAt = at
+	}
+	maps.DeleteFunc(r.Crashes, func(_ Crash, crashed time.Time) bool { return !crashed.After(r.ClearedAt) })
+}
+
+// Merge adds what another instance knows about a request, and reports whether any of it is new. The order in which records are
+// merged, and how often, makes no difference.
+func (q *Quarantine) Merge(now time.Time, other Record) bool {
+	if other.Fingerprint == 0 || now.Sub(other.lastEvent()) >= retention {
+		return false
+	}
+	r := q.records[other.Fingerprint]
+	if r == nil {
+		q.makeRoom(now)
+		r = &Record{Fingerprint: other.Fingerprint, Name: other.Name[:min(len(other.Name), maxNameBytes)], Crashes: map[Crash]time.Time{}}
+		if q.records == nil {
+			q.records = map[Fingerprint]*Record{}
+		}
+		q.records[other.Fingerprint] = r
+	}
+	changed := false
+	if other.ClearedAt.After(r.ClearedAt) {
+		r.clear(other.ClearedAt)
+		changed = true
+	}
+	for crash, at := range other.Crashes {
+		if _, known := r.Crashes[crash]; known || !at.After(r.ClearedAt) {
+			continue
+		}
+		r.Crashes[crash] = at
+		changed = r.dropSurplus(crash) || changed
+	}
+	return changed
+}
+
+// dropSurplus keeps the first crashes, which say since when the request is barred, and the latest ones, and reports whether
+// added is among them.
+func (r *Record) dropSurplus(added Crash) bool {
+	if len(r.Crashes) <= 2*crashesToBar {
+		return true
+	}
+	byTime := slices.SortedFunc(maps.Keys(r.Crashes), func(a, b Crash) int {
+		return cmp.Or(r.Crashes[a].Compare(r.Crashes[b]), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	surplus := byTime[crashesToBar]
+	delete(r.Crashes, surplus)
+	return surplus != added
+}
+
+// makeRoom drops outdated records and, if there are too many, the one that matters least.
+func (q *Quarantine) makeRoom(now time.Time) {
+	if len(q.records) < maxRecords {
+		return
+	}
+	maps.DeleteFunc(q.records, func(_ Fingerprint, r *Record) bool { return now.Sub(r.lastEvent()) >= retention })
+	if len(q.records) < maxRecords {
+		return
+	}
+	var least *Record
+	for _, r := range q.records {
+		if least == nil || r.mattersLess(now, least) {
+			least = r
+		}
+	}
+	delete(q.records, least.Fingerprint)
+}
+
+// mattersLess reports whether r is dropped before other: cleared requests first, barred ones last, older ones before newer ones.
+func (r *Record) mattersLess(now time.Time, other *Record) bool {
+	return cmp.Or(cmp.Compare(r.rank(now), other.rank(now)), r.lastEvent().Compare(other.lastEvent())) < 0
+}
+
+func (r *Record) rank(now time.Time) int {
+	switch r.verdict(now).(type) {
+	case Suspect:
+		return 1
+	case Barred:
+		return 2
+	}
+	return 0
+}
+
+// Get returns a copy of the record of a request, and false if there is none.
+func (q *Quarantine) Get(f Fingerprint) (Record, bool) {
+	r := q.records[f]
+	if r == nil {
+		return Record{}, false
+	}
+	c := *r
+	c.Crashes = maps.Clone(r.Crashes)
+	return c, true
+}
+
+// Fingerprints returns the fingerprints of all records, sorted.
+func (q *Quarantine) Fingerprints() []Fingerprint { return slices.Sorted(maps.Keys(q.records)) }
+
+// Barred returns the number of barred requests.
+func (q *Quarantine) Barred(now time.Time) int {
+	count := 0
+	for _, r := range q.records {
+		if _, barred := r.verdict(now).(Barred); barred {
+			count++
+		}
+	}
+	return count
+}
