--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -26,8 +26,9 @@
 	servers []cataloger.Server
 	latency time.Duration
 
-	mu      sync.Mutex
-	crashed int // servers that have crashed
+	mu       sync.Mutex
+	crashed  int // servers that have crashed
+	poisoned int // executions of requests that crash servers
 }
 
 func startCrashingServers(t *testing.T, count int, latency time.Duration) *crashingServers {
@@ -77,6 +78,7 @@
 		if strings.Contains(r.RequestURI, "poison") {
 			s.mu.Lock()
 			s.crashed++
+			s.poisoned++
 			s.mu.Unlock()
 			_ = server.listener.Close()
 			server.mu.Lock()
@@ -91,6 +93,12 @@
 	}
 }
 
+func (s *crashingServers) crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed
+}
+
 // newCrashingForwarder returns a Forwarder whose servers of the service "plain" are those.
 func newCrashingForwarder(t *testing.T, s *crashingServers, members ...resolver.Member) *Forwarder {
 	f := newForwarder(t, &scriptedServer{address: s.servers[0].Address})
@@ -121,3 +129,63 @@
 	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, http.StatusBadGateway)
 	is.Equal(f.meter.Get(meter.ServersEnded), int64(0))
 }
+
+// TestCrashingRequestIsBarred guards against a request that is sent on and on although each server that executes it crashes.
+func TestCrashingRequestIsBarred(t *testing.T) {
+	for _, path := range []string{"/idempotent/poison", "/once/poison"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			servers := startCrashingServers(t, 12, 0)
+			f := newCrashingForwarder(t, servers)
+			for range 8 {
+				sendFrom(f, "10.0.0.1", "POST", path)
+			}
+			is.Equal(servers.crashes(), 3)
+			sent := time.Now()
+			w := sendFrom(f, "10.0.0.1", "POST", path)
+			is.Equal(w.Code, http.StatusServiceUnavailable)  // it has not been executed
+			is.Equal(w.Header().Get("Retry-After"), "")      // coming back does not help
+			is.True(time.Since(sent) < 100*time.Millisecond) // at once
+			is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK)
+			sendFrom(f, "10.0.0.2", "POST", path)
+			is.Equal(servers.crashes() > 3, true) // another client's request is another one
+		})
+	}
+}
+
+// TestRequestsBesideCrashingOneAreServed guards against innocent requests that are barred because they ran on servers that a
+// crashing request ended.
+func TestRequestsBesideCrashingOneAreServed(t *testing.T) {
+	is := is.New(t)
+	servers := startCrashingServers(t, 40, 30*time.Millisecond)
+	f := newCrashingForwarder(t, servers)
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	unserved := map[string]int{}
+	stop := time.Now().Add(2 * time.Second)
+	for i := range 6 {
+		clients.Go(func() { // innocent requests that come again and again
+			path := fmt.Sprintf("/idempotent/%d", i)
+			for time.Now().Before(stop) {
+				if w := sendFrom(f, "10.0.0.1", "GET", path); w.Code != http.StatusOK {
+					mu.Lock()
+					unserved[path]++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for i := range 4 {
+		clients.Go(func() {
+			for time.Now().Before(stop) {
+				sendFrom(f, "10.0.0.1", "GET", fmt.Sprintf("/idempotent/poison%d", i))
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+	is.True(servers.crashes() <= 4*5) // three for each, and those that were sent before the third was noticed
+	for i := range 6 {
+		is.Equal(sendFrom(f, "10.0.0.1", "GET", fmt.Sprintf("/idempotent/%d", i)).Code, http.StatusOK)
+	}
+}
