Requests under which three servers have crashed are barred by all instances

What callers saw: a tenth and more of archive reads not served for seconds, as one request that came again and again ended all servers of the service, 47 times in 5 s.

Retries and repeats each stay within their bounds, and nobody adds up the servers that end under the same request. The class: repeats that are counted by each attempt, or each instance, alone.

Change: the dispatcher that notices the end of a server records it under the request's fingerprint and reports within 0.1 s; the leader merges and passes on at once, as with limits, without a call to the store. Records are sets of crashes (server and incarnation) with times, so their order and repetition make no difference. From three crashes on the request is refused on arrival and at the dispatcher, also when it has waited: 503, not executed, without Retry-After, with the number of crashes and since when. Requests that ran beside it are suspects as well: no two suspects run on one server at a time, and an answer clears one, so only a request that crashes servers by itself is barred. A bar ends 10 minutes after the last crash; then one crash renews it. 4,096 records at most.

Ruled out: a bar for path and body of all clients: a popular request that ran beside the crashing one would be refused to everybody. A 4xx: the request may be proper. Counting broken connections without the probe: resets and lost answers would bar innocent requests.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/internal/timekeeper"
 	"github.com/wasabibank/wasabibank/platform"
@@ -108,13 +109,15 @@
 	catalog        cataloger.Catalog
 	catalogRead    bool // whether the catalog was read at least once
 	owners         *partitioner.Map
-	members        []resolver.Member // without Self
-	membersVersion membersVersion    // of members
-	leavingServers leavingServers    // servers that have said that they are leaving
-	limitReports   limitReports
-	lastContact    time.Time // when a leader last answered this instance, or this instance led
-	viewOutdated   bool      // the view has to be rebuilt
-	ownersOutdated bool      // the view has an old owner map, and nothing else in it has changed
+	members        []resolver.Member     // without Self
+	membersVersion membersVersion        // of members
+	leavingServers leavingServers        // servers that have said that they are leaving
+	limitReports   changeReports[string] // limits of servers
+	// quarantineReports are of requests that crash servers.
+	quarantineReports changeReports[quarantiner.Fingerprint]
+	lastContact       time.Time // when a leader last answered this instance, or this instance led
+	viewOutdated      bool      // the view has to be rebuilt
+	ownersOutdated    bool      // the view has an old owner map, and nothing else in it has changed
 
 	elector         *elector.Elector
 	seeds           seeds
@@ -152,7 +155,8 @@
 	members        map[string]*memberState // by instance
 	membersVersion uint64
 	leaving        []*herald.LeavingServer // in the order in which they became known
-	limits         limitLog
+	limits         changeLog[string]       // of servers
+	quarantine     changeLog[quarantiner.Fingerprint]
 	pausedUntil    map[string]time.Time      // by server id: until then it wants no requests from some instance
 	loads          map[string]*balancer.Load // by service
 	serviceTimes   map[string]*serviceTime   // by server id
@@ -186,7 +190,8 @@
 	ownerMapVersion partitioner.Version
 	membersVersion  membersVersion
 	leavingVersion  leavingVersion
-	limitsVersion   limitsVersion
+	limitsVersion   changeVersion
+	crashesVersion  changeVersion
 }
 
 // membersVersion is the version of the list of members: a leader's term, and a number that it assigns.
@@ -281,6 +286,9 @@
 	c.options.Forwarder.OnLimit(func(server string) {
 		c.post(func(time.Time) { c.limitChanged(server) })
 	})
+	c.options.Forwarder.OnQuarantine(func(f quarantiner.Fingerprint) {
+		c.post(func(now time.Time) { c.quarantineChanged(now, f) })
+	})
 	startDelay := c.seeds.startDelay()
 	for _, watch := range []func(context.Context){c.watchOperators, c.watchServers} {
 		go func() {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -72,6 +72,7 @@
 	}
 	c.leavingServers.handOver(l)
 	c.handOverLimits(l)
+	c.handOverQuarantine(l)
 	c.setServers(now)
 	c.restartOwnerMap(now)
 	c.publish(now)
--- a/internal/controller/leaving.go
+++ b/internal/controller/leaving.go
@@ -90,9 +90,7 @@
 		return
 	}
 	c.leavingServers.unreported = append(c.leavingServers.unreported, entry)
-	if due := now.Add(leavingReportDelay - c.reportInterval()); c.lastReport.After(due) {
-		c.lastReport = due
-	}
+	c.reportWithin(now, leavingReportDelay)
 }
 
 // leavingFor returns the leaving servers that an instance with the given version lacks, or nil.
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -64,9 +64,9 @@
 	learnFromAnswer(c, throttler.Statement{Server: "s", Incarnation: 7, Limited: true, Limit: throttler.Limit{Rate: 2.5}})
 	c.leaderState = &leaderState{}
 	c.handOverLimits(c.leaderState)
-	is.Equal(len(c.limitsFor(limitsVersion{}).GetLimits()), 1)
+	is.Equal(len(c.limitsFor(changeVersion{}).GetLimits()), 1)
 	c.leaderState.limits.retain(func(string) bool { return false }) // the server is gone
-	is.Equal(len(c.limitsFor(limitsVersion{}).GetLimits()), 0)
+	is.Equal(len(c.limitsFor(changeVersion{}).GetLimits()), 0)
 }
 
 // TestWithdrawnLimitReachesOtherInstances guards against a server that gets few requests for long after it has withdrawn its
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -93,14 +93,17 @@
 				c.unreported.Add(loads)
 				c.leavingServers.reportFailed()
 				c.limitReports.reportFailed()
+				c.quarantineReports.reportFailed()
 				return
 			}
 			if reply.GetLeading() {
 				c.leavingServers.reportAnswered()
 				c.limitReports.reportAnswered()
+				c.quarantineReports.reportAnswered()
 			} else {
 				c.leavingServers.reportFailed()
 				c.limitReports.reportFailed()
+				c.quarantineReports.reportFailed()
 			}
 			c.handleReply(now, leader, reply)
 		})
@@ -117,6 +120,9 @@
 		LastLed: c.elector.LastLed(), ConfigVersion: c.table.Version(),
 		Limits:     c.encodeLimits(c.limitReports.beginReport(leader.Term, c.options.Forwarder.LimitedServers())),
 		LimitsTerm: c.limitReports.version.term, LimitsVersion: c.limitReports.version.number,
+		CrashRecords: c.encodeCrashRecords(
+			c.quarantineReports.beginReport(leader.Term, c.options.Forwarder.QuarantinedRequests())),
+		CrashesTerm: c.quarantineReports.version.term, CrashesVersion: c.quarantineReports.version.number,
 	}
 	for service, keys := range loads.Keys {
 		load := &herald.KeyLoad{Service: service}
@@ -177,6 +183,7 @@
 		c.applyMembers(reply.GetMembers())
 		c.applyLeaving(now, reply.GetLeaving())
 		c.applyLimits(reply.GetLimits())
+		c.applyCrashRecords(reply.GetCrashRecords())
 		if len(reply.GetConfig()) > 0 {
 			c.applyConfig(reply.GetConfig(), "leader", leader.Identity.Instance)
 		}
@@ -251,6 +258,7 @@
 			c.applyMembers(request.GetMembers())
 			c.applyLeaving(now, request.GetLeaving())
 			c.applyLimits(request.GetLimits())
+			c.applyCrashRecords(request.GetCrashRecords())
 		}
 		return &herald.PublishReply{Member: c.encodeSelf(), Leading: c.leaderState != nil}
 	})
@@ -328,20 +336,22 @@
 	for _, server := range c.learnLimits(request.GetLimits()) {
 		c.leaderState.limits.record(server)
 	}
+	c.observeCrashReports(request.GetCrashRecords())
 	ownerMapVersion := partitioner.Version{Term: request.GetMapTerm(), Sequence: request.GetMapSequence()}
 	members := membersVersion{term: request.GetMembersTerm(), number: request.GetMembersVersion()}
 	leaving := leavingVersion{term: request.GetLeavingTerm(), known: request.GetLeavingKnown()}
-	limits := limitsVersion{term: request.GetLimitsTerm(), number: request.GetLimitsVersion()}
+	limits := changeVersion{term: request.GetLimitsTerm(), number: request.GetLimitsVersion()}
+	crashes := changeVersion{term: request.GetCrashesTerm(), number: request.GetCrashesVersion()}
 	if m := c.leaderState.members[request.GetMember().GetInstance()]; m != nil && !m.publishing {
 		m.ownerMapVersion, m.membersVersion, m.leavingVersion = ownerMapVersion, members, leaving
-		m.limitsVersion = limits
+		m.limitsVersion, m.crashesVersion = limits, crashes
 	}
 	if c.shouldYieldTo(now, request.GetMember().GetInstance()) {
 		reply.Yields = true
 		c.elector.RecordYield()
 	}
 	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, members)
-	reply.Leaving, reply.Limits = c.leavingFor(leaving), c.limitsFor(limits)
+	reply.Leaving, reply.Limits, reply.CrashRecords = c.leavingFor(leaving), c.limitsFor(limits), c.crashRecordsFor(crashes)
 	if c.configEra < c.elector.Era() && request.GetConfigVersion() < c.table.Version() {
 		reply.Config = c.config
 	}
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -76,13 +76,15 @@
 	l := c.leaderState
 	owners, members := c.changesFor(now, m.ownerMapVersion, m.membersVersion)
 	leaving := c.leavingFor(m.leavingVersion)
-	if owners == nil && members == nil && leaving == nil {
+	crashes := c.crashRecordsFor(m.crashesVersion)
+	if owners == nil && members == nil && leaving == nil && crashes == nil {
 		return
 	}
 	m.publishing, m.publishAgain = true, false
 	limits := c.limitsFor(m.limitsVersion) // they alone can wait for the next report
 	request := &herald.PublishRequest{
 		Lead: c.knownLeader(), Owners: owners, Members: members, Leaving: leaving, Limits: limits,
+		CrashRecords: crashes,
 	}
 	peer := c.peers.get(m.member.Address)
 	go func() {
@@ -108,8 +110,11 @@
 			if leaving != nil {
 				m.leavingVersion = leavingVersion{term: leaving.GetTerm(), known: leaving.GetKnown()}
 			}
+			if crashes != nil {
+				m.crashesVersion = changeVersion{term: crashes.GetTerm(), number: crashes.GetVersion()}
+			}
 			if limits != nil {
-				m.limitsVersion = limitsVersion{term: limits.GetTerm(), number: limits.GetVersion()}
+				m.limitsVersion = changeVersion{term: limits.GetTerm(), number: limits.GetVersion()}
 			}
 			if m.publishAgain {
 				c.publishTo(now, m)
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -31,9 +31,45 @@
 		errors.Is(err, syscall.EPIPE)
 }
 
-// observeExecution finds out whether the server of a request that was sent at a given time has ended while it executed the
-// request, and returns the result with this news.
+// OnQuarantine registers a function that is called with each request about which this instance has learned from a server that
+// the server crashed or answered it. It must be called before the first request.
+func (f *Forwarder) OnQuarantine(onQuarantine func(quarantiner.Fingerprint)) {
+	f.onQuarantine = onQuarantine
+}
+
+// refuseBarred returns the refusal of a request that is barred because servers crash under it, and false for another request.
+func (f *Forwarder) refuseBarred(now time.Time, req *clientRequest) (result, bool) {
+	f.mu.Lock()
+	verdict := f.quarantine.Verdict(now, req.fingerprint)
+	f.mu.Unlock()
+	b, barred := verdict.(quarantiner.Barred)
+	if !barred {
+		return result{}, false
+	}
+	return result{outcome: refused, reason: fmt.Sprintf("%s: %d servers, barred for %v",
+		reasonCrashesServers, b.Crashes, now.Sub(b.Since).Round(time.Millisecond))}, true
+}
+
+// verdictStands reports whether a request that has waited for a slot is still treated as when its wait began: copies of it may
+// have crashed servers meanwhile.
+func (f *Forwarder) verdictStands(now time.Time, req *clientRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch f.quarantine.Verdict(now, req.fingerprint).(type) {
+	case quarantiner.Barred:
+		return false
+	case quarantiner.Suspect:
+		return req.suspect
+	}
+	return true
+}
+
+// observeExecution records whether the server of a request that was sent at a given time has answered it, or has ended while it
+// executed the request, and returns the result with this news.
 func (f *Forwarder) observeExecution(ctx context.Context, sent time.Time, req *clientRequest, r result) result {
+	if r.outcome == answered {
+		f.recordAnswered(time.Now(), req)
+	}
 	if !r.connectionLost {
 		return r
 	}
@@ -41,12 +77,78 @@
 	if !ok || !f.hasEnded(ctx, sent, server) {
 		return r
 	}
+	f.recordCrash(time.Now(), req, server)
 	r.reason = reasonServerEnded + ": " + r.reason
 	klog.InfoS("server ended while it executed a request", "server", server.ID, "born", server.Incarnation, "id", req.id,
 		"request", req.name(), "fingerprint", fmt.Sprintf("%016x", uint64(req.fingerprint)))
 	return r
 }
 
+// recordCrash records that a server has ended while it executed a request.
+func (f *Forwarder) recordCrash(now time.Time, req *clientRequest, server cataloger.Server) {
+	crash := quarantiner.Crash{Server: server.ID, Incarnation: server.Incarnation}
+	f.mu.Lock()
+	changed := f.quarantine.Crashed(now, req.fingerprint, req.name(), crash)
+	f.quarantineChanged(now, req.fingerprint, changed)
+	f.mu.Unlock()
+	if changed && f.onQuarantine != nil {
+		f.onQuarantine(req.fingerprint)
+	}
+}
+
+// recordAnswered records that a server has answered a request, which clears it if servers had ended beside it.
+func (f *Forwarder) recordAnswered(now time.Time, req *clientRequest) {
+	f.mu.Lock()
+	changed := f.quarantine.Answered(now, req.fingerprint)
+	f.quarantineChanged(now, req.fingerprint, changed)
+	f.mu.Unlock()
+	if changed && f.onQuarantine != nil {
+		f.onQuarantine(req.fingerprint)
+	}
+}
+
+// MergeQuarantine adds what another instance knows about a request, and reports whether any of it is new.
+func (f *Forwarder) MergeQuarantine(now time.Time, r quarantiner.Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.quarantine.Merge(now, r)
+	f.quarantineChanged(now, r.Fingerprint, changed)
+	return changed
+}
+
+// quarantineChanged logs a change of what is known about a request, and counts the barred ones. The caller holds mu.
+func (f *Forwarder) quarantineChanged(now time.Time, fingerprint quarantiner.Fingerprint, changed bool) {
+	if !changed {
+		return
+	}
+	f.meter.Set(meter.BarredRequests, int64(f.quarantine.Barred(now)))
+	record, _ := f.quarantine.Get(fingerprint)
+	id := fmt.Sprintf("%016x", uint64(fingerprint))
+	switch v := f.quarantine.Verdict(now, fingerprint).(type) {
+	case quarantiner.Barred:
+		klog.InfoS("request is barred: servers crash under it", "fingerprint", id, "request", record.Name, "crashes", v.Crashes,
+			"for", now.Sub(v.Since))
+	case quarantiner.Suspect:
+		klog.InfoS("request is suspected of crashing servers", "fingerprint", id, "request", record.Name, "crashes", len(record.Crashes))
+	case quarantiner.Clear:
+		klog.InfoS("request is no longer suspected of crashing servers", "fingerprint", id, "request", record.Name)
+	}
+}
+
+// QuarantineRecord returns what is known about a request, and false if no server has ended under it.
+func (f *Forwarder) QuarantineRecord(fingerprint quarantiner.Fingerprint) (quarantiner.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.Get(fingerprint)
+}
+
+// QuarantinedRequests returns the requests about which anything is known.
+func (f *Forwarder) QuarantinedRequests() []quarantiner.Fingerprint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.Fingerprints()
+}
+
 // hasEnded reports whether a server has ended while it executed a request that was sent at a given time: whether it refuses
 // connections now, and had not done so before.
 func (f *Forwarder) hasEnded(ctx context.Context, sent time.Time, server cataloger.Server) bool {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -7,21 +7,35 @@
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
 // dispatch queues the request for its pool, which this instance dispatches, and sends it to a server.
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
-	server, r, ok := f.acquireSlot(ctx, req)
-	if !ok {
-		if r.outcome == moved && req.keyed {
+	var server string
+	for {
+		r, barred := f.refuseBarred(time.Now(), req)
+		if barred {
+			return r
+		}
+		var ok bool
+		server, r, ok = f.acquireSlot(ctx, req)
+		switch {
+		case !ok && r.outcome == moved && req.keyed:
 			return f.awaitNewOwner(ctx, req, r)
+		case !ok:
+			return r
 		}
-		return r
+		if f.verdictStands(time.Now(), req) {
+			break
+		}
+		now := time.Now()
+		f.releaseSlot(now, now, req, server, result{outcome: abandoned, server: server})
 	}
 	start := time.Now()
-	r = f.exchange(ctx, start, req, server)
+	r := f.exchange(ctx, start, req, server)
 	f.releaseSlot(time.Now(), start, req, server, r)
 	return f.observeExecution(ctx, start, req, r)
 }
@@ -42,6 +56,7 @@
 func (f *Forwarder) acquireSlot(ctx context.Context, req *clientRequest) (server string, r result, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
+	_, req.suspect = f.quarantine.Verdict(now, req.fingerprint).(quarantiner.Suspect)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
 		f.mu.Unlock()
@@ -54,6 +69,7 @@
 	decision := q.queue.Offer(now, queuer.Request{
 		Class: req.route, Priority: req.priority, Objective: req.objective, Deadline: req.deadline, AvoidServer: req.avoidServer,
 		NotIdempotent: !req.idempotent, Substitute: !dispatchesItself(q.view, req.pool),
+		Suspect: req.suspect,
 	})
 	switch d := decision.(type) {
 	case queuer.Start:
@@ -89,6 +105,9 @@
 	select {
 	case res := <-w.done:
 		if res.server != "" {
+			if req.suspect {
+				q.queue.EndSuspect(res.server)
+			}
 			f.notifyWaiters(q, q.queue.Done(time.Now(), res.server, req.route, queuer.Inconclusive, 0))
 		}
 	default:
@@ -154,6 +173,9 @@
 	if p, ok := f.pauses[server]; ok { // before Done, which may start the next request
 		f.notifyWaiters(q, q.queue.Pause(now, server, p.until))
 	}
+	if req.suspect {
+		q.queue.EndSuspect(server)
+	}
 	f.notifyWaiters(q, q.queue.Done(now, server, req.route, queueOutcome, took))
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -81,6 +81,7 @@
 	buffers            bufferBudget
 	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
 	onLimit            func(server string)                    // see OnLimit; may be nil
+	onQuarantine       func(quarantiner.Fingerprint)          // see OnQuarantine; may be nil
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
@@ -90,6 +91,7 @@
 	unreachableUntil map[string]time.Time            // by instance: until then it is not used as a dispatcher
 	pauses           map[string]pause                // by server id
 	endedServers     map[quarantiner.Crash]time.Time // when it was noticed that a server had ended while it executed requests
+	quarantine       quarantiner.Quarantine
 	limits           throttler.Limits
 	limitShare       float64 // part of the limits that this instance uses
 	loads            loads
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -26,6 +26,7 @@
 	body   []byte
 
 	fingerprint quarantiner.Fingerprint // the same when the request comes again
+	suspect     bool                    // a server may have crashed because of the request; set for the current attempt
 
 	service    string
 	route      string
@@ -114,6 +115,8 @@
 	// reasonClientLeft says that the client left before the answer. releaseSlot then records nothing about the server, and
 	// countResult counts the request as cancelled.
 	reasonClientLeft = "client_left"
+	// reasonCrashesServers says that the request is barred, because servers that executed it have crashed.
+	reasonCrashesServers = "crashes_servers"
 	// reasonServerEnded says that the server has ended while it executed the request.
 	reasonServerEnded = "server_ended"
 )
@@ -146,5 +149,10 @@
 	return merged
 }
 
+// isBarred reports whether the request was refused because it crashes servers.
+func (r result) isBarred() bool {
+	return r.outcome == refused && strings.HasPrefix(r.reason, reasonCrashesServers)
+}
+
 // notExecuted reports whether the attempt certainly did not execute the request.
 func (r result) notExecuted() bool { return r.outcome != answered && r.outcome != broken }
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -146,7 +146,7 @@
 		req.avoidServer = r.server
 		return !req.keyed || f.waitForViewChange(ctx, req, retryDelay)
 	case refused:
-		if req.keyed || *spillovers >= maxSpillovers || r.reason == reasonNoServer {
+		if req.keyed || *spillovers >= maxSpillovers || r.reason == reasonNoServer || r.isBarred() {
 			return false
 		}
 		*spillovers++
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -50,7 +50,10 @@
 	}
 	defer func() { f.buffers.release(req.buffered) }()
 	f.budget.CountRequest(now, req.service, len(v.Members)+1)
-	res := f.sendWithRetries(r.Context(), req, route.MaxAttempts)
+	res, barred := f.refuseBarred(now, req)
+	if !barred {
+		res = f.sendWithRetries(r.Context(), req, route.MaxAttempts)
+	}
 	f.writeAnswer(w, r, now, req, res)
 }
 
@@ -122,7 +125,9 @@
 		copyAnswerHeader(w, res)
 	case res.notExecuted():
 		status = http.StatusServiceUnavailable
-		w.Header().Set("Retry-After", formatRetryAfter(max(res.retryAfter, minRetryAfter)))
+		if !res.isBarred() { // coming back would not help
+			w.Header().Set("Retry-After", formatRetryAfter(max(res.retryAfter, minRetryAfter)))
+		}
 	case !time.Now().Before(req.deadline):
 		status = http.StatusGatewayTimeout
 	default:
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -52,8 +52,9 @@
 	RequestsWaiting
 	LogLinesDropped
 	LimitedServers
+	BarredRequests
 
-	gaugeCount = int(LimitedServers) + 1
+	gaugeCount = int(BarredRequests) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -112,6 +113,7 @@
 	RequestsRunning: {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
 	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
 	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
+	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
 	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -52,6 +52,9 @@
 	// NotIdempotent says that the request must not be repeated if it gets no answer. It is sent only if an answer before the
 	// deadline is likely; others are sent if one is possible.
 	NotIdempotent bool
+	// Suspect says that a server may have crashed because of the request. It does not run beside another suspect, so that of
+	// several requests the one that crashes servers shows. EndSuspect must be called when it has ended.
+	Suspect bool
 	// Substitute says that this instance stands in for the dispatcher of the servers, which may be back soon. The request waits
 	// for the limit of a server for maxSubstituteWait at most, so that the two soon send no longer beside each other.
 	Substitute bool
@@ -119,6 +122,7 @@
 	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
 	pausedUntil  time.Time     // until then the server wants no requests
 	limit        throttler.Bucket
+	hasSuspect   bool // whether a suspect runs on it
 	removed      bool // gets no new requests, and is dropped when none runs on it
 }
 
@@ -318,8 +322,8 @@
 		return Refuse{RetryAfter: minRetryAfter}
 	}
 	if len(q.waiting) == 0 {
-		if s := q.pickServer(now, r.AvoidServer); s != nil {
-			s.start(now)
+		if s := q.pickServer(now, r); s != nil {
+			s.start(now, r)
 			return Start{Server: s.id}
 		}
 	}
@@ -348,9 +352,17 @@
 }
 
 // start begins a request at the server.
-func (s *server) start(now time.Time) {
+func (s *server) start(now time.Time, r Request) {
 	s.running++
 	s.limit.Take(now)
+	s.hasSuspect = s.hasSuspect || r.Suspect
+}
+
+// EndSuspect records that a suspect has ended at a server. Done must be called as well, after it.
+func (q *Queue) EndSuspect(serverID string) {
+	if s := q.findServer(serverID); s != nil {
+		s.hasSuspect = false
+	}
 }
 
 // canAnswer reports whether the time left until the request's deadline suffices for sending it now: whether it is at least
@@ -383,14 +395,14 @@
 }
 
 // pickServer returns the server for the next request, or nil if no slot is free within the limits: the one with the largest share of
-// free slots, and among equals the fastest. avoid is picked only if no other server has a free slot.
-func (q *Queue) pickServer(now time.Time, avoid string) *server {
+// free slots, and among equals the fastest. AvoidServer is picked only if no other server has a free slot.
+func (q *Queue) pickServer(now time.Time, r Request) *server {
 	var best *server
 	for _, s := range q.servers {
-		if !s.usable(now) || s.running >= s.maxRunning() || !s.limit.Allows(now) {
+		if !s.usable(now) || s.running >= s.maxRunning() || !s.limit.Allows(now) || r.Suspect && s.hasSuspect {
 			continue
 		}
-		if best == nil || s.betterThan(best, avoid) {
+		if best == nil || s.betterThan(best, r.AvoidServer) {
 			best = s
 		}
 	}
@@ -500,8 +512,8 @@
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		// With a free slot, a request is started whatever its expected service time, unless no answer can be in time.
-		if s := q.pickServer(now, w.AvoidServer); s != nil && q.canAnswer(now, w.Request) {
-			s.start(now)
+		if s := q.pickServer(now, w.Request); s != nil && q.canAnswer(now, w.Request) {
+			s.start(now, w.Request)
 			change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
 			continue
 		}
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -351,3 +351,22 @@
 	change := q.SetLimit(start, "a", false, 0)
 	is.Equal(change.Started, []Started{{Ticket: 2, Server: "a"}}) // at once when the limit is withdrawn
 }
+
+// TestSuspectsDoNotShareAServer guards against a request that is taken for one that crashes servers, because it runs beside that
+// one again and again.
+func TestSuspectsDoNotShareAServer(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{}
+	q.SetServers(start, []Server{{ID: "a", Slots: 4}})
+	suspect := request(0, 1000, 1000)
+	suspect.Suspect = true
+	is.Equal(q.Offer(start, suspect), Start{Server: "a"})
+	is.Equal(q.Offer(start, suspect), Wait{Ticket: 1})
+	change := q.SetServers(start, []Server{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}})
+	is.Equal(change.Started, []Started{{Ticket: 1, Server: "b"}})
+	is.Equal(q.Offer(start, request(0, 1000, 1000)), Start{Server: "a"}) // others run beside a suspect
+	is.Equal(q.Offer(start, suspect), Wait{Ticket: 2})
+	q.EndSuspect("b")
+	change = q.Done(start, "b", "c", Answered, time.Millisecond)
+	is.Equal(change.Started, []Started{{Ticket: 2, Server: "b"}})
+}
