Fingerprints contain the client's credentials and not its address

Cause: the fingerprint contained the client's address, and repetitions of a request come from several addresses. Servers never see the address; a client of theirs is who the cookies or the authorization say.

Change: the fingerprint is made of method, host, URI, Authorization and Cookie, and body. The test that took the same request from another address for another one was wrong: it now asks that it is barred as well, and that one with another cookie is not. In the test with real processes each repetition comes from another address.

Ruled out: leaving out who the client is: where a path is popular, an answer to one client would clear the request of another, or bar it.

Measured: TestCrashingRequestIsBarred and the case without a fault of TestCrashingRequestIsBarredEverywhere, changed so, failed before (17 and 24 sends later than 3 s after the third crash); both pass.

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -109,10 +109,16 @@
 
 // sendFrom sends a request of a client.
 func sendFrom(f http.Handler, client, method, path string) *httptest.ResponseRecorder {
+	return sendAs(f, "session=one", client, method, path)
+}
+
+// sendAs sends a request of a client with a cookie.
+func sendAs(f http.Handler, cookie, client, method, path string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, nil)
 	r.Host, r.RemoteAddr = "h", client+":1234"
 	r.Header.Set("X-Id", "r1")
 	r.Header.Set("X-Left", "1500")
+	r.Header.Set("Cookie", cookie)
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
 	return w
@@ -137,8 +143,8 @@
 			is := is.New(t)
 			servers := startCrashingServers(t, 12, 0)
 			f := newCrashingForwarder(t, servers)
-			for range 8 {
-				sendFrom(f, "10.0.0.1", "POST", path)
+			for i := range 8 {
+				sendFrom(f, fmt.Sprintf("10.0.0.%d", i), "POST", path)
 			}
 			is.Equal(servers.crashes(), 3)
 			sent := time.Now()
@@ -147,8 +153,11 @@
 			is.Equal(w.Header().Get("Retry-After"), "")      // coming back does not help
 			is.True(time.Since(sent) < 100*time.Millisecond) // at once
 			is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK)
-			sendFrom(f, "10.0.0.2", "POST", path)
-			is.Equal(servers.crashes() > 3, true) // another client's request is another one
+			// Servers don't see from where it comes, but who sends it.
+			is.Equal(sendFrom(f, "10.0.0.2", "POST", path).Code, http.StatusServiceUnavailable)
+			is.Equal(servers.crashes(), 3)
+			is.Equal(sendAs(f, "session=other", "10.0.0.1", "POST", path).Code, http.StatusBadGateway)
+			is.True(servers.crashes() > 3)
 		})
 	}
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -96,11 +96,8 @@
 	} else if err != nil {
 		return nil, http.StatusBadRequest, "bad_body"
 	}
-	client, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		client = r.RemoteAddr
-	}
-	req.fingerprint = quarantiner.NewFingerprint(req.method, req.host, req.uri, client, req.body)
+	credentials := strings.Join(slices.Concat(r.Header["Authorization"], r.Header["Cookie"]), "\n")
+	req.fingerprint = quarantiner.NewFingerprint(req.method, req.host, req.uri, credentials, req.body)
 	return req, 0, ""
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -33,11 +33,12 @@
 // Fingerprint identifies a request across its repetitions; 0 means unknown.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request. The client's address is part of it, so that a request of one client does
-// not bar those of others; the request's id is not, as each repetition has its own.
-func NewFingerprint(method, host, uri, clientAddress string, body []byte) Fingerprint {
+// NewFingerprint returns the fingerprint of a request, from what servers execute: the client's credentials (cookies and the
+// like) are part of it, so that a request of one client does not bar those of others. The client's address, which servers don't
+// get, and the request's id, which each repetition has anew, are not.
+func NewFingerprint(method, host, uri, credentials string, body []byte) Fingerprint {
 	h := xxhash.New()
-	for _, part := range []string{method, host, uri, clientAddress} {
+	for _, part := range []string{method, host, uri, credentials} {
 		_, _ = h.WriteString(part) // never fails
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -108,7 +108,7 @@
 	for _, method := range []string{"GET", "POST"} {
 		for _, host := range []string{"a", "ab"} {
 			for _, uri := range []string{"/x", "b/x", "/x?y"} {
-				for _, client := range []string{"10.0.0.1", "10.0.0.2"} {
+				for _, client := range []string{"", "session=1", "session=2"} {
 					for _, body := range []string{"", "1"} {
 						f := NewFingerprint(method, host, uri, client, []byte(body))
 						name := fmt.Sprint(method, "|", host, "|", uri, "|", client, "|", body)
--- a/internal/verifier/crash_test.go
+++ b/internal/verifier/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -121,8 +122,11 @@
 
 // repeat sends the same request that crashes servers, with a new id each time, to one entry after the other.
 func (x *crashes) repeat(method string, stop <-chan struct{}) {
-	client := http.Client{Timeout: 2 * time.Second}
 	for n := 0; ; n++ {
+		// Each repetition comes from another address.
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(1+n%200))}}
+		transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+		client := http.Client{Timeout: 2 * time.Second, Transport: transport}
 		select {
 		case <-stop:
 			return
