Content that crashes servers whoever asks for it is barred for all clients

What callers saw: the same content, sent by several clients, would end three servers for each of them. And a crashing request that got a 504 for lack of time was cleared by it.

Cause: what clients repeat is identified by content and client together. Found by asking who adds up the same repeats of other clients.

Change: a request has two fingerprints, of its content and of content and credentials. Crashes count for both, the severer verdict holds, and an answer clears both, so content that crashes servers for one client stays open to those who get answers to it. Only answers below 500 clear a request.

Measured: TestContentIsBarredForAllClients, TestOtherClientsAreServed and TestCrashingRequestIsBarred (a request with another cookie is refused as well; before, it ended a fourth server) pass, and the four cases of TestCrashingRequestIsBarredEverywhere.

--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -26,7 +26,7 @@
 	record, _ := c.options.Forwarder.QuarantineRecord(7)
 	var q quarantiner.Quarantine
 	q.Merge(time.Now(), record)
-	_, barred := q.Verdict(time.Now(), 7).(quarantiner.Barred)
+	_, barred := q.VerdictOn(time.Now(), 7).(quarantiner.Barred)
 	return barred
 }
 
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -40,7 +41,7 @@
 // refuseBarred returns the refusal of a request that is barred because servers crash under it, and false for another request.
 func (f *Forwarder) refuseBarred(now time.Time, req *clientRequest) (result, bool) {
 	f.mu.Lock()
-	verdict := f.quarantine.Verdict(now, req.fingerprint)
+	verdict := f.quarantine.Verdict(now, req.fingerprints)
 	f.mu.Unlock()
 	b, barred := verdict.(quarantiner.Barred)
 	if !barred {
@@ -55,7 +56,7 @@
 func (f *Forwarder) verdictStands(now time.Time, req *clientRequest) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch f.quarantine.Verdict(now, req.fingerprint).(type) {
+	switch f.quarantine.Verdict(now, req.fingerprints).(type) {
 	case quarantiner.Barred:
 		return false
 	case quarantiner.Suspect:
@@ -68,7 +69,7 @@
 // executed the request, and returns the result with this news.
 func (f *Forwarder) observeExecution(ctx context.Context, sent time.Time, req *clientRequest, r result) result {
 	if r.outcome == answered {
-		f.recordAnswered(time.Now(), req)
+		f.recordAnswered(time.Now(), req, r.status)
 	}
 	if !r.connectionLost {
 		return r
@@ -80,7 +81,7 @@
 	f.recordCrash(time.Now(), req, server)
 	r.reason = reasonServerEnded + ": " + r.reason
 	klog.InfoS("server ended while it executed a request", "server", server.ID, "born", server.Incarnation, "id", req.id,
-		"request", req.name(), "fingerprint", fmt.Sprintf("%016x", uint64(req.fingerprint)))
+		"request", req.name(), "fingerprints", req.fingerprints)
 	return r
 }
 
@@ -88,50 +89,63 @@
 func (f *Forwarder) recordCrash(now time.Time, req *clientRequest, server cataloger.Server) {
 	crash := quarantiner.Crash{Server: server.ID, Incarnation: server.Incarnation}
 	f.mu.Lock()
-	changed := f.quarantine.Crashed(now, req.fingerprint, req.name(), crash)
-	f.quarantineChanged(now, req.fingerprint, changed)
+	changed := f.quarantine.Crashed(now, req.fingerprints, req.name(), crash)
 	f.mu.Unlock()
-	if changed && f.onQuarantine != nil {
-		f.onQuarantine(req.fingerprint)
-	}
+	f.quarantineChanged(now, changed...)
+	f.reportQuarantine(changed)
 }
 
-// recordAnswered records that a server has answered a request, which clears it if servers had ended beside it.
-func (f *Forwarder) recordAnswered(now time.Time, req *clientRequest) {
+// recordAnswered records that a server has answered a request, which clears it if servers had ended beside it. An answer that
+// says that the server failed or gave up proves nothing.
+func (f *Forwarder) recordAnswered(now time.Time, req *clientRequest, status int) {
+	if status >= http.StatusInternalServerError {
+		return
+	}
 	f.mu.Lock()
-	changed := f.quarantine.Answered(now, req.fingerprint)
-	f.quarantineChanged(now, req.fingerprint, changed)
+	changed := f.quarantine.Answered(now, req.fingerprints)
 	f.mu.Unlock()
-	if changed && f.onQuarantine != nil {
-		f.onQuarantine(req.fingerprint)
+	f.quarantineChanged(now, changed...)
+	f.reportQuarantine(changed)
+}
+
+// reportQuarantine calls onQuarantine.
+func (f *Forwarder) reportQuarantine(changed []quarantiner.Fingerprint) {
+	for _, fingerprint := range changed {
+		if f.onQuarantine != nil {
+			f.onQuarantine(fingerprint)
+		}
 	}
 }
 
 // MergeQuarantine adds what another instance knows about a request, and reports whether any of it is new.
 func (f *Forwarder) MergeQuarantine(now time.Time, r quarantiner.Record) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	changed := f.quarantine.Merge(now, r)
-	f.quarantineChanged(now, r.Fingerprint, changed)
+	f.mu.Unlock()
+	if changed {
+		f.quarantineChanged(now, r.Fingerprint)
+	}
 	return changed
 }
 
-// quarantineChanged logs a change of what is known about a request, and counts the barred ones. The caller holds mu.
-func (f *Forwarder) quarantineChanged(now time.Time, fingerprint quarantiner.Fingerprint, changed bool) {
-	if !changed {
-		return
-	}
-	f.meter.Set(meter.BarredRequests, int64(f.quarantine.Barred(now)))
-	record, _ := f.quarantine.Get(fingerprint)
-	id := fmt.Sprintf("%016x", uint64(fingerprint))
-	switch v := f.quarantine.Verdict(now, fingerprint).(type) {
-	case quarantiner.Barred:
-		klog.InfoS("request is barred: servers crash under it", "fingerprint", id, "request", record.Name, "crashes", v.Crashes,
-			"for", now.Sub(v.Since))
-	case quarantiner.Suspect:
-		klog.InfoS("request is suspected of crashing servers", "fingerprint", id, "request", record.Name, "crashes", len(record.Crashes))
-	case quarantiner.Clear:
-		klog.InfoS("request is no longer suspected of crashing servers", "fingerprint", id, "request", record.Name)
+// quarantineChanged logs changes of what is known about requests, and counts the barred ones.
+func (f *Forwarder) quarantineChanged(now time.Time, changed ...quarantiner.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fingerprint := range changed {
+		f.meter.Set(meter.BarredRequests, int64(f.quarantine.Barred(now)))
+		record, _ := f.quarantine.Get(fingerprint)
+		id := fmt.Sprintf("%016x", uint64(fingerprint))
+		switch v := f.quarantine.VerdictOn(now, fingerprint).(type) {
+		case quarantiner.Barred:
+			klog.InfoS("request is barred: servers crash under it", "fingerprint", id, "request", record.Name, "crashes", v.Crashes,
+				"for", now.Sub(v.Since))
+		case quarantiner.Suspect:
+			klog.InfoS("request is suspected of crashing servers", "fingerprint", id, "request", record.Name,
+				"crashes", len(record.Crashes))
+		case quarantiner.Clear:
+			klog.InfoS("request is no longer suspected of crashing servers", "fingerprint", id, "request", record.Name)
+		}
 	}
 }
 
--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -19,8 +19,8 @@
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
-// crashingServers are servers of the service "plain" that crash when they begin to execute a request whose URI contains
-// "poison", and answer all others after a while.
+// crashingServers are servers of the service "plain" that crash when they begin to execute a request whose URI or cookie
+// contains "poison", and answer all others after a while.
 type crashingServers struct {
 	t       *testing.T
 	servers []cataloger.Server
@@ -75,7 +75,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		if strings.Contains(r.RequestURI, "poison") {
+		if strings.Contains(r.RequestURI+r.Header.Get("Cookie"), "poison") {
 			s.mu.Lock()
 			s.crashed++
 			s.poisoned++
@@ -153,15 +153,28 @@
 			is.Equal(w.Header().Get("Retry-After"), "")      // coming back does not help
 			is.True(time.Since(sent) < 100*time.Millisecond) // at once
 			is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK)
-			// Servers don't see from where it comes, but who sends it.
+			// Servers don't see from where it comes.
 			is.Equal(sendFrom(f, "10.0.0.2", "POST", path).Code, http.StatusServiceUnavailable)
 			is.Equal(servers.crashes(), 3)
-			is.Equal(sendAs(f, "session=other", "10.0.0.1", "POST", path).Code, http.StatusBadGateway)
-			is.True(servers.crashes() > 3)
+			// No client has got an answer to it.
+			is.Equal(sendAs(f, "session=other", "10.0.0.1", "POST", path).Code, http.StatusServiceUnavailable)
+			is.Equal(servers.crashes(), 3)
 		})
 	}
 }
 
+// TestOtherClientsAreServed guards against clients that are barred from a popular page because it crashes servers for one client.
+func TestOtherClientsAreServed(t *testing.T) {
+	is := is.New(t)
+	servers := startCrashingServers(t, 12, 0)
+	f := newCrashingForwarder(t, servers)
+	for range 6 {
+		sendAs(f, "session=poison", "10.0.0.1", "POST", "/once/popular")
+		is.Equal(sendAs(f, "session=one", "10.0.0.1", "POST", "/once/popular").Code, http.StatusOK)
+	}
+	is.Equal(servers.crashes(), 3)
+}
+
 // TestRequestsBesideCrashingOneAreServed guards against innocent requests that are barred because they ran on servers that a
 // crashing request ended.
 func TestRequestsBesideCrashingOneAreServed(t *testing.T) {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -56,7 +56,7 @@
 func (f *Forwarder) acquireSlot(ctx context.Context, req *clientRequest) (server string, r result, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
-	_, req.suspect = f.quarantine.Verdict(now, req.fingerprint).(quarantiner.Suspect)
+	_, req.suspect = f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
 		f.mu.Unlock()
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -21,8 +21,8 @@
 const (
 	// HeaderHop marks a request that another instance received from a client, and carries that instance's routing decision.
 	HeaderHop = "Wasabibank-Hop"
-	// headerFingerprint carries the fingerprint of a request that another instance received, in hexadecimal.
-	headerFingerprint = "Wasabibank-Fingerprint"
+	// headerFingerprints carries the fingerprints of a request that another instance received.
+	headerFingerprints = "Wasabibank-Fingerprints"
 	// headerOutcome carries the dispatcher's result in the answer to a hop.
 	headerOutcome = "Wasabibank-Outcome"
 )
@@ -174,7 +174,7 @@
 	hop := *req
 	hop.deadline = req.deadline.Add(-hopMargin)
 	httpReq.Header.Set(HeaderHop, hop.encodeHop(now))
-	httpReq.Header.Set(headerFingerprint, strconv.FormatUint(uint64(req.fingerprint), 16))
+	httpReq.Header.Set(headerFingerprints, req.fingerprints.String())
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = context.WithoutCancel(ctx)
@@ -239,10 +239,10 @@
 	defer func() { f.buffers.release(req.buffered) }()
 	req.id = r.Header.Get(f.headers.RequestID)
 	req.header.Del(HeaderHop)
-	if f, err := strconv.ParseUint(req.header.Get(headerFingerprint), 16, 64); err == nil { // an earlier version sends none
-		req.fingerprint = quarantiner.Fingerprint(f)
+	if fingerprints, err := quarantiner.ParseFingerprints(req.header.Get(headerFingerprints)); err == nil {
+		req.fingerprints = fingerprints // an instance of an earlier version sends none
 	}
-	req.header.Del(headerFingerprint)
+	req.header.Del(headerFingerprints)
 	writeHopAnswer(w, f.dispatch(r.Context(), req))
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -25,8 +25,8 @@
 	header http.Header // end-to-end headers
 	body   []byte
 
-	fingerprint quarantiner.Fingerprint // the same when the request comes again
-	suspect     bool                    // a server may have crashed because of the request; set for the current attempt
+	fingerprints quarantiner.Fingerprints // the same when the request comes again
+	suspect      bool                     // a server may have crashed because of the request; set for the current attempt
 
 	service    string
 	route      string
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -97,7 +96,7 @@
 		return nil, http.StatusBadRequest, "bad_body"
 	}
 	credentials := strings.Join(slices.Concat(r.Header["Authorization"], r.Header["Cookie"]), "\n")
-	req.fingerprint = quarantiner.NewFingerprint(req.method, req.host, req.uri, credentials, req.body)
+	req.fingerprints = quarantiner.NewFingerprints(req.method, req.host, req.uri, credentials, req.body)
 	return req, 0, ""
 }
 
@@ -144,7 +143,7 @@
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
 		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "server", res.server,
-		"front", res.dispatcher, "arrivals", req.sends, "fingerprint", fmt.Sprintf("%016x", uint64(req.fingerprint)),
+		"front", res.dispatcher, "arrivals", req.sends, "fingerprints", req.fingerprints,
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
 		"took", time.Since(start), "retry_after", res.retryAfter, "write_error", err)
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -3,17 +3,21 @@
 // I/O; the current time is an argument.
 //
 // It handles a request that crashes every server, repeated by clients and instances: after a few crashes, counted over all
-// instances, the request is barred. Requests that ran beside it on a server that crashed are suspects as well. Since no two
+// instances, the request is barred, for the client that sends it or, if no client gets an answer to it, for all. Requests that ran beside it on a server that crashed are suspects as well. Since no two
 // suspects run on one server at a time, and an answer clears a suspect, only a request that crashes servers by itself is barred.
 package quarantiner
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -30,20 +34,62 @@
 	maxNameBytes = 200
 )
 
-// Fingerprint identifies a request across its repetitions; 0 means unknown.
+// Fingerprint identifies a request, or what is asked for, across its repetitions; 0 means unknown.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request, from what servers execute: the client's credentials (cookies and the
-// like) are part of it, so that a request of one client does not bar those of others. The client's address, which servers don't
-// get, and the request's id, which each repetition has anew, are not.
-func NewFingerprint(method, host, uri, credentials string, body []byte) Fingerprint {
+// Fingerprints are those of one request. A request may crash servers because of what it asks for, or only for a client.
+type Fingerprints struct {
+	Client  Fingerprint // of the content and of who sends it
+	Content Fingerprint // of the content, whoever sends it; equal to Client if that is not known
+}
+
+// NewFingerprints returns the fingerprints of a request, from what servers execute. credentials (cookies and the like) are those
+// of the client. Its address, which servers don't get, and the request's id, which each repetition has anew, are left out.
+func NewFingerprints(method, host, uri, credentials string, body []byte) Fingerprints {
 	h := xxhash.New()
-	for _, part := range []string{method, host, uri, credentials} {
+	for _, part := range []string{method, host, uri} {
 		_, _ = h.WriteString(part) // never fails
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(body)
-	return Fingerprint(max(1, h.Sum64()))
+	f := Fingerprints{Content: Fingerprint(max(1, h.Sum64()))}
+	f.Client = f.Content
+	if credentials != "" {
+		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString(credentials)
+		f.Client = Fingerprint(max(1, h.Sum64()))
+	}
+	return f
+}
+
+// String returns the fingerprints in hexadecimal, joined by a hyphen.
+func (f Fingerprints) String() string {
+	return fmt.Sprintf("%016x-%016x", uint64(f.Client), uint64(f.Content))
+}
+
+// ParseFingerprints parses what String returns.
+func ParseFingerprints(text string) (Fingerprints, error) {
+	first, second, _ := strings.Cut(text, "-")
+	client, err := strconv.ParseUint(first, 16, 64)
+	if err != nil {
+		return Fingerprints{}, errors.Wrap(err, "fingerprints")
+	}
+	content, err := strconv.ParseUint(second, 16, 64)
+	if err != nil {
+		return Fingerprints{}, errors.Wrap(err, "fingerprints")
+	}
+	return Fingerprints{Client: Fingerprint(client), Content: Fingerprint(content)}, nil
+}
+
+// each returns the different fingerprints that are known.
+func (f Fingerprints) each() []Fingerprint {
+	switch {
+	case f.Client == 0:
+		return nil
+	case f.Client == f.Content:
+		return []Fingerprint{f.Client}
+	}
+	return []Fingerprint{f.Client, f.Content}
 }
 
 // Crash is an incarnation of a backend server that ended while it executed a request.
@@ -108,28 +154,58 @@
 	records map[Fingerprint]*Record
 }
 
-// Verdict returns the verdict on a request.
-func (q *Quarantine) Verdict(now time.Time, f Fingerprint) Verdict {
-	r := q.records[f]
-	if r == nil {
-		return Clear{}
+// Verdict returns the verdict on a request, the severer one on its fingerprints.
+func (q *Quarantine) Verdict(now time.Time, request Fingerprints) Verdict {
+	var severest Verdict = Clear{}
+	if len(q.records) == 0 {
+		return severest
+	}
+	for _, f := range request.each() {
+		r := q.records[f]
+		if r == nil {
+			continue
+		}
+		switch v := r.verdict(now).(type) {
+		case Barred:
+			return v
+		case Suspect:
+			severest = v
+		case Clear:
+		}
 	}
-	return r.verdict(now)
+	return severest
 }
 
-// Crashed records that a server has crashed while it executed a request, and reports whether that was not known.
-func (q *Quarantine) Crashed(now time.Time, f Fingerprint, name string, crash Crash) bool {
-	return q.Merge(now, Record{Fingerprint: f, Name: name, Crashes: map[Crash]time.Time{crash: now}})
+// VerdictOn returns the verdict on a fingerprint.
+func (q *Quarantine) VerdictOn(now time.Time, f Fingerprint) Verdict {
+	return q.Verdict(now, Fingerprints{Client: f, Content: f})
 }
 
-// Answered records that a server has answered a request, and reports whether that clears it.
-func (q *Quarantine) Answered(now time.Time, f Fingerprint) bool {
-	r := q.records[f]
-	if r == nil || len(r.Crashes) == 0 {
-		return false
+// Crashed records that a server has crashed while it executed a request, and returns the fingerprints for which that was not
+// known.
+func (q *Quarantine) Crashed(now time.Time, request Fingerprints, name string, crash Crash) []Fingerprint {
+	var changed []Fingerprint
+	for _, f := range request.each() {
+		if q.Merge(now, Record{Fingerprint: f, Name: name, Crashes: map[Crash]time.Time{crash: now}}) {
+			changed = append(changed, f)
+		}
 	}
-	r.clear(now)
-	return true
+	return changed
+}
+
+// Answered records that a server has executed a request and answered it, and returns the fingerprints that this clears.
+func (q *Quarantine) Answered(now time.Time, request Fingerprints) []Fingerprint {
+	var changed []Fingerprint
+	if len(q.records) == 0 {
+		return nil
+	}
+	for _, f := range request.each() {
+		if r := q.records[f]; r != nil && len(r.Crashes) > 0 {
+			r.clear(now)
+			changed = append(changed, f)
+		}
+	}
+	return changed
 }
 
 // clear drops the crashes up to a time at which a server answered the request.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -17,12 +17,55 @@
 // crash returns the n-th of different crashes.
 func crash(n int) Crash { return Crash{Server: "s", Incarnation: int64(n)} }
 
+// same returns the fingerprints of a request without credentials.
+func same(f Fingerprint) Fingerprints { return Fingerprints{Client: f, Content: f} }
+
+var one = same(7)
+
+// TestContentIsBarredForAllClients guards against three servers that end for each client that sends the same content, and against
+// clients that are barred from content that crashes servers for one client only.
+func TestContentIsBarredForAllClients(t *testing.T) {
+	a, b, c := Fingerprints{1, 9}, Fingerprints{2, 9}, Fingerprints{3, 9}
+	tests := map[string]struct {
+		events func(q *Quarantine)
+		want   map[Fingerprints]Verdict
+	}{
+		"crashes for every client": {
+			events: func(q *Quarantine) {
+				for n, request := range []Fingerprints{a, b, a} {
+					q.Crashed(at(n), request, "", crash(n))
+				}
+			},
+			want: map[Fingerprints]Verdict{a: Barred{Since: at(2), Crashes: 3}, c: Barred{Since: at(2), Crashes: 3}},
+		},
+		"crashes for one client, answered for another": {
+			events: func(q *Quarantine) {
+				for n := range 3 {
+					q.Crashed(at(2*n), a, "", crash(n))
+					q.Answered(at(2*n+1), b)
+				}
+			},
+			want: map[Fingerprints]Verdict{a: Barred{Since: at(4), Crashes: 3}, b: Clear{}, c: Clear{}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var q Quarantine
+			test.events(&q)
+			for request, want := range test.want {
+				is.Equal(q.Verdict(at(10), request), want)
+			}
+		})
+	}
+}
+
 // TestVerdicts guards against a request that is sent on after it has crashed three servers, and against one that is barred
 // although a server has answered it, or for what one crash of a server did to several copies of it.
 func TestVerdicts(t *testing.T) {
 	type events func(q *Quarantine)
-	crashed := func(ms, n int) events { return func(q *Quarantine) { q.Crashed(at(ms), 7, "GET h/x", crash(n)) } }
-	answered := func(ms int) events { return func(q *Quarantine) { q.Answered(at(ms), 7) } }
+	crashed := func(ms, n int) events { return func(q *Quarantine) { q.Crashed(at(ms), one, "GET h/x", crash(n)) } }
+	answered := func(ms int) events { return func(q *Quarantine) { q.Answered(at(ms), one) } }
 	tests := map[string]struct {
 		events []events
 		now    time.Time
@@ -50,8 +93,8 @@
 			for _, event := range test.events {
 				event(&q)
 			}
-			is.Equal(q.Verdict(test.now, 7), test.want)
-			is.Equal(q.Verdict(test.now, 8), Clear{})
+			is.Equal(q.VerdictOn(test.now, 7), test.want)
+			is.Equal(q.VerdictOn(test.now, 8), Clear{})
 		})
 	}
 }
@@ -71,7 +114,7 @@
 		for _, i := range order {
 			q.Merge(at(20), records[i])
 		}
-		is.Equal(q.Verdict(at(20), 7), Barred{Since: at(12), Crashes: 3})
+		is.Equal(q.VerdictOn(at(20), 7), Barred{Since: at(12), Crashes: 3})
 		is.True(!q.Merge(at(20), records[0])) // nothing new
 	}
 }
@@ -82,10 +125,10 @@
 	is := is.New(t)
 	var q Quarantine
 	for n := range 3 {
-		q.Crashed(at(n), 1, strings.Repeat("x", 10_000), crash(n))
+		q.Crashed(at(n), same(1), strings.Repeat("x", 10_000), crash(n))
 	}
 	for n := range maxRecords + 50 {
-		q.Crashed(at(10+n), Fingerprint(n+2), "", crash(n))
+		q.Crashed(at(10+n), same(Fingerprint(n+2)), "", crash(n))
 	}
 	is.Equal(len(q.Fingerprints()), maxRecords)
 	is.Equal(q.Barred(at(10_000)), 1)
@@ -93,12 +136,12 @@
 	is.True(ok)
 	is.Equal(len(record.Name), maxNameBytes)
 	for n := range 100 {
-		q.Crashed(at(30_000+n), 1, "", crash(1000+n))
+		q.Crashed(at(30_000+n), same(1), "", crash(1000+n))
 	}
 	record, _ = q.Get(1)
 	is.True(len(record.Crashes) <= 2*crashesToBar)
-	is.Equal(q.Verdict(at(30_100), 1), Barred{Since: at(2), Crashes: 2 * crashesToBar})
-	is.Equal(q.Verdict(at(30_099).Add(barDuration-1), 1), Barred{Since: at(2), Crashes: 2 * crashesToBar})
+	is.Equal(q.VerdictOn(at(30_100), 1), Barred{Since: at(2), Crashes: 2 * crashesToBar})
+	is.Equal(q.VerdictOn(at(30_099).Add(barDuration-1), 1), Barred{Since: at(2), Crashes: 2 * crashesToBar})
 }
 
 // TestFingerprint guards against a repetition that has another fingerprint, and against different requests that share one.
@@ -108,16 +151,24 @@
 	for _, method := range []string{"GET", "POST"} {
 		for _, host := range []string{"a", "ab"} {
 			for _, uri := range []string{"/x", "b/x", "/x?y"} {
-				for _, client := range []string{"", "session=1", "session=2"} {
-					for _, body := range []string{"", "1"} {
-						f := NewFingerprint(method, host, uri, client, []byte(body))
-						name := fmt.Sprint(method, "|", host, "|", uri, "|", client, "|", body)
-						is.Equal(seen[f], "")
-						seen[f] = name
-						is.Equal(f, NewFingerprint(method, host, uri, client, []byte(body)))
+				for _, body := range []string{"", "1"} {
+					var contents []Fingerprint
+					for _, client := range []string{"", "session=1", "session=2"} {
+						f := NewFingerprints(method, host, uri, client, []byte(body))
+						is.Equal(seen[f.Client], "")
+						seen[f.Client] = fmt.Sprint(method, "|", host, "|", uri, "|", client, "|", body)
+						contents = append(contents, f.Content)
+						is.Equal(f, NewFingerprints(method, host, uri, client, []byte(body)))
+						parsed, err := ParseFingerprints(f.String())
+						is.NoErr(err)
+						is.Equal(parsed, f)
 					}
+					is.Equal(contents[1], contents[0])
+					is.Equal(contents[2], contents[0])
 				}
 			}
 		}
 	}
+	_, err := ParseFingerprints("x")
+	is.True(err != nil)
 }
