Only crashes under a request that ran alone among suspects prove that it crashes servers

What callers saw: an innocent request that comes often could be refused for 10 minutes.

Change: a crash under a request that was not a suspect yet counts, but all of these together count as one. The other crashes count only if the request was sent as a suspect, so that no other suspect ran on that server.

Ruled out: more crashes before a bar: copies at more instances reach any number. Exclusive use of a server by suspects: requests that are no suspects may run beside them, and keep their service.

TestVerdicts has the new cases.

--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -42,8 +42,10 @@
 		if m.Answered {
 			m.AnswerAgeMs = ageMS(now, record.ClearedAt)
 		}
-		for crash, at := range record.Crashes {
-			m.Crashes = append(m.Crashes, &herald.Crash{Server: crash.Server, Incarnation: crash.Incarnation, AgeMs: ageMS(now, at)})
+		for crash, sighting := range record.Crashes {
+			m.Crashes = append(m.Crashes, &herald.Crash{
+				Server: crash.Server, Incarnation: crash.Incarnation, AgeMs: ageMS(now, sighting.At), Alone: sighting.Alone,
+			})
 		}
 		list = append(list, m)
 	}
@@ -64,14 +66,14 @@
 	var changed []quarantiner.Fingerprint
 	for _, m := range records {
 		record := quarantiner.Record{
-			Fingerprint: quarantiner.Fingerprint(m.GetFingerprint()), Name: m.GetName(), Crashes: map[quarantiner.Crash]time.Time{},
+			Fingerprint: quarantiner.Fingerprint(m.GetFingerprint()), Name: m.GetName(), Crashes: map[quarantiner.Crash]quarantiner.Sighting{},
 		}
 		if m.GetAnswered() {
 			record.ClearedAt = before(now, m.GetAnswerAgeMs())
 		}
 		for _, crash := range m.GetCrashes() {
 			id := quarantiner.Crash{Server: crash.GetServer(), Incarnation: crash.GetIncarnation()}
-			record.Crashes[id] = before(now, crash.GetAgeMs())
+			record.Crashes[id] = quarantiner.Sighting{At: before(now, crash.GetAgeMs()), Alone: crash.GetAlone()}
 		}
 		if c.options.Forwarder.MergeQuarantine(now, record) {
 			changed = append(changed, record.Fingerprint)
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -14,8 +14,8 @@
 
 // noticeCrash makes an instance notice that an incarnation of a server has ended under a request.
 func noticeCrash(c *Controller, now time.Time, incarnation int64) {
-	record := quarantiner.Record{Fingerprint: 7, Name: "GET h/x", Crashes: map[quarantiner.Crash]time.Time{
-		{Server: "s", Incarnation: incarnation}: time.Now(),
+	record := quarantiner.Record{Fingerprint: 7, Name: "GET h/x", Crashes: map[quarantiner.Crash]quarantiner.Sighting{
+		{Server: "s", Incarnation: incarnation}: {At: time.Now(), Alone: true},
 	}}
 	c.options.Forwarder.MergeQuarantine(time.Now(), record)
 	c.quarantineChanged(now, 7)
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -89,7 +89,7 @@
 func (f *Forwarder) recordCrash(now time.Time, req *clientRequest, server cataloger.Server) {
 	crash := quarantiner.Crash{Server: server.ID, Incarnation: server.Incarnation}
 	f.mu.Lock()
-	changed := f.quarantine.Crashed(now, req.fingerprints, req.name(), crash)
+	changed := f.quarantine.Crashed(now, req.fingerprints, req.name(), crash, req.suspect)
 	f.mu.Unlock()
 	f.quarantineChanged(now, changed...)
 	f.reportQuarantine(changed)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -3,8 +3,10 @@
 // I/O; the current time is an argument.
 //
 // It handles a request that crashes every server, repeated by clients and instances: after a few crashes, counted over all
-// instances, the request is barred, for the client that sends it or, if no client gets an answer to it, for all. Requests that ran beside it on a server that crashed are suspects as well. Since no two
-// suspects run on one server at a time, and an answer clears a suspect, only a request that crashes servers by itself is barred.
+// instances, the request is barred, for the client that sends it or, if no client gets an answer to it, for all. Requests that
+// ran beside it on a server that crashed are suspects as well. No two suspects run on one server at a time, an answer clears a
+// suspect, and crashes under requests that were not suspects yet count as one. So a request is barred only if servers have
+// crashed while it was the only suspect there.
 package quarantiner
 
 import (
@@ -98,6 +100,13 @@
 	Incarnation int64
 }
 
+// Sighting says how a crash was noticed.
+type Sighting struct {
+	At time.Time
+	// Alone says that the request was sent as a suspect, so that no other suspect ran on the server.
+	Alone bool
+}
+
 // Verdict says how a request is treated: Clear, Suspect or Barred.
 type Verdict interface{ verdict() }
 
@@ -120,17 +129,17 @@
 // Record is what is known about a request.
 type Record struct {
 	Fingerprint Fingerprint
-	Name        string              // method, host and URI, for operators
-	Crashes     map[Crash]time.Time // when each was noticed, since ClearedAt
-	ClearedAt   time.Time           // when a server last answered the request; zero if none did
+	Name        string             // method, host and URI, for operators
+	Crashes     map[Crash]Sighting // since ClearedAt
+	ClearedAt   time.Time          // when a server last answered the request; zero if none did
 }
 
 // lastEvent returns the time of the last crash or answer.
 func (r *Record) lastEvent() time.Time {
 	last := r.ClearedAt
-	for _, at := range r.Crashes {
-		if at.After(last) {
-			last = at
+	for _, sighting := range r.Crashes {
+		if sighting.At.After(last) {
+			last = sighting.At
 		}
 	}
 	return last
@@ -141,11 +150,29 @@
 	if len(r.Crashes) == 0 {
 		return Clear{}
 	}
-	times := slices.SortedFunc(maps.Values(r.Crashes), time.Time.Compare)
-	if len(times) < crashesToBar || now.Sub(times[len(times)-1]) >= barDuration {
+	var since time.Time
+	counted, beside := 0, false
+	for _, crash := range r.byTime() {
+		sighting := r.Crashes[crash]
+		if !sighting.Alone && beside {
+			continue
+		}
+		beside = beside || !sighting.Alone
+		if counted++; counted == crashesToBar {
+			since = sighting.At
+		}
+	}
+	if counted < crashesToBar || now.Sub(r.lastEvent()) >= barDuration {
 		return Suspect{}
 	}
-	return Barred{Since: times[crashesToBar-1], Crashes: len(times)}
+	return Barred{Since: since, Crashes: len(r.Crashes)}
+}
+
+// byTime returns the crashes in the order in which they were noticed.
+func (r *Record) byTime() []Crash {
+	return slices.SortedFunc(maps.Keys(r.Crashes), func(a, b Crash) int {
+		return cmp.Or(r.Crashes[a].At.Compare(r.Crashes[b].At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 }
 
 // Quarantine holds the records of requests under which servers have crashed. The zero Quarantine is empty. It is not safe for
@@ -181,12 +208,12 @@
 	return q.Verdict(now, Fingerprints{Client: f, Content: f})
 }
 
-// Crashed records that a server has crashed while it executed a request, and returns the fingerprints for which that was not
-// known.
-func (q *Quarantine) Crashed(now time.Time, request Fingerprints, name string, crash Crash) []Fingerprint {
+// Crashed records that a server has crashed while it executed a request, alone says whether that was sent as a suspect, and
+// returns the fingerprints for which that was not known.
+func (q *Quarantine) Crashed(now time.Time, request Fingerprints, name string, crash Crash, alone bool) []Fingerprint {
 	var changed []Fingerprint
 	for _, f := range request.each() {
-		if q.Merge(now, Record{Fingerprint: f, Name: name, Crashes: map[Crash]time.Time{crash: now}}) {
+		if q.Merge(now, Record{Fingerprint: f, Name: name, Crashes: map[Crash]Sighting{crash: {At: now, Alone: alone}}}) {
 			changed = append(changed, f)
 		}
 	}
@@ -213,7 +240,7 @@
 	if at.After(r.ClearedAt) {
 		r.ClearedAt = at
 	}
-	maps.DeleteFunc(r.Crashes, func(_ Crash, crashed time.Time) bool { return !crashed.After(r.ClearedAt) })
+	maps.DeleteFunc(r.Crashes, func(_ Crash, sighting Sighting) bool { return !sighting.At.After(r.ClearedAt) })
 }
 
 // Merge adds what another instance knows about a request, and reports whether any of it is new. The order in which records are
@@ -225,7 +252,7 @@
 	r := q.records[other.Fingerprint]
 	if r == nil {
 		q.makeRoom(now)
-		r = &Record{Fingerprint: other.Fingerprint, Name: other.Name[:min(len(other.Name), maxNameBytes)], Crashes: map[Crash]time.Time{}}
+		r = &Record{Fingerprint: other.Fingerprint, Name: other.Name[:min(len(other.Name), maxNameBytes)], Crashes: map[Crash]Sighting{}}
 		if q.records == nil {
 			q.records = map[Fingerprint]*Record{}
 		}
@@ -236,26 +263,34 @@
 		r.clear(other.ClearedAt)
 		changed = true
 	}
-	for crash, at := range other.Crashes {
-		if _, known := r.Crashes[crash]; known || !at.After(r.ClearedAt) {
+	for crash, sighting := range other.Crashes {
+		known, ok := r.Crashes[crash]
+		if ok && (known.Alone || !sighting.Alone) || !sighting.At.After(r.ClearedAt) {
 			continue
 		}
-		r.Crashes[crash] = at
+		if ok {
+			sighting.At = known.At
+		}
+		r.Crashes[crash] = sighting
 		changed = r.dropSurplus(crash) || changed
 	}
 	return changed
 }
 
-// dropSurplus keeps the first crashes, which say since when the request is barred, and the latest ones, and reports whether
-// added is among them.
+// dropSurplus drops a crash if there are too many, one that does not count if there is one, but neither the first ones, which say
+// since when the request is barred, nor the latest. It reports whether added is kept.
 func (r *Record) dropSurplus(added Crash) bool {
 	if len(r.Crashes) <= 2*crashesToBar {
 		return true
 	}
-	byTime := slices.SortedFunc(maps.Keys(r.Crashes), func(a, b Crash) int {
-		return cmp.Or(r.Crashes[a].Compare(r.Crashes[b]), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	byTime := r.byTime()
 	surplus := byTime[crashesToBar]
+	for _, crash := range byTime[1 : len(byTime)-1] {
+		if !r.Crashes[crash].Alone {
+			surplus = crash
+			break
+		}
+	}
 	delete(r.Crashes, surplus)
 	return surplus != added
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -33,7 +33,7 @@
 		"crashes for every client": {
 			events: func(q *Quarantine) {
 				for n, request := range []Fingerprints{a, b, a} {
-					q.Crashed(at(n), request, "", crash(n))
+					q.Crashed(at(n), request, "", crash(n), true)
 				}
 			},
 			want: map[Fingerprints]Verdict{a: Barred{Since: at(2), Crashes: 3}, c: Barred{Since: at(2), Crashes: 3}},
@@ -41,7 +41,7 @@
 		"crashes for one client, answered for another": {
 			events: func(q *Quarantine) {
 				for n := range 3 {
-					q.Crashed(at(2*n), a, "", crash(n))
+					q.Crashed(at(2*n), a, "", crash(n), true)
 					q.Answered(at(2*n+1), b)
 				}
 			},
@@ -64,7 +64,12 @@
 // although a server has answered it, or for what one crash of a server did to several copies of it.
 func TestVerdicts(t *testing.T) {
 	type events func(q *Quarantine)
-	crashed := func(ms, n int) events { return func(q *Quarantine) { q.Crashed(at(ms), one, "GET h/x", crash(n)) } }
+	crashed := func(ms, n int) events {
+		return func(q *Quarantine) { q.Crashed(at(ms), one, "GET h/x", crash(n), true) }
+	}
+	crashedBeside := func(ms, n int) events {
+		return func(q *Quarantine) { q.Crashed(at(ms), one, "GET h/x", crash(n), false) }
+	}
 	answered := func(ms int) events { return func(q *Quarantine) { q.Answered(at(ms), one) } }
 	tests := map[string]struct {
 		events []events
@@ -76,8 +81,15 @@
 		"two crashes":               {events: []events{crashed(0, 1), crashed(1, 2)}, now: at(2), want: Suspect{}},
 		"three crashes":             {events: []events{crashed(0, 1), crashed(1, 2), crashed(2, 3)}, now: at(3), want: Barred{Since: at(2), Crashes: 3}},
 		"one crash, noticed thrice": {events: []events{crashed(0, 1), crashed(1, 1), crashed(2, 1)}, now: at(3), want: Suspect{}},
-		"answered":                  {events: []events{crashed(0, 1), crashed(1, 2), answered(2)}, now: at(3), want: Clear{}},
-		"answered between":          {events: []events{crashed(0, 1), crashed(1, 2), answered(2), crashed(3, 3)}, now: at(4), want: Suspect{}},
+		"three crashes beside others": {
+			events: []events{crashedBeside(0, 1), crashedBeside(1, 2), crashedBeside(2, 3)}, now: at(3), want: Suspect{},
+		},
+		"two alone after those beside others": {
+			events: []events{crashedBeside(0, 1), crashedBeside(1, 2), crashed(2, 3), crashed(3, 4)}, now: at(4),
+			want: Barred{Since: at(3), Crashes: 4},
+		},
+		"answered":         {events: []events{crashed(0, 1), crashed(1, 2), answered(2)}, now: at(3), want: Clear{}},
+		"answered between": {events: []events{crashed(0, 1), crashed(1, 2), answered(2), crashed(3, 3)}, now: at(4), want: Suspect{}},
 		"the bar ends": {
 			events: []events{crashed(0, 1), crashed(1, 2), crashed(2, 3)}, now: at(2).Add(barDuration), want: Suspect{},
 		},
@@ -104,10 +116,10 @@
 func TestRecordsMergeInAnyOrder(t *testing.T) {
 	is := is.New(t)
 	records := []Record{
-		{Fingerprint: 7, Crashes: map[Crash]time.Time{crash(1): at(0)}},
+		{Fingerprint: 7, Crashes: map[Crash]Sighting{crash(1): {At: at(0), Alone: true}}},
 		{Fingerprint: 7, ClearedAt: at(5)},
-		{Fingerprint: 7, Crashes: map[Crash]time.Time{crash(2): at(10), crash(3): at(11)}},
-		{Fingerprint: 7, Crashes: map[Crash]time.Time{crash(3): at(11), crash(4): at(12)}},
+		{Fingerprint: 7, Crashes: map[Crash]Sighting{crash(2): {At: at(10), Alone: true}, crash(3): {At: at(11), Alone: true}}},
+		{Fingerprint: 7, Crashes: map[Crash]Sighting{crash(3): {At: at(11), Alone: true}, crash(4): {At: at(12), Alone: true}}},
 	}
 	for _, order := range [][]int{{0, 1, 2, 3}, {3, 2, 1, 0}, {1, 3, 0, 2, 2, 0}} {
 		var q Quarantine
@@ -125,10 +137,10 @@
 	is := is.New(t)
 	var q Quarantine
 	for n := range 3 {
-		q.Crashed(at(n), same(1), strings.Repeat("x", 10_000), crash(n))
+		q.Crashed(at(n), same(1), strings.Repeat("x", 10_000), crash(n), true)
 	}
 	for n := range maxRecords + 50 {
-		q.Crashed(at(10+n), same(Fingerprint(n+2)), "", crash(n))
+		q.Crashed(at(10+n), same(Fingerprint(n+2)), "", crash(n), true)
 	}
 	is.Equal(len(q.Fingerprints()), maxRecords)
 	is.Equal(q.Barred(at(10_000)), 1)
@@ -136,7 +148,7 @@
 	is.True(ok)
 	is.Equal(len(record.Name), maxNameBytes)
 	for n := range 100 {
-		q.Crashed(at(30_000+n), same(1), "", crash(1000+n))
+		q.Crashed(at(30_000+n), same(1), "", crash(1000+n), true)
 	}
 	record, _ = q.Get(1)
 	is.True(len(record.Crashes) <= 2*crashesToBar)
