Soak with requests that crash servers

Cause: the soak had no request that crashes servers, so nothing searched for series of faults in which one is sent on.

Change: each third seed has six servers that crash under a repeated request and start again, and no others of their service; the rest limit a server as before.

Ruled out: crashing servers beside the usual ones in every seed: these answer the request, so that it is cleared and rightly goes on.

--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,7 +23,7 @@
 
 // The flags of TestSoak. `make soak` sets soak.seeds and soak.first.
 var (
-	soakSeeds   = flag.Int("soak.seeds", 0, "number of new seeds to run besides the regression seeds; 0 runs one")
+	soakSeeds   = flag.Int("soak.seeds", 0, "number of new seeds to run besides the regression seeds; fewer than minSoakSeeds run that many")
 	soakFirst   = flag.Uint64("soak.first", 1, "first new seed")
 	soakEntries = flag.Int("soak.entries", 4, "number of entry instances")
 	soakServers = flag.Int("soak.servers", 4,
@@ -36,6 +37,10 @@
 	2: "an idempotent request was reported as not run, although an earlier attempt had reached a server and may have run",
 }
 
+// minSoakSeeds is the least number of new seeds: two of three consecutive ones have a server that limits its requests, and one has
+// requests that crash servers.
+const minSoakSeeds = 3
+
 // watchInterval is the time between two checks of the entries' status.
 const watchInterval = 250 * time.Millisecond
 
@@ -50,7 +55,7 @@
 	for seed, cause := range regressionSeeds {
 		seeds[seed] = cause
 	}
-	for i := range max(1, *soakSeeds) {
+	for i := range max(minSoakSeeds, *soakSeeds) {
 		seeds[*soakFirst+uint64(i)] = "new seed"
 	}
 	for seed, cause := range seeds {
@@ -75,23 +80,32 @@
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
 	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2), seeded: seed%2 == 0}
+	crashes := seed%3 == 0 // otherwise a server limits its requests
+	if crashes {
+		size.unkeyedServers = 0 // they would answer the requests that crash servers
+	}
 	s := &soak{cluster: newCluster(t, size), random: rand.New(rand.NewPCG(seed, seed))}
-	limited := s.addLimitedServer()
+	var special action
+	var check func()
+	if crashes {
+		special, check = s.prepareCrashes(seed)
+	} else {
+		special, check = s.prepareLimits(seed)
+	}
 	t.Cleanup(s.logActions)
 	s.started = time.Now()
 	loadTail := 6 * time.Second // how long the load continues after soak.length
 	count := int((*soakLength + loadTail).Seconds() * requestsPerSecond)
 	l := s.startLoad(s.entries, seed, count)
 	stopWatching := s.watchEntries()
-	phases := s.drawLimits(seed)
-	s.runActions(s.drawRestore(seed), s.limitAction(limited, phases))
+	s.runActions(s.drawRestore(seed), special)
 	stopWatching()
 	s.awaitAgreement(s.entries...)
 	s.awaitAllAnswered()
 	report := s.verifyLoad(l)
 	is.Equal(report.Sent, count)
 	is.True(report.Answered > 0)
-	s.checkLimits(limited, phases)
+	check()
 }
 
 // logActions logs the actions if the test failed.
@@ -306,11 +320,22 @@
 	s.publishAgain()
 }
 
-// addLimitedServer adds a server that only limitAction disturbs. It is not one of s.servers, from which the other actions draw.
-func (s *soak) addLimitedServer() *server {
+// prepareLimits adds a server that only the returned action disturbs: it is not one of s.servers, from which the other actions
+// draw. check checks how many requests it got.
+func (s *soak) prepareLimits(seed uint64) (limit action, check func()) {
 	limited := s.addServer("shelf_limited", unkeyedService)
 	s.servers = s.servers[:len(s.servers)-1]
-	return limited
+	phases := s.drawLimits(seed)
+	return s.limitAction(limited, phases), func() { s.checkLimits(limited, phases) }
+}
+
+// prepareCrashes adds servers that crash under the requests of the returned action, and that no other action disturbs. check
+// checks how often they got these.
+func (s *soak) prepareCrashes(seed uint64) (repeat action, check func()) {
+	const servers = 6
+	x := startCrashes(s.cluster, servers)
+	s.servers = s.servers[:len(s.servers)-servers]
+	return s.drawCrashes(seed, x), func() { x.check(1) }
 }
 
 // limitPhase is a time in which a server names a limit.
@@ -360,6 +385,21 @@
 	}
 }
 
+// drawCrashes returns an action that repeats a request which crashes servers. Its random numbers are apart from those of the other
+// actions, so that regression seeds keep their series.
+func (s *soak) drawCrashes(seed uint64, x *crashes) action {
+	random := rand.New(rand.NewPCG(seed, seed<<1))
+	length := 4*time.Second + time.Duration(random.Int64N(int64(6*time.Second)))
+	a := s.newAction("crashing requests", func() {
+		s.recordAction("a request that crashes servers is repeated for %v", length)
+		stop := make(chan struct{})
+		time.AfterFunc(length, func() { close(stop) })
+		x.repeat(http.MethodGet, stop)
+	})
+	a.startAfter = time.Duration(random.Int64N(int64(*soakLength / 2)))
+	return a
+}
+
 // watchEntries calls checkEntries every watchInterval until the returned function is called.
 func (s *soak) watchEntries() func() {
 	done := make(chan struct{})
