--- a/cmd/admin_test.go
+++ b/cmd/admin_test.go
@@ -30,6 +30,10 @@
 		Members:         []inspector.Member{{Instance: s.name, Domain: "muscat_a", Address: "127.0.0.2:7720", Capacity: 320}},
 		Servers: []inspector.Server{{
 			ID: "render_01", Service: "render_desk", State: "ready", Slots: 3, Ranges: 1, Keys: 65536, Dispatcher: "entry_1",
+			Limited: true, Limit: 2.5, LimitedSeconds: 61,
+		}},
+		Barred: []inspector.BarredRequest{{
+			Fingerprint: "00000000000000f7", Request: "GET h/x", Crashes: 3, BarredSeconds: 1.5,
 		}},
 	}, nil
 }
@@ -77,6 +81,7 @@
 				"itself", // entry_1 is the leader
 				"lost",   // entry_2 can't reach the store
 				"5.7", "render_01  render_desk", "127.0.0.2:7720",
+				"render_01       2.5                1m1s", "GET h/x         00000000000000f7  3        1.5s",
 			},
 		},
 		"status as JSON": {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"text/tabwriter"
+	"time"
 
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/inspector"
@@ -52,6 +53,8 @@
 	})
 	writeMembers(table, newest)
 	writeServers(table, newest)
+	writeLimits(table, newest)
+	writeBarred(table, newest)
 	return table.Flush()
 }
 
@@ -110,4 +113,29 @@
 	}
 }
 
+// writeLimits writes the servers that limit their requests, if there are any.
+func writeLimits(w io.Writer, s inspector.Status) {
+	head := "\nLIMITED SERVER\tREQUESTS A SECOND\tFOR\n"
+	for _, server := range s.Servers {
+		if server.Limited {
+			fmt.Fprintf(w, "%s%s\t%g\t%s\n", head, server.ID, server.Limit, secondsText(server.LimitedSeconds))
+			head = ""
+		}
+	}
+}
+
+// writeBarred writes the requests that are refused because servers crash under them, if there are any.
+func writeBarred(w io.Writer, s inspector.Status) {
+	head := "\nBARRED REQUEST\tFINGERPRINT\tCRASHES\tFOR\n"
+	for _, b := range s.Barred {
+		fmt.Fprintf(w, "%s%s\t%s\t%d\t%s\n", head, b.Request, b.Fingerprint, b.Crashes, secondsText(b.BarredSeconds))
+		head = ""
+	}
+}
+
+// secondsText returns a duration in seconds as text.
+func secondsText(seconds float64) string {
+	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond).String()
+}
+
 func orDash(text string) string { return cmp.Or(text, "-") }
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -28,9 +28,7 @@
 // isBarred reports whether an instance refuses the request of noticeCrash.
 func isBarred(c *Controller) bool {
 	record, _ := c.options.Forwarder.QuarantineRecord(7)
-	var q quarantiner.Quarantine
-	q.Merge(time.Now(), record)
-	_, barred := q.VerdictOn(time.Now(), 7).(quarantiner.Barred)
+	_, barred := record.Verdict(time.Now()).(quarantiner.Barred)
 	return barred
 }
 
@@ -67,6 +65,11 @@
 	is.Equal(record.Name, "GET h/x")
 	is.Equal(len(record.Crashes), 4)
 	is.Equal(leader.crashRecordsFor(other.quarantineReports.version), nil)
+	status := other.barredStatus()
+	is.Equal(len(status), 1)
+	is.Equal(status[0].Fingerprint, "0000000000000007")
+	is.Equal(status[0].Request, "GET h/x")
+	is.Equal(status[0].Crashes, 4)
 
 	leads.Identity.Instance, leads.Term = "next", 2
 	other.elector.ObserveLeader(now, leads)
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/inspector"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/platform"
 )
@@ -26,10 +27,26 @@
 			})
 		}
 		status.Servers = c.serverStatus()
+		status.Barred = c.barredStatus()
 		return status
 	})
 }
 
+// barredStatus returns the barred requests.
+func (c *Controller) barredStatus() []inspector.BarredRequest {
+	now := time.Now() // the Forwarder's times are of time.Now
+	var list []inspector.BarredRequest
+	for _, f := range c.options.Forwarder.QuarantinedRequests() {
+		record, _ := c.options.Forwarder.QuarantineRecord(f)
+		if v, barred := record.Verdict(now).(quarantiner.Barred); barred {
+			list = append(list, inspector.BarredRequest{
+				Fingerprint: f.String(), Request: record.Name, Crashes: v.Crashes, BarredSeconds: now.Sub(v.Since).Seconds(),
+			})
+		}
+	}
+	return list
+}
+
 func encodeVersion(v partitioner.Version) inspector.Version {
 	return inspector.Version{Term: v.Term, Sequence: v.Sequence}
 }
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -166,16 +166,15 @@
 	for _, fingerprint := range changed {
 		f.meter.Set(meter.BarredRequests, int64(f.quarantine.Barred(now)))
 		record, _ := f.quarantine.Get(fingerprint)
-		id := fmt.Sprintf("%016x", uint64(fingerprint))
 		switch v := f.quarantine.VerdictOn(now, fingerprint).(type) {
 		case quarantiner.Barred:
-			klog.InfoS("request is barred: servers crash under it", "fingerprint", id, "request", record.Name, "crashes", v.Crashes,
+			klog.InfoS("request is barred: servers crash under it", "fingerprint", fingerprint, "request", record.Name, "crashes", v.Crashes,
 				"for", now.Sub(v.Since))
 		case quarantiner.Suspect:
-			klog.InfoS("request is suspected of crashing servers", "fingerprint", id, "request", record.Name,
+			klog.InfoS("request is suspected of crashing servers", "fingerprint", fingerprint, "request", record.Name,
 				"crashes", len(record.Crashes))
 		case quarantiner.Clear:
-			klog.InfoS("request is no longer suspected of crashing servers", "fingerprint", id, "request", record.Name)
+			klog.InfoS("request is no longer suspected of crashing servers", "fingerprint", fingerprint, "request", record.Name)
 		}
 	}
 }
--- a/internal/inspector/answers.go
+++ b/internal/inspector/answers.go
@@ -21,6 +21,8 @@
 	OwnerMapVersion Version  `json:"owners"`
 	Members         []Member `json:"members"`
 	Servers         []Server `json:"servers"`
+	// Barred are the requests that the instance refuses because servers crash under them.
+	Barred []BarredRequest `json:"barred"`
 	// Running counts the requests that are in progress at servers for which the instance is the dispatcher. Waiting counts the
 	// requests that wait in the queues of these servers.
 	Running int `json:"running"`
@@ -74,6 +76,17 @@
 	LimitedSeconds float64 `json:"limited_s"`
 }
 
+// BarredRequest is a request that is refused because servers crash under it.
+type BarredRequest struct {
+	// Fingerprint identifies the request in log lines, in hexadecimal.
+	Fingerprint string `json:"fingerprint"`
+	// Request is its method, host and URI.
+	Request string `json:"request"`
+	// Crashes is the number of servers that have crashed under it, as far as is known, and BarredSeconds ago it was barred.
+	Crashes       int     `json:"crashes"`
+	BarredSeconds float64 `json:"barred_s"`
+}
+
 // OwnerAnswer is the answer to GET /owner: the owner of a key according to one instance.
 type OwnerAnswer struct {
 	// Instance is the instance that answers.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -40,6 +40,9 @@
 // Fingerprint identifies a request, or what is asked for, across its repetitions; 0 means unknown.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Fingerprints are those of one request. A request may crash servers because of what it asks for, or only for a client.
 type Fingerprints struct {
 	Client  Fingerprint // of the content and of who sends it
@@ -67,7 +70,7 @@
 
 // String returns the fingerprints in hexadecimal, joined by a hyphen.
 func (f Fingerprints) String() string {
-	return fmt.Sprintf("%016x-%016x", uint64(f.Client), uint64(f.Content))
+	return f.Client.String() + "-" + f.Content.String()
 }
 
 // ParseFingerprints parses what String returns.
@@ -146,8 +149,8 @@
 	return last
 }
 
-// verdict returns the verdict on the request.
-func (r *Record) verdict(now time.Time) Verdict {
+// Verdict returns the verdict on the request.
+func (r *Record) Verdict(now time.Time) Verdict {
 	if len(r.Crashes) == 0 {
 		return Clear{}
 	}
@@ -193,7 +196,7 @@
 		if r == nil {
 			continue
 		}
-		switch v := r.verdict(now).(type) {
+		switch v := r.Verdict(now).(type) {
 		case Barred:
 			return v
 		case Suspect:
@@ -320,7 +323,7 @@
 }
 
 func (r *Record) rank(now time.Time) int {
-	switch r.verdict(now).(type) {
+	switch r.Verdict(now).(type) {
 	case Suspect:
 		return 1
 	case Barred:
@@ -347,7 +350,7 @@
 func (q *Quarantine) Barred(now time.Time) int {
 	count := 0
 	for _, r := range q.records {
-		if _, barred := r.verdict(now).(Barred); barred {
+		if _, barred := r.Verdict(now).(Barred); barred {
 			count++
 		}
 	}
