A substitute bounds only the waits for limits; names of requests leave out the query

What callers saw: while a dispatcher is away and servers are busy, requests that had waited for 1 s were refused, although they could have been answered before their deadlines. Found when the change was read again.

Cause: the bound on waits at an instance that stands in for a dispatcher held for servers without a limit as well.

Change: it holds only while a limit keeps the request. The name of a barred request, which is logged and shown, has method, host and path, since a query may contain secrets.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -47,8 +47,11 @@
 	buffered        int64               // bytes of its answers that were taken from the buffer budget
 }
 
-// name returns the method, host and URI of the request, for operators.
-func (req *clientRequest) name() string { return req.method + " " + req.host + req.uri }
+// name returns the method, host and path of the request, for operators. The query is left out, as it may contain secrets.
+func (req *clientRequest) name() string {
+	path, _, _ := strings.Cut(req.uri, "?")
+	return req.method + " " + req.host + path
+}
 
 // readFrom sets the parts of a client's request that are forwarded. It returns errBodyTooLarge if the body has more than
 // maxBodyBytes.
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// OnLimit registers a function that is called with each server whose limit an answer to this instance changes. It must be called before the first request.
+// OnLimit registers a function that is called with each server whose limit an answer to this instance changes. It must be
+// called before the first request.
 func (f *Forwarder) OnLimit(onLimit func(server string)) { f.onLimit = onLimit }
 
 // Limit returns the limit of an incarnation of a server, and false if it names none.
--- a/internal/inspector/answers.go
+++ b/internal/inspector/answers.go
@@ -80,7 +80,7 @@
 type BarredRequest struct {
 	// Fingerprint identifies the request in log lines, in hexadecimal.
 	Fingerprint string `json:"fingerprint"`
-	// Request is its method, host and URI.
+	// Request is its method, host and path.
 	Request string `json:"request"`
 	// Crashes is the number of servers that have crashed under it, as far as is known, and BarredSeconds ago it was barred.
 	Crashes       int     `json:"crashes"`
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -133,7 +133,7 @@
 // Record is what is known about a request.
 type Record struct {
 	Fingerprint Fingerprint
-	Name        string             // method, host and URI, for operators
+	Name        string             // method, host and path, for operators
 	Crashes     map[Crash]Sighting // since ClearedAt
 	ClearedAt   time.Time          // when a server last answered the request; zero if none did
 }
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -2,8 +2,8 @@
 // which are refused. It does no I/O and never blocks; the current time is an argument.
 //
 // It handles overload: a server never gets more concurrent requests than it has slots, nor more a second than its limit, if it
-// has one; requests that can still meet their latency objective are sent before late ones, those of a higher priority before others, and a request that would have to
-// wait and can't be answered before its deadline is refused as soon as that is known.
+// has one; requests that can still meet their latency objective are sent before late ones, those of a higher priority before
+// others, and a request that would have to wait and can't be answered before its deadline is refused as soon as that is known.
 package queuer
 
 import (
@@ -56,7 +56,7 @@
 	// several requests the one that crashes servers shows. EndSuspect must be called when it has ended.
 	Suspect bool
 	// Substitute says that this instance stands in for the dispatcher of the servers, which may be back soon. The request waits
-	// for the limit of a server for maxSubstituteWait at most, so that the two soon send no longer beside each other.
+	// for the limit of a server for maxSubstituteWait at most, so that the two don't send beside each other for long.
 	Substitute bool
 }
 
@@ -394,8 +394,8 @@
 	return initialServiceTime
 }
 
-// pickServer returns the server for the next request, or nil if no slot is free within the limits: the one with the largest share of
-// free slots, and among equals the fastest. AvoidServer is picked only if no other server has a free slot.
+// pickServer returns the server for the next request, or nil if no slot is free within the limits: the one with the largest
+// share of free slots, and among equals the fastest. AvoidServer is picked only if no other server has a free slot.
 func (q *Queue) pickServer(now time.Time, r Request) *server {
 	var best *server
 	for _, s := range q.servers {
@@ -573,9 +573,9 @@
 }
 
 // mayWait reports whether a request with the service time need may wait: whether it would be answered before its deadline if
-// ahead is executed before it. Without a usable server, requests wait only for one
-// that is usable within minEjectionTime. A request that misses its objective may not wait under overload; with less
-// load, its wait is taken to grow with the load, because new requests run before it.
+// ahead is executed before it. Without a usable server, requests wait only for one that is usable within minEjectionTime. A
+// request that misses its objective may not wait under overload; with less load, its wait is taken to grow with the load,
+// because new requests run before it.
 func (q *Queue) mayWait(now time.Time, w *waitingRequest, ahead waitAhead, capacity float64, need time.Duration) bool {
 	if capacity == 0 {
 		usable := q.nextUsable(now)
@@ -584,7 +584,8 @@
 	if !q.canAnswer(now, w.Request) {
 		return false
 	}
-	if w.Substitute && now.Add(q.limitDelay(now, ahead.requests)).After(w.since.Add(maxSubstituteWait)) {
+	limitDelay := q.limitDelay(now, ahead.requests)
+	if w.Substitute && limitDelay > 0 && now.Add(limitDelay).After(w.since.Add(maxSubstituteWait)) {
 		return false
 	}
 	start := q.delay(now, ahead, capacity)
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -370,3 +370,28 @@
 	change = q.Done(start, "b", "c", Answered, time.Millisecond)
 	is.Equal(change.Started, []Started{{Ticket: 2, Server: "b"}})
 }
+
+// TestSubstituteBoundsOnlyWaitsForLimits guards against requests that are refused after a second at an instance that stands in for
+// a dispatcher, although no limit keeps them.
+func TestSubstituteBoundsOnlyWaitsForLimits(t *testing.T) {
+	tests := map[string]struct {
+		server  Server
+		refused int
+	}{
+		"limit":    {server: Server{ID: "a", Slots: 1, Limited: true, Rate: 0.5}, refused: 1},
+		"no limit": {server: Server{ID: "a", Slots: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := &Queue{}
+			q.SetServers(start, []Server{{ID: "a", Slots: 1}})
+			is.Equal(q.Offer(start, request(0, 5000, 5000)), Start{Server: "a"})
+			r := request(0, 5000, 5000)
+			r.Substitute = true
+			is.Equal(q.Offer(start, r), Wait{Ticket: 1})
+			change := q.SetServers(at(1500), []Server{test.server})
+			is.Equal(len(change.Refused), test.refused)
+		})
+	}
+}
