Cleared requests cause no more messages between instances

What callers saw: nothing yet; found when the change was read again. After an answer had cleared a request, each further one of the same content would be logged, reported and published to all for 20 minutes.

Cause: what is known goes with a request and back, and the time of the last answer grows by a millisecond with each passing on, since ages are whole milliseconds. Each growth counted as news.

Change: only a clearance that removes crashes is news; a later time counts from one second on, and goes along with requests for 5 s.

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -240,7 +241,16 @@
 		is.True(known)
 		is.Equal(len(record.Crashes), 0) // the answer cleared it at both
 	}
-	time.Sleep(5 * time.Millisecond)
+	var changes atomic.Int64
+	for _, counted := range []*Forwarder{f, second} {
+		counted.OnQuarantine(func(quarantiner.Fingerprint) { changes.Add(1) })
+	}
+	for range 20 { // what was cleared is no news
+		is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK)
+		time.Sleep(2 * time.Millisecond)
+	}
+	is.Equal(changes.Load(), int64(0))
+	forwarded, sent := f.meter.Get(meter.RequestsForwarded), b.requests.Load()
 	for n, noticedBy := range []*Forwarder{f, second, second} {
 		req := &clientRequest{method: "POST", host: "h", uri: "/once/x", fingerprints: fingerprints, suspect: true}
 		noticedBy.recordCrash(time.Now(), req, cataloger.Server{ID: "s,;%", Incarnation: int64(10 + n)})
@@ -248,8 +258,8 @@
 	w = sendFrom(f, "10.0.0.1", "POST", "/once/x")
 	is.Equal(w.Code, http.StatusServiceUnavailable) // three together
 	is.Equal(w.Header().Get("Retry-After"), "")
-	is.Equal(f.meter.Get(meter.RequestsForwarded), int64(3))
+	is.Equal(f.meter.Get(meter.RequestsForwarded), forwarded+1)
 	is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusServiceUnavailable)
-	is.Equal(f.meter.Get(meter.RequestsForwarded), int64(3)) // now it is refused on arrival
-	is.Equal(b.requests.Load(), int64(2))
+	is.Equal(f.meter.Get(meter.RequestsForwarded), forwarded+1) // now it is refused on arrival
+	is.Equal(b.requests.Load(), sent)
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -33,6 +33,10 @@
 	// maxRecords bounds the requests that are kept. The one with the oldest event is dropped for a new one; barred requests go
 	// last.
 	maxRecords = 4096
+	// clearedPrecision is by how much the time of an answer may grow when instances pass it on.
+	clearedPrecision = time.Second
+	// clearedNews is how long after an answer has cleared a request that goes with it.
+	clearedNews = 5 * time.Second
 	// maxNameBytes bounds the name of a request.
 	maxNameBytes = 200
 )
@@ -262,11 +266,11 @@
 		}
 		q.records[other.Fingerprint] = r
 	}
-	changed := false
-	if other.ClearedAt.After(r.ClearedAt) {
+	before := len(r.Crashes)
+	if other.ClearedAt.After(r.ClearedAt) && (before > 0 || other.ClearedAt.Sub(r.ClearedAt) > clearedPrecision) {
 		r.clear(other.ClearedAt)
-		changed = true
 	}
+	changed := len(r.Crashes) < before
 	for crash, sighting := range other.Crashes {
 		known, ok := r.Crashes[crash]
 		if ok && (known.Alone || !sighting.Alone) || !sighting.At.After(r.ClearedAt) {
@@ -357,7 +361,7 @@
 	return count
 }
 
-// Encode returns what is known about a request as text for another instance, or nothing if no server has crashed under it: a
+// Encode returns what is known about a request as text for another instance, or nothing if it is clear: a
 // record for each fingerprint, separated by spaces. A record has the fingerprint in hexadecimal, the age of the last answer or a
 // hyphen, and the crashes, separated by semicolons; a crash has the escaped id of the server, its incarnation, its age and whether the
 // request was alone. Ages are in milliseconds.
@@ -368,7 +372,7 @@
 	var records []string
 	for _, f := range request.each() {
 		r := q.records[f]
-		if r == nil {
+		if r == nil || len(r.Crashes) == 0 && now.Sub(r.ClearedAt) > clearedNews {
 			continue
 		}
 		cleared := "-"
