The test of a leaving instance waits for its own event

The event of a call to the store ("reading the leader's record failed") was queued before the one that announces the shutdown, and the test handled only the first.

Change: it handles events until the instance is leaving. What it asks for is the same.

--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -125,7 +125,9 @@
 	c.step(timekeeper.Now())
 	is.True(!c.view.Self.Leaving)
 	c.AnnounceLeaving()
-	(<-c.events)(timekeeper.Now())
+	for !c.leaving { // events of calls to the store may come before
+		(<-c.events)(timekeeper.Now())
+	}
 	c.step(timekeeper.Now())
 	is.True(c.view.Self.Leaving)
 }
