An instance can connect to backend servers from a given source address

Cause: on one machine all instances connect to servers from 127.0.0.1, so that a test can't cut one instance off from the servers while others reach them. Operators with several addresses on a machine lack the same control. Change: the optional setting network.source_address. Without it nothing changes. Ruled out: finding the instance by the inode of the socket, which is possible only after the connection is established, so that no connection attempt could be dropped.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,8 @@
 	// Seeds are the addresses where other instances reach the seeds, a few instances through which this one joins at the first
 	// start. It is empty in a seed. Some may be down.
 	Seeds []string
+	// SourceIP is the local address of connections to backend servers; nil lets the system choose.
+	SourceIP net.IP
 	// HeartbeatInterval is how often backend servers write their registrations to the store.
 	HeartbeatInterval time.Duration
 }
@@ -217,6 +220,7 @@
 		lastUnreachable: map[string]time.Time{},
 		peers:           newPeers(),
 	}
+	c.orders.SourceIP = o.SourceIP
 	c.context, c.stop = context.WithCancel(context.Background()) // other instances may call before Run
 	interrupt := make(chan struct{})
 	c.interrupt.Store(&interrupt)
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -27,6 +27,8 @@
 	ConnectTimeout time.Duration // for connecting with the TLS handshake, and for waiting until a connection is free
 	IdleTimeout    time.Duration // a connection found to have been idle for longer is closed, not used
 	TLS            *tls.Config
+	// SourceIP is the local address of the connections; nil lets the system choose.
+	SourceIP       net.IP
 	MaxAnswerBytes int64 // bound of the bytes of an answer after its header, with the overhead of chunks
 	// ProbeInterval is the time between keep-alive probes, which find unresponsive connections: a connection whose other
 	// side acknowledges nothing for three intervals fails. 0 leaves probes to the defaults of Go and the operating system.
@@ -212,7 +214,7 @@
 	if timeout <= 0 {
 		return nil, errDeadlinePassed
 	}
-	dialer := net.Dialer{Timeout: timeout, Deadline: deadline}
+	dialer := net.Dialer{Timeout: timeout, Deadline: deadline, LocalAddr: LocalAddr(p.options.SourceIP)}
 	if p.options.ProbeInterval > 0 {
 		dialer.KeepAliveConfig = net.KeepAliveConfig{
 			Enable: true, Idle: p.options.ProbeInterval, Interval: p.options.ProbeInterval, Count: maxUnansweredProbes,
@@ -235,6 +237,14 @@
 	return c, nil
 }
 
+// LocalAddr returns the local address of a net.Dialer for a source IP address; nil lets the system choose.
+func LocalAddr(source net.IP) net.Addr {
+	if source == nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: source}
+}
+
 // handshake replaces the TCP connection of c by a TLS connection over it, if the pool uses TLS.
 func (p *Pool) handshake(ctx context.Context, c *conn, timeout time.Duration) error {
 	if p.options.TLS == nil {
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 )
@@ -200,7 +201,7 @@
 	if noticed, known := f.endedAt(crash); known {
 		return !sent.After(noticed) // else it was sent on a connection that had ended already
 	}
-	if !refusesConnections(ctx, server.Address) {
+	if !f.refusesConnections(ctx, server.Address) {
 		return false
 	}
 	now := time.Now()
@@ -224,8 +225,8 @@
 
 // refusesConnections reports whether no process accepts connections at an address. An address that does not answer may be cut
 // off, so that does not count.
-func refusesConnections(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: endedProbeTimeout}
+func (f *Forwarder) refusesConnections(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
 	conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -79,6 +80,7 @@
 	nextRotation       atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout        time.Duration // the constant, except in tests
 	buffers            bufferBudget
+	sourceIP           net.IP                                 // see SetSourceIP
 	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
 	onLimit            func(server string)                    // see OnLimit; may be nil
 	onQuarantine       func(quarantiner.Fingerprint)          // see OnQuarantine; may be nil
@@ -132,6 +134,10 @@
 	return f
 }
 
+// SetSourceIP sets the local address of connections to servers; nil lets the system choose. It must be called before the first
+// request.
+func (f *Forwarder) SetSourceIP(ip net.IP) { f.sourceIP = ip }
+
 // SetView replaces the Forwarder's view of the system. Waiting requests whose keys have moved are sent to the new owner.
 func (f *Forwarder) SetView(now time.Time, v *resolver.View) {
 	f.view.Store(v)
@@ -306,6 +312,7 @@
 		p = exchanger.New(exchanger.Options{
 			Address: address, MaxConnections: slots + spareConnections, ConnectTimeout: connectTimeout,
 			IdleTimeout: serverIdleTimeout, ProbeInterval: serverProbeInterval, MaxAnswerBytes: maxWireBytes,
+			SourceIP: f.sourceIP,
 		})
 		f.serverConnPools[address] = p
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,6 +86,7 @@
 	})
 	counters := meter.New()
 	dataPlane := forwarder.New(names, budget, counters)
+	dataPlane.SetSourceIP(net.ParseIP(s.SourceAddress))
 	dataPlane.LimitBuffers(int64(float64(s.MemoryMB) * (1 << 20) * bufferedRatio))
 	self := resolver.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
@@ -95,6 +96,7 @@
 	controlPlane := controller.New(controller.Options{
 		Self: self, Store: platform.NewStore(s.StoreAddress), Forwarder: dataPlane, Meter: counters,
 		DrainTimeout: s.Bounds.DrainTimeout - drainMargin, MaxRangeLeaseDuration: s.Bounds.MaxLeaseDuration,
+		SourceIP:   net.ParseIP(s.SourceAddress),
 		FirstStart: s.FirstStart, Seeds: seedAddresses(s), HeartbeatInterval: s.HeartbeatInterval,
 	})
 	return &Runner{settings: s, forwarder: dataPlane, controller: controlPlane, meter: counters, log: log, events: events}
