Failing tests: instances that have lost their paths to all servers

Change: the proxies before the servers can cut off single instances, by packet filters on their sockets (silent, one direction) or resets (all connections, new ones). Seven cases with real processes, with the leader among the instances that are cut off, all but one of them, a failure domain, and a server killed beside it; and the case in which no instance has a path. Ruled out: proxies that accept and stall, as a silent path accepts no connection.

--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -156,6 +156,7 @@
 	must(c.t, err)
 	text := strings.NewReplacer("entry_1", e.name, "127.0.0.2", e.ip, "127.0.0.1:7400", e.storeProxy.address(),
 		"muscat_a", domains[n%len(domains)]).Replace(string(raw))
+	text += "network.source_address=" + e.ip + "\n"
 	if c.seeded {
 		text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
 	}
--- a/internal/verifier/load_test.go
+++ b/internal/verifier/load_test.go
@@ -36,10 +36,15 @@
 
 // startLoad starts sending count requests to the entries; on average half of them must run at most once.
 func (c *cluster) startLoad(entries []*entry, seed uint64, count int) *load {
+	return c.startPlan(entries, newPlan(seed, count))
+}
+
+// startPlan starts sending the requests of a plan to the entries.
+func (c *cluster) startPlan(entries []*entry, plan loadtester.Plan) *load {
 	c.loadCount++
-	l := &load{t: c.t, progress: make(chan int, count), done: make(chan struct{})}
+	l := &load{t: c.t, progress: make(chan int, plan.Count), done: make(chan struct{})}
 	settings := loadtester.Settings{
-		Plan: newPlan(seed, count), RunID: "run" + strconv.Itoa(c.loadCount),
+		Plan: plan, RunID: "run" + strconv.Itoa(c.loadCount),
 		Progress: func(sent int) { l.progress <- sent },
 	}
 	for _, e := range entries {
--- a/internal/verifier/proxy_test.go
+++ b/internal/verifier/proxy_test.go
@@ -29,16 +29,19 @@
 	mu        sync.Mutex
 	target    string
 	fault     fault
-	changed   chan struct{} // closed when fault changes
+	cuts      map[string]cut // by source IP address
+	changed   chan struct{}  // closed when fault or cuts change
 	openConns map[*net.TCPConn]bool
 }
 
 // newProxy returns a listening proxy. Its target has to be set with setTarget.
 func newProxy(t *testing.T) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // its sockets take no packet filter
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must(t, err)
-	p := &proxy{listener: listener, changed: make(chan struct{}), openConns: map[*net.TCPConn]bool{}}
+	p := &proxy{listener: listener, cuts: map[string]cut{}, changed: make(chan struct{}), openConns: map[*net.TCPConn]bool{}}
 	t.Cleanup(p.close)
 	go p.acceptConns()
 	return p
@@ -121,7 +124,7 @@
 // serveConn opens a connection to the target and copies bytes in both directions until neither side sends any more.
 func (p *proxy) serveConn(source *net.TCPConn) {
 	defer p.closeConn(source)
-	if !p.addConn(source) {
+	if !p.addConn(source) || !p.admitConn(source) {
 		return
 	}
 	_, target, _ := p.faultAndTarget()
@@ -152,7 +155,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			if !p.applyFault(stall) {
+			if !p.applyFault(stall) || stall == faultStallToSource && !p.awaitPath(to) {
 				return
 			}
 			if _, err := to.Write(buffer[:n]); err != nil {
