Instances without a path to the servers are no longer their dispatchers

What callers saw: of the first tries at instances that were cut off from all servers, and at the others, those for the service without keys were refused as queue_full. Cause: a dispatcher that has lost its path keeps the queue. It ejects its servers one by one and refuses what others forward, although they reach the servers. Nobody tells a server that has ended from an instance without a path. Change: package detector judges the paths of one instance to all servers from its own connections, and probes (TCP, at most 40 a second and instance, none while nothing fails) when one fails. A dispatcher that has lost all servers of a pool declines at once, also the requests that wait; the instance that received the request takes another dispatcher, at most four, and remembers the answer for 1 s. An instance that has lost more servers of a service than it reaches says so in its reports; all others then prefer instances that have not. Two failed connections of two instances are taken as a server that has ended. An instance receives a hop and never forwards it, so a detour has no loop. Flapping: a server is regained by two contacts 100 ms apart, by four and eight if it was lost again within 10 s. Ruled out: reporting each lost server to the leader (195 instances with 719 servers each), and readiness: clients of a failure domain that is cut off would be served from afar, and those of all instances by nobody. Result: TestRequestIsSentAroundDispatcherWithoutPath, TestWaitingRequestsLeaveDispatcherWithoutPath and TestInstancesThatLostServiceDispatchLast need the new code.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -147,6 +147,8 @@
 	leading         atomic.Bool                   // whether leaderState is not nil, for other goroutines
 	receivesChanges bool                          // whether new records in the store would reach this instance
 	behindTopics    map[string]bool               // topics of which the leader had read more at its last answer
+	lost            resolver.LostServices         // of this instance
+	lostSince       map[string]time.Time          // by service in lost
 	view            *resolver.View                // the current view of the forwarder
 }
 
@@ -322,12 +324,7 @@
 func (c *Controller) AnnounceLeaving() {
 	c.post(func(now time.Time) {
 		c.leaving = true
-		c.viewOutdated = true      // its own view must name another dispatcher as well
-		c.lastReport = time.Time{} // report at once
-		if c.leaderState != nil {
-			c.leaderState.membersVersion++
-			c.publish(now)
-		}
+		c.announceSelf(now)
 	})
 }
 
@@ -342,6 +339,7 @@
 	if c.catalog.Expire(now, c.options.DrainTimeout) {
 		c.serversChanged(now)
 	}
+	c.updatePaths(now)
 	c.applyEra(now)
 	if call := c.elector.Tick(now); call != nil {
 		c.startCall(now, call)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -213,6 +213,7 @@
 			sent := time.Now()
 			outcome, err := c.orders.Grant(c.context, sent, address, o)
 			c.options.Meter.Observe(meter.GrantTime, time.Since(sent))
+			c.options.Forwarder.ObserveGrant(time.Now(), o.Server, outcome == granter.Unanswered, err)
 			c.post(func(now time.Time) { c.completeGrant(now, l, o, outcome, err) })
 		}()
 	case granter.Release:
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -144,7 +144,7 @@
 // self returns this instance as a member.
 func (c *Controller) self() resolver.Member {
 	self := c.options.Self
-	self.Leaving = c.leaving
+	self.Leaving, self.Lost = c.leaving, c.lost
 	return self
 }
 
@@ -155,7 +155,7 @@
 func encodeMember(m resolver.Member) *herald.Member {
 	return &herald.Member{
 		Instance: m.Instance, Incarnation: m.Incarnation, Address: m.Address, Domain: m.Domain, Leaving: m.Leaving,
-		Capacity: uint32(m.Capacity),
+		Capacity: uint32(m.Capacity), LostServices: encodeLostServices(m.Lost),
 	}
 }
 
@@ -163,7 +163,7 @@
 func decodeMember(m *herald.Member) resolver.Member {
 	return resolver.Member{
 		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Domain: m.GetDomain(),
-		Leaving: m.GetLeaving(), Capacity: int(m.GetCapacity()),
+		Leaving: m.GetLeaving(), Capacity: int(m.GetCapacity()), Lost: decodeLostServices(m.GetLostServices()),
 	}
 }
 
@@ -384,7 +384,7 @@
 		return
 	}
 	klog.InfoS("instance joined or changed", "instance", member.Instance, "address", member.Address, "domain", member.Domain,
-		"leaving", member.Leaving)
+		"leaving", member.Leaving, "lost_services", member.Lost.Names())
 	l.members[member.Instance] = &memberState{member: member, lastReport: now}
 	c.updateMembers(now)
 }
--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -55,6 +55,9 @@
 	return errors.As(err, &body)
 }
 
+// IsErrPoolExhausted reports whether err says that all connections of a Pool were in use.
+func IsErrPoolExhausted(err error) bool { return errors.Is(err, errPoolExhausted) }
+
 var (
 	errPoolClosed           = errors.New("pool is closed")
 	errPoolExhausted        = errors.New("no connection became free in time")
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -65,6 +65,9 @@
 	return Connection{pool: p, conn: c}, nil
 }
 
+// Reused reports whether the connection was used for an earlier request.
+func (c Connection) Reused() bool { return c.conn.used }
+
 // Do sends req and reads the header of the answer. The whole exchange, including the body of the answer, is aborted at
 // deadline or when ctx ends. The error is an ErrNotSent or an ErrMaybeSent; if its cause is an ErrBody, reading the body
 // of req failed. onInformational may be nil.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -66,6 +66,10 @@
 		f.mu.Unlock()
 		return "", result{outcome: unreached, reason: reasonNoServer}, false
 	}
+	if f.poolLost(q.view, req.pool) {
+		f.mu.Unlock()
+		return "", result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}, false
+	}
 	decision := q.queue.Offer(now, queuer.Request{
 		Class: req.route, Priority: req.priority, Objective: req.objective, Deadline: req.deadline, AvoidServer: req.avoidServer,
 		NotIdempotent: !req.idempotent, Substitute: !dispatchesItself(q.view, req.pool),
@@ -160,6 +164,8 @@
 	}
 	queueOutcome := queuer.Failed
 	switch {
+	case r.lacksPath(): // the detector judges paths
+		queueOutcome = queuer.Inconclusive
 	case r.outcome == answered && r.status < http.StatusInternalServerError:
 		queueOutcome = queuer.Answered
 		f.loads.countAnswer(server, took)
@@ -193,17 +199,25 @@
 		return result{outcome: abandoned, server: serverID, reason: reasonClientLeft}
 	}
 	if err != nil {
-		return result{outcome: unreached, server: serverID, reason: "no_connection: " + err.Error()}
+		f.observeContact(time.Now(), serverID, classifyConnectError(err, req.deadline.Sub(now)))
+		reason := reasonNoConnection
+		if exchanger.IsErrPoolExhausted(err) {
+			reason = "no_free_connection"
+		}
+		return result{outcome: unreached, server: serverID, reason: reason + ": " + err.Error(), retryAfter: defaultRetryAfter}
 	}
 	// A request that is not idempotent is not cancelled when its client leaves, so that the server can complete it.
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = context.WithoutCancel(ctx)
 	}
+	reused := connection.Reused()
 	response, err := connection.Do(sendCtx, f.serverRequest(req, now, serverID, server.Address), req.deadline, nil)
 	if err != nil {
+		f.observeContact(time.Now(), serverID, classifyError(err, reused))
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
+	f.observeContact(time.Now(), serverID, contactMade)
 	body, err := f.readAnswer(req, response.Body)
 	answerID := response.Header.Get(f.headers.RequestID)
 	// Servers repeat the id. Without it, an answer on a connection that was used before may be a late copy of an earlier one.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -80,7 +80,8 @@
 	nextRotation       atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout        time.Duration // the constant, except in tests
 	buffers            bufferBudget
-	sourceIP           net.IP                                 // see SetSourceIP
+	sourceIP           net.IP // see SetSourceIP
+	paths              paths
 	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
 	onLimit            func(server string)                    // see OnLimit; may be nil
 	onQuarantine       func(quarantiner.Fingerprint)          // see OnQuarantine; may be nil
@@ -97,6 +98,7 @@
 	limits           throttler.Limits
 	limitShare       float64 // part of the limits that this instance uses
 	loads            loads
+	declines         declines
 }
 
 // poolQueue is the queue of a server pool and the requests that wait in it.
@@ -126,7 +128,7 @@
 		queues:          map[resolver.ServerPool]*poolQueue{},
 		serverConnPools: map[string]*exchanger.Pool{}, peerConnPools: map[string]*exchanger.Pool{},
 		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, limitShare: 1,
-		endedServers: map[quarantiner.Crash]time.Time{}, loads: newLoads(),
+		endedServers: map[quarantiner.Crash]time.Time{}, loads: newLoads(), declines: declines{},
 	}
 	f.buffers.limit = defaultBufferBytes
 	viewChanged := make(chan struct{})
@@ -140,6 +142,9 @@
 
 // SetView replaces the Forwarder's view of the system. Waiting requests whose keys have moved are sent to the new owner.
 func (f *Forwarder) SetView(now time.Time, v *resolver.View) {
+	if previous := f.view.Load(); !v.SharesServers(previous) {
+		f.paths.setServers(v)
+	}
 	f.view.Store(v)
 	next := make(chan struct{})
 	close(*f.viewChanged.Swap(&next))
@@ -156,23 +161,29 @@
 // sets the queue's servers, and drops the queue if it is empty then. The caller holds mu.
 func (f *Forwarder) updateQueue(now time.Time, serverPool resolver.ServerPool, q *poolQueue, v *resolver.View) {
 	handOver := f.handsOver(serverPool, q.view, v)
+	lost := f.poolLost(v, serverPool)
 	for ticket, w := range q.waiters {
-		reason := ""
+		var r result
 		switch {
 		case w.req.keyed && notOwner(v, w.req):
-			reason = "keys_moved"
+			r = result{outcome: moved, reason: "keys_moved"}
 		case handOver:
-			reason = "dispatcher_changed"
+			r = result{outcome: moved, reason: "dispatcher_changed"}
+		case lost:
+			r = result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}
 		default:
 			continue
 		}
 		q.queue.Cancel(ticket)
 		delete(q.waiters, ticket)
-		w.done <- waitResult{result: result{outcome: moved, reason: reason}}
+		w.done <- waitResult{result: r}
 	}
 	q.view = v
 	var servers []queuer.Server
 	for _, s := range v.Servers(serverPool) {
+		if f.paths.lost(s.ID) {
+			continue
+		}
 		server := queuer.Server{ID: s.ID, Slots: s.Slots}
 		if p, ok := f.pauses[s.ID]; ok && p.incarnation == s.Incarnation {
 			server.PausedUntil = p.until
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -37,14 +37,16 @@
 	objective  time.Time // arrival at the entry instance plus the route's latency objective; an answer after it is late
 	deadline   time.Time // by which a server must have answered
 
-	pool            resolver.ServerPool // chosen for the current attempt
-	ownerMapVersion partitioner.Version // version of the owner map by which pool was chosen
-	newOwner        string              // owner of the key that a dispatcher named, by the map of ownerMapVersion
-	avoidServer     string              // server that failed or rejected this request, or could not be reached
-	sends           int                 // how often it may have reached a server
-	moveWaitStart   time.Time           // when it first waited for a moving key; zero if it never did
-	rotation        uint64              // spreads requests over the server pools of a service without keys
-	buffered        int64               // bytes of its answers that were taken from the buffer budget
+	pool             resolver.ServerPool // chosen for the current attempt
+	ownerMapVersion  partitioner.Version // version of the owner map by which pool was chosen
+	newOwner         string              // owner of the key that a dispatcher named, by the map of ownerMapVersion
+	avoidServer      string              // server that failed or rejected this request, or could not be reached
+	triedDispatchers []string            // instances that had no path to a server of the pool
+	failedConnects   int                 // how many of them tried in vain to connect to the server
+	sends            int                 // how often it may have reached a server
+	moveWaitStart    time.Time           // when it first waited for a moving key; zero if it never did
+	rotation         uint64              // spreads requests over the server pools of a service without keys
+	buffered         int64               // bytes of its answers that were taken from the buffer budget
 }
 
 // name returns the method, host and path of the request, for operators. The query is left out, as it may contain secrets.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
 const (
@@ -64,13 +66,40 @@
 		}
 		req.pool = pools[spillovers%len(pools)]
 	}
-	dispatcher := v.Dispatcher(req.pool, f.unreachableAt(now))
+	dispatcher, ok := f.chooseDispatcher(now, v, req)
+	if !ok {
+		return result{outcome: refused, reason: reasonNoPath, retryAfter: defaultRetryAfter}
+	}
 	if dispatcher.Instance == v.Self.Instance {
 		return f.dispatch(ctx, req)
 	}
 	return f.forwardTo(ctx, req, dispatcher)
 }
 
+// chooseDispatcher returns the instance that dispatches the next attempt of a request. ok is false if none is known that can be
+// reached and may have a path to the servers of the request's pool.
+func (f *Forwarder) chooseDispatcher(now time.Time, v *resolver.View, req *clientRequest) (dispatcher resolver.Member, ok bool) {
+	f.mu.Lock()
+	declined := f.declines.of(now, req.pool)
+	f.mu.Unlock()
+	if len(declined) >= maxDetours {
+		return resolver.Member{}, false
+	}
+	unreachable := f.unreachableAt(now)
+	unusable := func(instance string) bool { return unreachable(instance) || slices.Contains(declined, instance) }
+	avoid := func(instance string) bool {
+		return unusable(instance) || slices.Contains(req.triedDispatchers, instance)
+	}
+	if dispatcher = v.Dispatcher(req.pool, avoid); !avoid(dispatcher.Instance) {
+		return dispatcher, true
+	}
+	if req.keyed {
+		return resolver.Member{}, false
+	}
+	dispatcher = v.Dispatcher(req.pool, unusable) // it may reach another server of the pool
+	return dispatcher, !unusable(dispatcher.Instance)
+}
+
 // resolveOwner sets the server pool of the request's key. If the key is moving between servers, it waits for the new owner,
 // at most moveTimeout in all attempts of the request together. ok is false if there is no owner in time; r says why.
 func (f *Forwarder) resolveOwner(ctx context.Context, now time.Time, req *clientRequest) (r result, ok bool) {
@@ -146,11 +175,7 @@
 		req.avoidServer = r.server
 		return !req.keyed || f.waitForViewChange(ctx, req, retryDelay)
 	case refused:
-		if req.keyed || *spillovers >= maxSpillovers || r.reason == reasonNoServer || r.isBarred() {
-			return false
-		}
-		*spillovers++
-		return true
+		return r.reason != reasonNoServer && !r.isBarred() && f.spillOver(req, spillovers)
 	case moved:
 		if r.server == "" {
 			return f.waitForViewChange(ctx, req, ownerChangeTimeout)
@@ -159,6 +184,9 @@
 		return true
 	case unreached:
 		req.avoidServer = r.server
+		if r.lacksPath() {
+			return f.detour(now, req, r) || f.spillOver(req, spillovers)
+		}
 		return !req.keyed || f.waitForViewChange(ctx, req, ownerChangeTimeout)
 	case abandoned:
 		return false
@@ -166,6 +194,16 @@
 	return false
 }
 
+// spillOver makes the next attempt of a request without a key try another server pool, and reports whether there is one to try.
+func (f *Forwarder) spillOver(req *clientRequest, spillovers *int) bool {
+	if req.keyed || *spillovers >= maxSpillovers {
+		return false
+	}
+	*spillovers++
+	req.triedDispatchers, req.failedConnects = nil, 0
+	return true
+}
+
 // waitForViewChange waits for a new view, at most for timeout. It reports whether the request can still be sent before its
 // deadline; it can't after its client has left.
 func (f *Forwarder) waitForViewChange(ctx context.Context, req *clientRequest, timeout time.Duration) bool {
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -19,11 +19,13 @@
 	ServerLimits
 	InvalidServerLimits
 	ServersEnded
+	RequestsDetoured
+	PathProbes
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + ServersEnded + 1
+	Appends Counter = iota + PathProbes + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -53,8 +55,10 @@
 	LogLinesDropped
 	LimitedServers
 	BarredRequests
+	LostServers
+	LostServices
 
-	gaugeCount = int(BarredRequests) + 1
+	gaugeCount = int(LostServices) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -91,6 +95,8 @@
 	ServerLimits:        {"server_limits", "Times that an answer to this instance named a new or changed limit of its backend server."},
 	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
+	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
+	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
@@ -114,6 +120,8 @@
 	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
 	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
 	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
+	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
+	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
 	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -23,6 +23,7 @@
 	Domain      string // failure domain
 	Leaving     bool   // it is shutting down
 	Capacity    int    // CPU capacity of its machine in thousandths of a core
+	Lost        LostServices
 }
 
 // ServerPool identifies a set of servers that share one queue: a single server of a keyed service, or some servers of
@@ -125,6 +126,22 @@
 	return s, ok
 }
 
+// AllServers returns the servers that are not gone, in no particular order.
+func (v *View) AllServers() []cataloger.Server {
+	list := make([]cataloger.Server, 0, len(v.servers))
+	for _, s := range v.servers {
+		if s.State != cataloger.Gone {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// SharesServers reports whether two views have the same servers and members because one was made from the other by WithOwners.
+func (v *View) SharesServers(other *View) bool {
+	return other != nil && v.dispatchers == other.dispatchers
+}
+
 // Servers returns those servers of a pool to which requests may be sent. A server that owns keys gets requests for them
 // until it has released them, even while it drains.
 func (v *View) Servers(p ServerPool) []cataloger.Server {
@@ -170,12 +187,13 @@
 }
 
 // Dispatcher returns the instance that keeps the queue of a pool: the one in the pool's failure domain with the highest
-// score, so that all instances that know the same members pick the same one. Instances that are leaving are skipped,
-// and so are other members for which avoid returns true. If the domain has none left, the instances of all domains are
-// considered, then this instance.
+// score, so that all instances that know the same members pick the same one. Instances that are leaving are skipped, and so
+// are those for which avoid returns true. If the domain has none left, the instances of all domains are considered. Instances
+// that have lost the pool's service are considered after all others. Without any, it returns this instance, whatever avoid
+// returns for it.
 func (v *View) Dispatcher(p ServerPool, avoid func(instance string) bool) Member {
 	preferred := v.dispatchers.get(p, func() Member { return v.findDispatcher(p, func(string) bool { return false }) })
-	if preferred.Instance == v.Self.Instance || !avoid(preferred.Instance) {
+	if !avoid(preferred.Instance) {
 		return preferred // it has the highest score of all, so also of those that are not avoided
 	}
 	return v.findDispatcher(p, avoid)
@@ -183,14 +201,14 @@
 
 // findDispatcher implements Dispatcher without the cache.
 func (v *View) findDispatcher(p ServerPool, avoid func(instance string) bool) Member {
-	best, found := v.highestScored(p, true, avoid)
-	if !found {
-		best, found = v.highestScored(p, false, avoid)
-	}
-	if !found {
-		return v.Self
+	for _, withLost := range []bool{false, true} {
+		for _, inDomain := range []bool{true, false} {
+			if best, found := v.highestScored(p, inDomain, withLost, avoid); found {
+				return best
+			}
+		}
 	}
-	return best
+	return v.Self
 }
 
 // MembersByCapacity returns at most limit instances of p's failure domain, which may include this one, in the order in which
@@ -211,14 +229,14 @@
 	return list[:min(limit, len(list))]
 }
 
-// highestScored returns the instance with the highest score for a pool, or false if all are skipped. This instance is
-// included, whatever avoid would return for it. With inDomain, only instances of the pool's failure domain are considered.
-func (v *View) highestScored(p ServerPool, inDomain bool, avoid func(instance string) bool) (Member, bool) {
+// highestScored returns the instance with the highest score for a pool, or false if all are skipped. With inDomain, only
+// instances of the pool's failure domain are considered; without withLost, only those that have not lost the pool's service.
+func (v *View) highestScored(p ServerPool, inDomain, withLost bool, avoid func(instance string) bool) (Member, bool) {
 	var best Member
 	var highest float64
 	found := false
 	consider := func(m Member) {
-		if m.Leaving || (inDomain && m.Domain != p.Domain) {
+		if m.Leaving || inDomain && m.Domain != p.Domain || !withLost && m.Lost.Contains(p.Service) || avoid(m.Instance) {
 			return
 		}
 		if s := score(p, m); !found || s > highest {
@@ -227,9 +245,7 @@
 	}
 	consider(v.Self)
 	for _, m := range v.Members {
-		if !avoid(m.Instance) {
-			consider(m)
-		}
+		consider(m)
 	}
 	return best, found
 }
--- a/internal/verifier/cut_test.go
+++ b/internal/verifier/cut_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/wasabibank/wasabibank/platform"
 )
@@ -25,11 +26,6 @@
 	cutNew           // open connections live on, and new ones are reset
 )
 
-// cutNames are the names of cuts in the action log of a soak.
-var cutNames = map[cut]string{
-	cutNone: "none", cutSilent: "silent", cutToServers: "to servers", cutReset: "reset", cutNew: "new connections",
-}
-
 // setCut cuts the connections from a source IP address, or ends the cut.
 func (p *proxy) setCut(source string, c cut) error {
 	p.mu.Lock()
@@ -107,24 +103,27 @@
 // that a listener accepts inherit its filter.
 func dropPackets(socket syscall.Conn, sources ...string) error {
 	const (
-		networkHeader = -0x100000 // SKF_NET_OFF of Linux: offsets from the IP header
-		sourceOffset  = 12        // of the source address in the IP header
+		networkHeader = 0xfff00000 // SKF_NET_OFF of Linux, -0x100000: offsets from the IP header
+		sourceOffset  = 12         // of the source address in the IP header
 		acceptAll     = 0xffffffff
 	)
-	filter := []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_LD|syscall.BPF_W|syscall.BPF_ABS, networkHeader+sourceOffset)}
+	filter := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + sourceOffset}}
 	for _, source := range sources {
 		ip := net.ParseIP(source).To4()
 		address := uint32(ip[0])<<24 | uint32(ip[1])<<16 | uint32(ip[2])<<8 | uint32(ip[3])
-		filter = append(filter, syscall.SockFilter{Code: syscall.BPF_JMP | syscall.BPF_JEQ | syscall.BPF_K, Jf: 1, K: address},
-			*syscall.LsfStmt(syscall.BPF_RET|syscall.BPF_K, 0))
+		filter = append(filter, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: address},
+			unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K})
 	}
-	filter = append(filter, syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K, K: acceptAll})
+	filter = append(filter, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: acceptAll})
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var attachErr error
-	err = raw.Control(func(fd uintptr) { attachErr = syscall.AttachLsf(int(fd), filter) })
+	err = raw.Control(func(fd uintptr) {
+		attachErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
 	return errors.Join(err, attachErr)
 }
 
