A leader without paths to the servers is replaced by an instance that has them

What callers saw: no key was served from the expiry of the leases, 3.9 s after the cut, until its end, wherever they asked. Cause: the leader lease depends on the store alone. A leader that reaches no server keeps it, and takes each failed grant as a failure of that server: it excludes all of them one by one, and its releases and new plans change nothing. Change: a leader that has lost a keyed service (package detector: more of its servers lost than reached) names up to eight of the servers in the answers to reports. Each instance that has not lost the service probes these, and takes over if it reaches at least half. Servers that have ended are reached by nobody, so the leader stays; with all instances cut off it stays too. An instance that is cut off does not replace such a leader, and a leader that is gone only 1 s after others. While a service is lost, its ranges stay with their owners and are granted again as soon as the paths are back. A leader that was replaced does not come back by itself, and the new one has just reached what the old one did not, so the two do not take turns. Ruled out: a shorter leader lease (it would cost the times in which the store is away); relaying grants through other instances (two more messages for each renewal, and a fence that depends on who passes it on).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,7 +69,7 @@
 var ElectionSettings = elector.Settings{
 	LeaseDuration: 20 * time.Second, RenewInterval: 700 * time.Millisecond,
 	ElectionTimeout: 2200 * time.Millisecond, SuspicionTimeout: 1300 * time.Millisecond,
-	RetryDelay: 250 * time.Millisecond, RefusalThreshold: 2, MaxJitter: 250 * time.Millisecond,
+	RetryDelay: 250 * time.Millisecond, RefusalThreshold: 2, MaxJitter: 250 * time.Millisecond, CutOffDelay: time.Second,
 }
 
 // GrantSettings are the timings of range leases and grants.
@@ -149,7 +149,8 @@
 	behindTopics    map[string]bool               // topics of which the leader had read more at its last answer
 	lost            resolver.LostServices         // of this instance
 	lostSince       map[string]time.Time          // by service in lost
-	view            *resolver.View                // the current view of the forwarder
+	cutOffLeader    cutOffLeader
+	view            *resolver.View // the current view of the forwarder
 }
 
 // leaderState is the state that only a leader has.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -169,6 +169,7 @@
 	}
 	c.requestPlan(now)
 	if c.elector.Active(now) && c.table != nil {
+		l.granter.SetUnreachable(now, c.lost.Names())
 		for _, order := range l.granter.Tick(now) {
 			c.sendOrder(now, order)
 		}
@@ -274,6 +275,9 @@
 	for _, service := range c.table.KeyedServices() {
 		load := l.load(service)
 		load.Decay(now)
+		if c.lost.Contains(service) {
+			continue // a release would not arrive
+		}
 		assignable := l.granter.AssignableServers(now, service)
 		maxMoves := max(1, len(assignable)/serversPerMove) - l.granter.UngrantedRanges(service)
 		if maxMoves <= 0 {
--- a/internal/controller/paths.go
+++ b/internal/controller/paths.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -15,6 +17,7 @@
 func (c *Controller) updatePaths(now time.Time) {
 	contactNow := time.Now() // the Forwarder's times are of time.Now, not of timekeeper
 	c.options.Forwarder.ProbePaths(contactNow)
+	c.replaceCutOffLeader()
 	var list []resolver.LostService
 	for _, s := range c.options.Forwarder.LostServices(contactNow) {
 		since, known := c.lostSince[s.Service]
@@ -39,9 +42,60 @@
 		c.lostSince[s.Service] = s.Since
 	}
 	c.options.Meter.Set(meter.LostServices, int64(len(list)))
+	c.elector.SetCutOff(c.isCutOff())
 	c.announceSelf(now)
 }
 
+// isCutOff reports whether this instance has lost a keyed service, so that it can't renew the leases of most of its ranges.
+func (c *Controller) isCutOff() bool {
+	return slices.ContainsFunc(c.table.KeyedServices(), c.lost.Contains)
+}
+
+// maxUnreachedServers bounds the servers that a leader names to others so that they try to reach them.
+const maxUnreachedServers = 8
+
+// unreachedServersFor returns, on a leader that has lost keyed services, some of their servers for a member that has not lost
+// these, so that it tries to reach them and takes over.
+func (c *Controller) unreachedServersFor(member resolver.Member) []string {
+	var servers []string
+	for _, service := range c.table.KeyedServices() {
+		if c.lost.Contains(service) && !member.Lost.Contains(service) && !member.Leaving {
+			servers = append(servers, c.options.Forwarder.LostServers(service, maxUnreachedServers-len(servers))...)
+		}
+	}
+	if len(servers) > 0 {
+		c.elector.RecordYield()
+	}
+	return servers
+}
+
+// cutOffLeader is what a leader that has lost keyed services said last: some servers that it does not reach.
+type cutOffLeader struct {
+	leader  elector.Leader
+	servers []string
+}
+
+// observeCutOffLeader records which servers a leader says it does not reach, and probes them.
+func (c *Controller) observeCutOffLeader(leader elector.Leader, servers []string) {
+	c.cutOffLeader = cutOffLeader{leader: leader, servers: servers}
+	if len(servers) > 0 {
+		c.options.Forwarder.CheckPaths(time.Now(), servers)
+	}
+}
+
+// reachesMoreThanLeader reports whether this instance reaches most of the servers that the leader said it does not reach.
+func (c *Controller) reachesMoreThanLeader() bool {
+	return len(c.cutOffLeader.servers) > 0 && c.options.Forwarder.ReachesMost(time.Now(), c.cutOffLeader.servers)
+}
+
+// replaceCutOffLeader lets this instance take over from a leader that does not reach the servers of a keyed service, if this one
+// does.
+func (c *Controller) replaceCutOffLeader() {
+	if c.leaderState == nil && c.reachesMoreThanLeader() {
+		c.elector.ObserveReplaceable(c.cutOffLeader.leader)
+	}
+}
+
 // announceSelf tells the other instances about a change of this one.
 func (c *Controller) announceSelf(now time.Time) {
 	c.viewOutdated = true      // its own view may name other dispatchers as well
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -169,7 +169,9 @@
 
 // handleReply applies the answer of leader to a report.
 func (c *Controller) handleReply(now time.Time, leader elector.Leader, reply *herald.ReportReply) {
-	c.elector.ReportAnswered(now, leader, reply.GetLeading(), reply.GetStoreLost() || reply.GetYields())
+	c.observeCutOffLeader(leader, reply.GetUnreachedServers())
+	c.elector.ReportAnswered(now, leader, reply.GetLeading(),
+		reply.GetStoreLost() || reply.GetYields() || c.reachesMoreThanLeader())
 	c.elector.ObserveEra(now, reply.GetStoreEra())
 	c.observeLeader(now, reply.GetLead())
 	offsets := decodeLeaderOffsets(now, c.reportInterval()+leaderOffsetsMargin, reply)
@@ -351,6 +353,7 @@
 		reply.Yields = true
 		c.elector.RecordYield()
 	}
+	reply.UnreachedServers = c.unreachedServersFor(member)
 	reply.Owners, reply.Members = c.changesFor(now, ownerMapVersion, members)
 	reply.Leaving, reply.Limits, reply.CrashRecords = c.leavingFor(leaving), c.limitsFor(limits), c.crashRecordsFor(crashes)
 	if c.configEra < c.elector.Era() && request.GetConfigVersion() < c.table.Version() {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -164,6 +164,7 @@
 	exclusions          map[string]exclusion        // by server id
 	uncertainUntil      time.Time                   // until then servers that no plan names may have leases; see DistrustPlan
 	frozen              bool                        // see Freeze
+	unreachable         []string                    // see SetUnreachable
 	planSequence        uint64                      // sequence number of the current plan
 	storedSequence      uint64                      // sequence number of the newest plan known to be stored
 	maybeStoredSequence uint64                      // sequence number of the newest plan that may be in the store, now or later
@@ -209,6 +210,23 @@
 // because it has granted them with a higher fence first.
 func (g *Granter) Freeze() { g.frozen = true }
 
+// SetUnreachable replaces the services whose servers this leader does not reach for a reason of its own. Their ranges stay with
+// their owners, and the grants are sent again and again: failed ones say nothing about a server. Once a service is reachable
+// again, its ranges are granted at once.
+func (g *Granter) SetUnreachable(now time.Time, services []string) {
+	for _, service := range g.unreachable {
+		if slices.Contains(services, service) {
+			continue
+		}
+		for _, o := range g.ranges {
+			if o.Service == service && (o.state == granting || o.state == granted) {
+				o.failing, o.nextOrderAt = false, now
+			}
+		}
+	}
+	g.unreachable = services
+}
+
 // StorePlanAgain records that the store has lost the plan.
 func (g *Granter) StorePlanAgain() {
 	g.storedSequence, g.maybeStoredSequence = 0, 0
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,47 @@
 	is.True(received.Fence > release.Fence)
 }
 
+// TestLeaderWithoutPathsKeepsOwners guards against a leader that takes its own lost paths for failed servers, excludes all of them
+// and leaves the keys without an owner when the paths are back.
+func TestLeaderWithoutPathsKeepsOwners(t *testing.T) {
+	tests := map[string]struct {
+		unreachable []string
+		kept        bool
+	}{
+		"paths lost":               {unreachable: []string{service}, kept: true},
+		"paths of another service": {unreachable: []string{"other"}},
+		"servers do not answer":    {},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1, 4, flaws{})
+			sim.run(time.Second, 0)
+			g := sim.leaders[0].granter
+			before := g.Segments(sim.now)
+			g.SetUnreachable(sim.now, tc.unreachable)
+			for end := sim.now.Add(3 * testSettings.LeaseDuration); sim.now.Before(end); sim.now = sim.now.Add(50 * time.Millisecond) {
+				for _, o := range g.Tick(sim.now) {
+					if grant, ok := o.(Grant); ok {
+						g.CompleteGrant(sim.now, grant, NotSent)
+					}
+				}
+			}
+			is.Equal(slices.EqualFunc(before, g.Segments(sim.now), func(a, b partitioner.Segment) bool {
+				return a.Server == b.Server && !b.Moving
+			}), tc.kept)
+			g.SetUnreachable(sim.now, nil)
+			if !tc.kept {
+				return
+			}
+			for _, o := range g.Tick(sim.now) {
+				g.CompleteGrant(sim.now, o.(Grant), Accepted)
+			}
+			is.Equal(g.UngrantedRanges(service), 0)
+		})
+	}
+}
+
 // TestReleasedRangeReturnsToPreviousOwnerWhileStoreIsUnreachable guards against keys that stay unserved meanwhile: the
 // plan with the next owner can't be stored, and the stored plan still names the previous owner. If the new plan was sent but
 // not answered, it may be in the store, so the range must not return.
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -63,7 +63,10 @@
 	switch o.state {
 	case granted, granting:
 		switch {
-		case (o.failing || o.serverEnded) && expired:
+		case o.serverEnded && expired:
+			g.markFree(o, "")
+		case slices.Contains(g.unreachable, o.Service):
+		case o.failing && expired:
 			g.markFree(o, "")
 		case o.failing && !o.orderInFlight && o.unansweredExpiry.After(o.leaseExpiry) &&
 			now.Sub(o.failingSince) >= g.settings.LeaseDuration:
