Simulation of instances that lose their paths; leaders do not change when paths come back

When the paths come back, another instance regains them some hundred milliseconds before a leader with many servers, and took over by names of unreached servers that were up to a second old; and contacts from before the cut counted. Change: contacts count from when the leader named the servers; an instance that reaches them reports at once, and only the answer to that, which says what the leader lacks now, makes it take over; for 3 s after the first contact with a lost server a leader names none. Quiet detectors do nothing.

--- a/internal/controller/paths.go
+++ b/internal/controller/paths.go
@@ -17,7 +17,7 @@
 func (c *Controller) updatePaths(now time.Time) {
 	contactNow := time.Now() // the Forwarder's times are of time.Now, not of timekeeper
 	c.options.Forwarder.ProbePaths(contactNow)
-	c.replaceCutOffLeader()
+	c.offerTakeover()
 	var list []resolver.LostService
 	for _, s := range c.options.Forwarder.LostServices(contactNow) {
 		since, known := c.lostSince[s.Service]
@@ -60,7 +60,7 @@
 	var servers []string
 	for _, service := range c.table.KeyedServices() {
 		if c.lost.Contains(service) && !member.Lost.Contains(service) && !member.Leaving {
-			servers = append(servers, c.options.Forwarder.LostServers(service, maxUnreachedServers-len(servers))...)
+			servers = append(servers, c.options.Forwarder.UnreachedServers(time.Now(), service, maxUnreachedServers-len(servers))...)
 		}
 	}
 	if len(servers) > 0 {
@@ -73,26 +73,36 @@
 type cutOffLeader struct {
 	leader  elector.Leader
 	servers []string
+	since   time.Time // when it first named any, by time.Now
+	offered bool      // this instance has reported at once because it reaches most of them
 }
 
 // observeCutOffLeader records which servers a leader says it does not reach, and probes them.
 func (c *Controller) observeCutOffLeader(leader elector.Leader, servers []string) {
-	c.cutOffLeader = cutOffLeader{leader: leader, servers: servers}
-	if len(servers) > 0 {
-		c.options.Forwarder.CheckPaths(time.Now(), servers)
+	if len(servers) == 0 {
+		c.cutOffLeader = cutOffLeader{}
+		return
+	}
+	now := time.Now() // the Forwarder's times are of time.Now, not of timekeeper
+	if c.cutOffLeader.leader != leader {
+		c.cutOffLeader = cutOffLeader{leader: leader, since: now}
 	}
+	c.cutOffLeader.servers = servers
+	c.options.Forwarder.CheckPaths(now, servers)
 }
 
-// reachesMoreThanLeader reports whether this instance reaches most of the servers that the leader said it does not reach.
+// reachesMoreThanLeader reports whether this instance reaches most of the servers that the leader said it does not reach. Contacts
+// from before may be older than the cut.
 func (c *Controller) reachesMoreThanLeader() bool {
-	return len(c.cutOffLeader.servers) > 0 && c.options.Forwarder.ReachesMost(time.Now(), c.cutOffLeader.servers)
+	return len(c.cutOffLeader.servers) > 0 && c.options.Forwarder.ReachesMost(time.Now(), c.cutOffLeader.since, c.cutOffLeader.servers)
 }
 
-// replaceCutOffLeader lets this instance take over from a leader that does not reach the servers of a keyed service, if this one
-// does.
-func (c *Controller) replaceCutOffLeader() {
-	if c.leaderState == nil && c.reachesMoreThanLeader() {
-		c.elector.ObserveReplaceable(c.cutOffLeader.leader)
+// offerTakeover reports to the leader at once when this instance has found that it reaches servers which the leader does not. The
+// leader's answer says whether that still holds.
+func (c *Controller) offerTakeover() {
+	if c.leaderState == nil && !c.cutOffLeader.offered && c.reachesMoreThanLeader() {
+		c.cutOffLeader.offered = true
+		c.lastReport = time.Time{}
 	}
 }
 
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -33,7 +33,8 @@
 	contactsToRegain    = 2
 	maxContactsToRegain = 8
 	flapWindow          = 10 * time.Second
-	// recoveryTime is how long probes of lost servers are not limited to maxRetriesPerTick after one of them was reached.
+	// recoveryTime is how long after a contact with a lost server the paths to the others are taken to be coming back: their probes
+	// are not limited to maxRetriesPerTick, and no other instance is asked to reach them.
 	recoveryTime = 3 * time.Second
 	// contactAge is how long a contact shows that there is a path.
 	contactAge = time.Second
@@ -77,12 +78,16 @@
 	sorted   []*server // by id
 	rotation int       // where the next Tick begins
 	losses   int       // number of lost servers
-	// recoveringUntil is when the probes of lost servers are limited again, after one was reached.
+	quiet    bool      // no server is lost, failing or being checked
+	// lostReachedAt is when a lost server was reached last, and recoveringUntil the end of recoveryTime after the first such contact
+	// in contactAge.
+	lostReachedAt   time.Time
 	recoveringUntil time.Time
 }
 
 // SetServers replaces the servers. What is known about those that stay is kept.
 func (d *Detector) SetServers(list []Server) {
+	d.quiet = false
 	known := d.servers
 	d.servers, d.sorted, d.losses = make(map[string]*server, len(list)), d.sorted[:0], 0
 	for _, s := range list {
@@ -114,9 +119,11 @@
 		s.contacts++
 		s.countedAt = now
 	}
-	if s.contacts == 1 {
+	if now.Sub(d.lostReachedAt) > contactAge {
+		d.recoveringUntil = now.Add(recoveryTime)
 		d.retryNow(now, s.Service)
 	}
+	d.lostReachedAt = now
 	if s.contacts < s.contactsNeeded {
 		s.nextProbeAt = now.Add(confirmInterval)
 		return false
@@ -126,9 +133,8 @@
 	return true
 }
 
-// retryNow makes the next Ticks probe the lost servers of a service, because one of them was reached.
+// retryNow makes the next Ticks probe the lost servers of a service.
 func (d *Detector) retryNow(now time.Time, service string) {
-	d.recoveringUntil = now.Add(recoveryTime)
 	for _, s := range d.sorted {
 		if s.lost && s.Service == service {
 			s.nextProbeAt = now
@@ -153,6 +159,7 @@
 	if s.weight == 0 {
 		s.firstFailureAt = now
 	}
+	d.quiet = false
 	s.weight += weight
 	s.contacts = 0
 	switch {
@@ -183,6 +190,7 @@
 	for _, id := range ids {
 		if s := d.servers[id]; s != nil && !s.checking && !s.lost {
 			s.checking, s.nextProbeAt = true, now
+			d.quiet = false
 		}
 	}
 }
@@ -190,7 +198,11 @@
 // Tick returns the ids of the servers to probe now. Each probe ends with a call of Reached, ConnectFailed or Closed. It must be
 // called more often than every confirmInterval.
 func (d *Detector) Tick(now time.Time) []string {
+	if d.quiet {
+		return nil
+	}
 	d.sampleServices(now)
+	d.quiet = true
 	var probes []string
 	retries, maxRetries := 0, maxRetriesPerTick
 	if now.Before(d.recoveringUntil) {
@@ -198,6 +210,9 @@
 	}
 	for i := range d.sorted {
 		s := d.sorted[(d.rotation+i)%len(d.sorted)]
+		if s.checking || s.lost || s.weight > 0 {
+			d.quiet = false
+		}
 		if !s.checking && !s.lost || now.Before(s.nextProbeAt) || s.lost && retries == maxRetries {
 			continue
 		}
@@ -328,8 +343,11 @@
 	return list
 }
 
-// LostServers returns the ids of at most limit lost servers of a service, sorted.
-func (d *Detector) LostServers(service string, limit int) []string {
+// UnreachedServers returns the ids of at most limit lost servers of a service, sorted, or none while the paths come back.
+func (d *Detector) UnreachedServers(now time.Time, service string, limit int) []string {
+	if now.Before(d.recoveringUntil) {
+		return nil
+	}
 	var ids []string
 	for _, s := range d.sorted {
 		if s.lost && s.Service == service && len(ids) < limit {
@@ -339,12 +357,12 @@
 	return ids
 }
 
-// ReachesMost reports whether at least half of some servers, and at least one, were reached within contactAge. Unknown ones
-// count as not reached.
-func (d *Detector) ReachesMost(now time.Time, ids []string) bool {
+// ReachesMost reports whether at least half of some servers, and at least one, were reached after since and within contactAge.
+// Unknown ones count as not reached.
+func (d *Detector) ReachesMost(now, since time.Time, ids []string) bool {
 	reached := 0
 	for _, id := range ids {
-		if s := d.servers[id]; s != nil && !s.lost && !s.reachedAt.IsZero() && now.Sub(s.reachedAt) < contactAge {
+		if s := d.servers[id]; s != nil && !s.lost && s.reachedAt.After(since) && now.Sub(s.reachedAt) < contactAge {
 			reached++
 		}
 	}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -182,6 +182,7 @@
 		reached []string
 		asked   []string
 		after   time.Duration
+		since   time.Duration // after the contact
 		want    bool
 	}{
 		"none":           {asked: []string{"a", "b"}},
@@ -189,6 +190,7 @@
 		"a third":        {reached: []string{"a"}, asked: []string{"a", "b", "c"}},
 		"nothing asked":  {reached: []string{"a"}},
 		"too long ago":   {reached: []string{"a", "b"}, asked: []string{"a", "b"}, after: contactAge},
+		"before the cut": {reached: []string{"a", "b"}, asked: []string{"a", "b"}, since: 1},
 		"unknown server": {reached: []string{"a"}, asked: []string{"a", "x", "y"}},
 	}
 	for name, tc := range tests {
@@ -199,7 +201,7 @@
 			for _, id := range tc.reached {
 				d.Reached(start, id)
 			}
-			is.Equal(d.ReachesMost(start.Add(tc.after), tc.asked), tc.want)
+			is.Equal(d.ReachesMost(start.Add(tc.after), start.Add(tc.since-1), tc.asked), tc.want)
 		})
 	}
 }
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -227,13 +227,6 @@
 	e.leaderReplaceable = replaceable
 }
 
-// ObserveReplaceable records that this instance should take over from a leader, until an answer of the leader says otherwise.
-func (e *Elector) ObserveReplaceable(leader Leader) {
-	if leader.sameTerm(e.leader) && e.term == 0 {
-		e.leaderReplaceable = true
-	}
-}
-
 // ObserveContact records that a leader has called this instance, so that it knows of it.
 func (e *Elector) ObserveContact(leader Leader) {
 	if leader.sameTerm(e.leader) {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -330,10 +330,10 @@
 		after  time.Duration
 		want   Call
 	}{
-		"leader to be replaced":          {event: func(e *Elector) { e.ObserveReplaceable(otherLeader) }, after: 10 * time.Millisecond, want: takeover},
-		"leader to be replaced, cut off": {cutOff: true, event: func(e *Elector) { e.ObserveReplaceable(otherLeader) }, after: 800 * time.Millisecond},
+		"leader to be replaced":          {event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 10 * time.Millisecond, want: takeover},
+		"leader to be replaced, cut off": {cutOff: true, event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 800 * time.Millisecond},
 		"leader replaced already": {event: func(e *Elector) {
-			e.ObserveReplaceable(Leader{Identity: Identity{Instance: "third"}, Term: 2})
+			e.ReportAnswered(start, Leader{Identity: Identity{Instance: "third"}, Term: 2}, true, true)
 		}, after: 800 * time.Millisecond},
 		"leader gone, cut off, before the delay": {cutOff: true, event: refuseTwice, after: settings.CutOffDelay - time.Millisecond},
 		"leader gone, cut off":                   {cutOff: true, event: refuseTwice, after: settings.CutOffDelay, want: takeover},
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -224,11 +224,12 @@
 	return f.paths.detector.LostServices(now)
 }
 
-// LostServers returns the ids of at most limit servers of a service to which this instance has lost its path.
-func (f *Forwarder) LostServers(service string, limit int) []string {
+// UnreachedServers returns the ids of at most limit servers of a service to which this instance has lost its path, or none while
+// the paths come back.
+func (f *Forwarder) UnreachedServers(now time.Time, service string, limit int) []string {
 	f.paths.mu.Lock()
 	defer f.paths.mu.Unlock()
-	return f.paths.detector.LostServers(service, limit)
+	return f.paths.detector.UnreachedServers(now, service, limit)
 }
 
 // ServerLost reports whether this instance has lost its path to a server.
@@ -241,11 +242,11 @@
 	f.paths.detector.Check(now, servers...)
 }
 
-// ReachesMost reports whether this instance has just reached at least half of some servers.
-func (f *Forwarder) ReachesMost(now time.Time, servers []string) bool {
+// ReachesMost reports whether this instance has just reached at least half of some servers, after since.
+func (f *Forwarder) ReachesMost(now, since time.Time, servers []string) bool {
 	f.paths.mu.Lock()
 	defer f.paths.mu.Unlock()
-	return f.paths.detector.ReachesMost(now, servers)
+	return f.paths.detector.ReachesMost(now, since, servers)
 }
 
 // declines holds, by server pool and instance, until when an instance is not asked to dispatch for the pool because it has lost
--- a/internal/resolver/lost_services.go
+++ b/internal/resolver/lost_services.go
@@ -56,5 +56,12 @@
 
 // Contains reports whether a service is among them.
 func (l LostServices) Contains(service string) bool {
-	return l.text != "" && slices.ContainsFunc(l.All(), func(s LostService) bool { return s.Service == service })
+	for rest := l.text; rest != ""; {
+		var line string
+		line, rest, _ = strings.Cut(rest, "\n")
+		if name, _, _ := strings.Cut(line, " "); name == service {
+			return true
+		}
+	}
+	return false
 }
