Instances that have not tried a service are not chosen one after the other without a path

Cause: an instance tells others that it has lost a service only after its own connections have failed. In a failure domain that is cut off, the next instance took over as dispatcher, failed for a second or two, and handed on to the next one.

--- a/internal/controller/cut_simulation_test.go
+++ b/internal/controller/cut_simulation_test.go
@@ -297,7 +297,7 @@
 			}
 		}
 		if e.version != s.version {
-			e.view, e.version = nil, s.version
+			s.learnMembers(e)
 		}
 	} else if newer, ok := leader.elector.Leader(); ok {
 		e.elector.ObserveLeader(s.now, newer)
@@ -322,9 +322,19 @@
 	}
 }
 
+// learnMembers makes an instance learn of the members that the leader knows.
+func (s *cutSimulation) learnMembers(e *cutInstance) {
+	e.view, e.version = nil, s.version
+	for _, m := range s.members {
+		for _, service := range m.Lost.Names() {
+			e.detector.CheckService(s.now, service)
+		}
+	}
+}
+
 func (s *cutSimulation) publish() {
 	for _, e := range s.instances {
-		e.view, e.version = nil, s.version
+		s.learnMembers(e)
 		if newest := s.record; !e.dead && e.elector.Term() == 0 {
 			e.elector.ObserveLeader(s.now, newest)
 		}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -396,11 +396,13 @@
 	l := c.leaderState
 	l.membersVersion++
 	c.membersVersion = membersVersion{term: c.elector.Term(), number: l.membersVersion}
+	before := c.members
 	c.members = nil
 	for _, m := range l.members {
 		c.members = append(c.members, m.member)
 	}
 	slices.SortFunc(c.members, func(a, b resolver.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	c.checkServicesLostBy(c.members, before)
 	c.viewOutdated = true
 	c.publish(now)
 }
--- a/internal/controller/paths.go
+++ b/internal/controller/paths.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// checkServicesLostBy checks the services that other instances have newly lost, so that this one knows whether it can dispatch in
+// their place.
+func (c *Controller) checkServicesLostBy(members []resolver.Member, before []resolver.Member) {
+	known := map[string]bool{}
+	for _, m := range before {
+		for _, service := range m.Lost.Names() {
+			known[m.Instance+" "+service] = true
+		}
+	}
+	for _, m := range members {
+		for _, service := range m.Lost.Names() {
+			if !known[m.Instance+" "+service] {
+				c.options.Forwarder.CheckService(time.Now(), service)
+			}
+		}
+	}
+}
+
 // announceSelf tells the other instances about a change of this one.
 func (c *Controller) announceSelf(now time.Time) {
 	c.viewOutdated = true      // its own view may name other dispatchers as well
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -234,12 +234,14 @@
 		return // from a leader that was replaced, or overtaken by a newer list
 	}
 	c.membersVersion = version
+	before := c.members
 	c.members = nil
 	for _, m := range list.GetMembers() {
 		if m.GetInstance() != c.options.Self.Instance {
 			c.members = append(c.members, decodeMember(m))
 		}
 	}
+	c.checkServicesLostBy(c.members, before)
 	c.viewOutdated = true
 }
 
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -10,6 +10,7 @@
 package detector
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -76,9 +77,10 @@
 type Detector struct {
 	servers  map[string]*server
 	sorted   []*server // by id
-	rotation int       // where the next Tick begins
-	losses   int       // number of lost servers
-	quiet    bool      // no server is lost, failing or being checked
+	services map[string]bool
+	rotation int  // where the next Tick begins
+	losses   int  // number of lost servers
+	quiet    bool // no server is lost, failing or being checked
 	// lostReachedAt is when a lost server was reached last, and recoveringUntil the end of recoveryTime after the first such contact
 	// in contactAge.
 	lostReachedAt   time.Time
@@ -90,7 +92,9 @@
 	d.quiet = false
 	known := d.servers
 	d.servers, d.sorted, d.losses = make(map[string]*server, len(list)), d.sorted[:0], 0
+	d.services = map[string]bool{}
 	for _, s := range list {
+		d.services[s.Service] = true
 		entry := known[s.ID]
 		if entry == nil || entry.Server != s {
 			entry = &server{Server: s}
@@ -195,6 +199,26 @@
 	}
 }
 
+// CheckService makes the next Ticks probe some servers of a service unless one of its servers was reached within contactAge, for
+// example because another instance has lost the service.
+func (d *Detector) CheckService(now time.Time, service string) {
+	var unknown []*server
+	for i := range d.sorted {
+		s := d.sorted[(d.rotation+i)%len(d.sorted)]
+		switch {
+		case s.Service != service:
+		case s.checking || s.lost || !s.reachedAt.IsZero() && now.Sub(s.reachedAt) < contactAge:
+			return // it is known or about to be
+		case len(unknown) < minLostServers:
+			unknown = append(unknown, s)
+		}
+	}
+	for _, s := range unknown {
+		s.checking, s.nextProbeAt = true, now
+		d.quiet = false
+	}
+}
+
 // Tick returns the ids of the servers to probe now. Each probe ends with a call of Reached, ConnectFailed or Closed. It must be
 // called more often than every confirmInterval.
 func (d *Detector) Tick(now time.Time) []string {
@@ -234,9 +258,17 @@
 }
 
 // sampleServices checks, in each service with failures, as many other servers as are needed to tell whether the service is
-// lost.
+// lost. Once one is, it checks the other services, which are probably lost as well.
 func (d *Detector) sampleServices(now time.Time) {
-	for service, t := range d.tally(now) {
+	tallies := d.tally(now)
+	if slices.ContainsFunc(slices.Collect(maps.Values(tallies)), tally.isLost) {
+		for service := range d.services {
+			if tallies[service].failing == 0 {
+				d.CheckService(now, service)
+			}
+		}
+	}
+	for service, t := range tallies {
 		missing := t.failing + 1 - t.reached - t.checking
 		if t.failing == 0 || missing <= 0 || t.reached == 0 && t.failing+t.checking >= maxBlindSample {
 			continue
@@ -265,6 +297,11 @@
 	lostSince     time.Time // of the server that was lost first
 }
 
+// isLost reports whether the service is lost.
+func (t tally) isLost() bool {
+	return t.lost > 0 && t.lost >= min(minLostServers, t.total) && t.lost > t.reached
+}
+
 // tally returns the counts by service, of the services with failures only.
 func (d *Detector) tally(now time.Time) map[string]tally {
 	counts := map[string]tally{}
@@ -335,7 +372,7 @@
 	}
 	var list []LostService
 	for service, t := range d.tally(now) {
-		if t.lost >= min(minLostServers, t.total) && t.lost > t.reached {
+		if t.isLost() {
 			list = append(list, LostService{Service: service, Since: t.lostSince, Lost: t.lost, Reached: t.reached})
 		}
 	}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -205,3 +205,45 @@
 		})
 	}
 }
+
+// TestOtherServicesAreCheckedToo guards against instances that are chosen as dispatchers one after the other because each has lost one
+// service and not tried the others yet.
+func TestOtherServicesAreCheckedToo(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork("desk", 6)
+	for i := range 6 {
+		n.servers = append(n.servers, Server{ID: fmt.Sprintf("v%d", i), Service: "vault"})
+	}
+	n.detector.SetServers(n.servers)
+	n.run(time.Second, 3) // requests to "desk" only
+	n.cut(0, len(n.servers))
+	n.run(2*time.Second, 3)
+	is.Equal(len(n.detector.LostServices(n.now)), 2)
+}
+
+// TestServiceLostElsewhereIsChecked guards against an instance without requests that does not know that it has no path either.
+func TestServiceLostElsewhereIsChecked(t *testing.T) {
+	tests := map[string]struct {
+		busy    int
+		cutOff  bool
+		checked bool
+	}{
+		"idle, cut off":        {cutOff: true, checked: true},
+		"idle, not cut off":    {checked: true},
+		"reached a moment ago": {busy: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork("desk", 6)
+			n.run(time.Second, tc.busy)
+			if tc.cutOff {
+				n.cut(0, 6)
+			}
+			n.detector.CheckService(n.now, "desk")
+			n.run(time.Second, 0)
+			is.Equal(n.probeCount() > 0, tc.checked)
+			is.Equal(len(n.detector.LostServices(n.now)) > 0, tc.cutOff)
+		})
+	}
+}
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -242,6 +242,13 @@
 	f.paths.detector.Check(now, servers...)
 }
 
+// CheckService makes the next ProbePaths probe some servers of a service if this instance has not reached any of them of late.
+func (f *Forwarder) CheckService(now time.Time, service string) {
+	f.paths.mu.Lock()
+	defer f.paths.mu.Unlock()
+	f.paths.detector.CheckService(now, service)
+}
+
 // ReachesMost reports whether this instance has just reached at least half of some servers, after since.
 func (f *Forwarder) ReachesMost(now, since time.Time, servers []string) bool {
 	f.paths.mu.Lock()
