An instance that loses its paths does not take servers for crashed

What callers could see: requests barred for ten minutes (503 without Retry-After) that had run when instances were cut off by resets. Cause: a server counts as ended under a request when its connection is reset and it then refuses connections. An instance that is cut off with resets sees the same from every server, and records a crash under each running request. Change: the server counts only if another server of the service accepts a connection, of up to three; a service with one server as before. Ruled out: waiting for the detector's judgement, which takes longer than the retry of the request.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -22,6 +22,8 @@
 const (
 	// endedProbeTimeout bounds the connection by which an instance finds out whether a server has ended.
 	endedProbeTimeout = 100 * time.Millisecond
+	// maxEndedProbes bounds the other servers to which an instance connects then to find out whether it has lost its paths instead.
+	maxEndedProbes = 3
 	// endedRetention is how long a server that has ended is remembered.
 	endedRetention = 30 * time.Second
 )
@@ -201,7 +203,7 @@
 	if noticed, known := f.endedAt(crash); known {
 		return !sent.After(noticed) // else it was sent on a connection that had ended already
 	}
-	if !f.refusesConnections(ctx, server.Address) {
+	if !f.refusesConnections(ctx, server.Address) || !f.reachesAnother(ctx, server) {
 		return false
 	}
 	now := time.Now()
@@ -215,6 +217,29 @@
 	return true
 }
 
+// reachesAnother reports whether this instance reaches another server of the service, or the service has no other. If it reaches
+// none, it has probably lost its paths to all of them.
+func (f *Forwarder) reachesAnother(ctx context.Context, server cataloger.Server) bool {
+	others, probes := 0, make(chan bool, maxEndedProbes)
+	started := 0
+	for _, other := range f.view.Load().AllServers() {
+		if other.Service != server.Service || other.ID == server.ID {
+			continue
+		}
+		others++
+		if started < maxEndedProbes && !f.paths.lost(other.ID) {
+			started++
+			go func() { probes <- f.accepts(ctx, other.Address) == nil }()
+		}
+	}
+	for range started {
+		if <-probes {
+			return true
+		}
+	}
+	return others == 0
+}
+
 // endedAt returns when it was noticed that a server had ended, and false if it was not.
 func (f *Forwarder) endedAt(crash quarantiner.Crash) (time.Time, bool) {
 	f.mu.Lock()
@@ -226,11 +251,15 @@
 // refusesConnections reports whether no process accepts connections at an address. An address that does not answer may be cut
 // off, so that does not count.
 func (f *Forwarder) refusesConnections(ctx context.Context, address string) bool {
+	return errors.Is(f.accepts(ctx, address), syscall.ECONNREFUSED)
+}
+
+// accepts opens a connection to an address and closes it. The error says why that failed.
+func (f *Forwarder) accepts(ctx context.Context, address string) error {
 	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
 	conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	_ = conn.Close()
-	return false
+	return conn.Close()
 }
--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -138,6 +138,50 @@
 	is.Equal(f.meter.Get(meter.ServersEnded), int64(0))
 }
 
+// TestLostPathIsNoCrash guards against requests that are barred because this instance is cut off from all servers while they run:
+// their connections are reset and new ones refused, as if the servers had ended.
+func TestLostPathIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	const requests = 4
+	cut := make(chan struct{})
+	var servers []cataloger.Server
+	var running, closed sync.WaitGroup
+	running.Add(requests)
+	closed.Add(requests)
+	for i := range requests {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		servers = append(servers, cataloger.Server{
+			ID: fmt.Sprintf("c%02d", i), Service: "plain", Address: listener.Addr().String(), Domain: "d", Slots: 1,
+		})
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1024))
+			running.Done()
+			<-cut
+			_ = listener.Close()
+			closed.Done()
+			closed.Wait()
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+	}
+	f := newCrashingForwarder(t, &crashingServers{servers: servers})
+	var clients sync.WaitGroup
+	for range requests {
+		clients.Go(func() { sendFrom(f, "10.0.0.1", "POST", "/once/popular") })
+	}
+	running.Wait()
+	close(cut)
+	clients.Wait()
+	is.Equal(f.meter.Get(meter.ServersEnded), int64(0))
+	is.Equal(len(f.QuarantinedRequests()), 0)
+}
+
 // TestCrashingRequestIsBarred guards against a request that is sent on and on although each server that executes it crashes.
 func TestCrashingRequestIsBarred(t *testing.T) {
 	for _, path := range []string{"/idempotent/poison", "/once/poison"} {
