A request that a server executes survives a lost keep-alive probe

What callers could see: 502 for requests that take over a second on paths that lose packets. Cause: connections have TCP_USER_TIMEOUT, 750 ms to servers, so that unacknowledged requests fail soon. On Linux that also decides when keep-alive probes give up, whatever their count; and package net sets their times in whole seconds, so that 250 ms became 1 s. The first probe is sent after a second; if it or its answer is lost, the connection ends a second later, long before three probes, as the comment said. Change: an exchange that has waited for 1.5 s gets a TCP_USER_TIMEOUT of 2.5 s until it ends: two unanswered probes end it after 3 s, one does not. Unacknowledged bytes and idle connections fail as before. The options say what the kernel does: AckTimeout in place of ProbeInterval. Ruled out: no TCP_USER_TIMEOUT (unacknowledged requests would hang for many seconds), a long one from the start (2.5 s in place of 0.75 s after each silent loss of a path).

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -50,6 +50,8 @@
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleSince  time.Time
+	inUseSince time.Time             // zero while idle; guarded by Pool.mu
+	relaxed    bool                  // waitingTimeout is in force; guarded by Pool.mu
 	used       bool                  // for an earlier exchange
 	peek       func(fd uintptr) bool // sets noData
 	noData     bool                  // the last peek found an open connection without data to read
@@ -77,6 +79,14 @@
 	c.writer = bufio.NewWriterSize(c.Conn, bufferBytes)
 }
 
+// setUserTimeout sets how long sent bytes may stay unacknowledged.
+func (c *conn) setUserTimeout(timeout time.Duration) error {
+	if c.raw == nil {
+		return nil
+	}
+	return setUserTimeout(c.raw, timeout)
+}
+
 // sentBytes returns how many bytes the kernel has accepted for sending on this connection.
 func (c *conn) sentBytes() int64 { return c.counting.written.Load() }
 
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,15 @@
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 30 * time.Second
 
-	// maxUnansweredProbes is the number of unanswered keep-alive probes after which a connection fails.
-	maxUnansweredProbes = 3
+	// probeInterval is the time without a segment after which a keep-alive probe is sent, and the time between probes. Linux and
+	// package net count it in whole seconds.
+	probeInterval = time.Second
+	// waitingTimeout replaces AckTimeout while an exchange waits for its answer: TCP_USER_TIMEOUT also decides when probes give up,
+	// whatever their count. With it a connection fails when two probes in a row, but not when one, are not answered.
+	waitingTimeout = 2*probeInterval + probeInterval/2
+	// relaxAfter is how long a connection is in use before waitingTimeout is set: its request has been acknowledged by then, or the
+	// connection has failed. The second probe, which would end it otherwise, is due after two intervals.
+	relaxAfter = probeInterval + probeInterval/2
 )
 
 // Options are the settings of a Pool. A zero field stands for its default; without TLS, connections are not encrypted.
@@ -30,9 +38,10 @@
 	// SourceIP is the local address of the connections; nil lets the system choose.
 	SourceIP       net.IP
 	MaxAnswerBytes int64 // bound of the bytes of an answer after its header, with the overhead of chunks
-	// ProbeInterval is the time between keep-alive probes, which find unresponsive connections: a connection whose other
-	// side acknowledges nothing for three intervals fails. 0 leaves probes to the defaults of Go and the operating system.
-	ProbeInterval time.Duration
+	// AckTimeout is how long sent bytes may stay unacknowledged before their connection fails. An idle connection whose other side
+	// is silent fails after 2 s to 3 s; one that waits for an answer after 3 s, if Relax is called in time. 0 leaves all that to the
+	// defaults of Go and the operating system.
+	AckTimeout time.Duration
 }
 
 // Pool holds the persistent connections to one address.
@@ -120,6 +129,7 @@
 		return nil, ErrNotSent{cause: err}
 	}
 	if c := p.takeIdle(now); c != nil {
+		p.beginUse(c, now)
 		return c, nil
 	}
 	c, err := p.dial(ctx, now, deadline)
@@ -127,9 +137,31 @@
 		p.releaseToken()
 		return nil, ErrNotSent{cause: err}
 	}
+	p.beginUse(c, now)
 	return c, nil
 }
 
+// beginUse records that a connection is in use from now on.
+func (p *Pool) beginUse(c *conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.inUseSince = now
+}
+
+// Relax lets the connections that wait for an answer survive a lost keep-alive probe. It should be called every 250 ms.
+func (p *Pool) Relax(now time.Time) {
+	if p.options.AckTimeout <= 0 || p.options.AckTimeout >= waitingTimeout {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if !c.relaxed && !c.inUseSince.IsZero() && now.Sub(c.inUseSince) >= relaxAfter {
+			c.relaxed = c.setUserTimeout(waitingTimeout) == nil // otherwise it has been closed
+		}
+	}
+}
+
 // acquireToken takes one of the tokens that bound the connections in use, and waits for it if necessary.
 func (p *Pool) acquireToken(ctx context.Context, now, deadline time.Time) error {
 	select {
@@ -184,6 +216,10 @@
 func (p *Pool) put(c *conn, now time.Time) {
 	c.idleSince = now
 	p.mu.Lock()
+	c.inUseSince = time.Time{}
+	if c.relaxed {
+		c.relaxed = c.setUserTimeout(p.options.AckTimeout) != nil
+	}
 	if !p.closed {
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
@@ -215,11 +251,9 @@
 		return nil, errDeadlinePassed
 	}
 	dialer := net.Dialer{Timeout: timeout, Deadline: deadline, LocalAddr: LocalAddr(p.options.SourceIP)}
-	if p.options.ProbeInterval > 0 {
-		dialer.KeepAliveConfig = net.KeepAliveConfig{
-			Enable: true, Idle: p.options.ProbeInterval, Interval: p.options.ProbeInterval, Count: maxUnansweredProbes,
-		}
-		dialer.Control = setUserTimeout(maxUnansweredProbes * p.options.ProbeInterval)
+	if p.options.AckTimeout > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval}
+		dialer.Control = func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, p.options.AckTimeout) }
 	}
 	tcpConn, err := dialer.DialContext(ctx, "tcp", p.options.Address)
 	if err != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,12 +30,11 @@
 const (
 	// connectTimeout bounds the time to connect to a server or an instance; both are at most 20 ms away.
 	connectTimeout = 300 * time.Millisecond
-	// peerProbeInterval is the time between keep-alive probes on connections to instances. A connection fails if its other
-	// side acknowledges nothing for three intervals.
-	peerProbeInterval = 400 * time.Millisecond
-	// serverProbeInterval is the same for connections to servers. It is shorter because an unresponsive server blocks its
-	// slots, and because a server and its dispatcher are in the same failure domain.
-	serverProbeInterval = 250 * time.Millisecond
+	// peerAckTimeout is how long bytes that were sent to an instance may stay unacknowledged before the connection fails.
+	peerAckTimeout = 1200 * time.Millisecond
+	// serverAckTimeout is the same for connections to servers. It is shorter because an unresponsive server blocks its slots, and
+	// because a server and its dispatcher are in the same failure domain.
+	serverAckTimeout = 750 * time.Millisecond
 	// serverIdleTimeout is how long an idle connection to a server is kept; servers close idle connections after 10 s.
 	serverIdleTimeout = 6 * time.Second
 	// peerIdleTimeout is how long an idle connection to an instance is kept; instances close idle connections after a minute.
@@ -99,6 +98,7 @@
 	limitShare       float64 // part of the limits that this instance uses
 	loads            loads
 	declines         declines
+	lastRelax        time.Time // when relaxConnections ran last
 }
 
 // poolQueue is the queue of a server pool and the requests that wait in it.
@@ -307,7 +307,7 @@
 	if p == nil {
 		p = exchanger.New(exchanger.Options{
 			Address: address, MaxConnections: maxPeerConnections, ConnectTimeout: connectTimeout, IdleTimeout: peerIdleTimeout,
-			ProbeInterval: peerProbeInterval, MaxAnswerBytes: maxWireBytes,
+			AckTimeout: peerAckTimeout, MaxAnswerBytes: maxWireBytes,
 		})
 		f.peerConnPools[address] = p
 	}
@@ -322,7 +322,7 @@
 	if p == nil {
 		p = exchanger.New(exchanger.Options{
 			Address: address, MaxConnections: slots + spareConnections, ConnectTimeout: connectTimeout,
-			IdleTimeout: serverIdleTimeout, ProbeInterval: serverProbeInterval, MaxAnswerBytes: maxWireBytes,
+			IdleTimeout: serverIdleTimeout, AckTimeout: serverAckTimeout, MaxAnswerBytes: maxWireBytes,
 			SourceIP: f.sourceIP,
 		})
 		f.serverConnPools[address] = p
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -23,6 +23,8 @@
 	// pathProbeLinger is how long a probe's connection must stay open to count as a contact: something between may accept
 	// connections that it can't forward.
 	pathProbeLinger = 20 * time.Millisecond
+	// relaxInterval is the time between two calls of Pool.Relax.
+	relaxInterval = 250 * time.Millisecond
 	// declineDuration is how long an instance that has lost its path to a pool is not asked to dispatch for it again.
 	declineDuration = time.Second
 	// maxDetours bounds how many instances that have lost their path to a server pool a request meets, and how many may have
@@ -183,8 +185,10 @@
 	}
 }
 
-// ProbePaths starts the probes that are due. It must be called more often than every 100 ms.
+// ProbePaths starts the probes that are due, and looks after connections that wait for an answer. It must be called more often than
+// every 100 ms.
 func (f *Forwarder) ProbePaths(now time.Time) {
+	f.relaxConnections(now)
 	f.paths.mu.Lock()
 	servers := f.paths.detector.Tick(now)
 	addresses := make([]string, len(servers))
@@ -198,6 +202,21 @@
 	}
 }
 
+// relaxConnections lets the exchanges that wait for an answer survive a lost keep-alive probe.
+func (f *Forwarder) relaxConnections(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.lastRelax) < relaxInterval {
+		return
+	}
+	f.lastRelax = now
+	for _, pools := range []map[string]*exchanger.Pool{f.serverConnPools, f.peerConnPools} {
+		for _, p := range pools {
+			p.Relax(now)
+		}
+	}
+}
+
 // probe opens a connection to a server and closes it.
 func (f *Forwarder) probe(address string) contact {
 	dialer := net.Dialer{Timeout: pathProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
