--- a/internal/verifier/cut_test.go
+++ b/internal/verifier/cut_test.go
@@ -26,6 +26,11 @@
 	cutNew           // open connections live on, and new ones are reset
 )
 
+// String names the cut in the action log of a soak.
+func (c cut) String() string {
+	return [...]string{"none", "silent", "to servers", "reset", "new connections"}[c]
+}
+
 // setCut cuts the connections from a source IP address, or ends the cut.
 func (p *proxy) setCut(source string, c cut) error {
 	p.mu.Lock()
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -98,7 +98,7 @@
 	count := int((*soakLength + loadTail).Seconds() * requestsPerSecond)
 	l := s.startLoad(s.entries, seed, count)
 	stopWatching := s.watchEntries()
-	s.runActions(s.drawRestore(seed), special)
+	s.runActions(append(s.drawCuts(seed), s.drawRestore(seed), special)...)
 	stopWatching()
 	s.awaitAgreement(s.entries...)
 	s.awaitAllAnswered()
@@ -296,6 +296,37 @@
 	s.publishBundle([]string{"objective: 300ms", fmt.Sprintf("objective: %dms", 250+10*variant)})
 }
 
+// drawCuts returns cuts of some or all entries from all servers, which may overlap. Their random numbers are apart from those of the
+// other actions, so that regression seeds keep their series.
+func (s *soak) drawCuts(seed uint64) []action {
+	random := rand.New(rand.NewPCG(seed, 3*seed+1))
+	var actions []action
+	for n := range 2 {
+		kind := cut(1 + random.IntN(4))
+		length := time.Second + time.Duration(random.Int64N(int64(5*time.Second)))
+		var entries []*entry
+		for _, i := range random.Perm(len(s.entries))[:1+random.IntN(len(s.entries))] {
+			entries = append(entries, s.entries[i])
+		}
+		a := s.newAction(fmt.Sprintf("paths %d", n), func() { s.cutOffFor(kind, entries, length) })
+		a.startAfter = time.Duration(random.Int64N(int64(*soakLength)))
+		actions = append(actions, a)
+	}
+	return actions
+}
+
+// cutOffFor cuts entries off from all servers for a while.
+func (s *soak) cutOffFor(kind cut, entries []*entry, length time.Duration) {
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.name)
+	}
+	s.recordAction("%s cut off from all servers for %v: %v", strings.Join(names, ", "), length, kind)
+	s.cutOff(kind, entries...)
+	time.Sleep(length)
+	s.cutOff(cutNone, entries...)
+}
+
 // drawRestore returns the return of the store from an older copy. Its random numbers are apart from those of the other
 // actions, so that regression seeds keep their series.
 func (s *soak) drawRestore(seed uint64) action {
