--- a/cmd/admin_test.go
+++ b/cmd/admin_test.go
@@ -27,10 +27,11 @@
 		Leader:   inspector.Leader{Instance: "entry_1", Term: 5},
 		IsLeader: s.name == "entry_1", StoreUnreachable: s.name == "entry_2",
 		OwnerMapVersion: inspector.Version{Term: 5, Sequence: 7},
-		Members:         []inspector.Member{{Instance: s.name, Domain: "muscat_a", Address: "127.0.0.2:7720", Capacity: 320}},
+		Members: []inspector.Member{{Instance: s.name, Domain: "muscat_a", Address: "127.0.0.2:7720", Capacity: 320,
+			LostServices: []inspector.LostService{{Service: "render_desk", LostSeconds: 2.5}}}},
 		Servers: []inspector.Server{{
 			ID: "render_01", Service: "render_desk", State: "ready", Slots: 3, Ranges: 1, Keys: 65536, Dispatcher: "entry_1",
-			Limited: true, Limit: 2.5, LimitedSeconds: 61,
+			Limited: true, Limit: 2.5, LimitedSeconds: 61, Unreachable: s.name == "entry_2",
 		}},
 		Barred: []inspector.BarredRequest{{
 			Fingerprint: "00000000000000f7", Request: "GET h/x", Crashes: 3, BarredSeconds: 1.5,
@@ -82,6 +83,7 @@
 				"lost",   // entry_2 can't reach the store
 				"5.7", "render_01  render_desk", "127.0.0.2:7720",
 				"render_01       2.5                1m1s", "GET h/x         00000000000000f7  3        1.5s",
+				"entry_1                 render_desk  2.5s", "entry_2   render_01           render_desk  entry_1",
 			},
 		},
 		"status as JSON": {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -53,6 +53,8 @@
 	})
 	writeMembers(table, newest)
 	writeServers(table, newest)
+	writeLostServices(table, newest)
+	writeUnreachable(table, answered)
 	writeLimits(table, newest)
 	writeBarred(table, newest)
 	return table.Flush()
@@ -113,6 +115,31 @@
 	}
 }
 
+// writeLostServices writes the instances that have lost services, if there are any.
+func writeLostServices(w io.Writer, s inspector.Status) {
+	head := "\nINSTANCE WITHOUT PATHS\tSERVICE\tFOR\n"
+	for _, m := range s.Members {
+		for _, lost := range m.LostServices {
+			fmt.Fprintf(w, "%s%s\t%s\t%s\n", head, m.Instance, lost.Service, secondsText(lost.LostSeconds))
+			head = ""
+		}
+	}
+}
+
+// writeUnreachable writes the servers to which an instance has lost its path, and through which dispatcher its requests go, if there
+// are any.
+func writeUnreachable(w io.Writer, statuses []inspector.Status) {
+	head := "\nINSTANCE\tUNREACHABLE SERVER\tSERVICE\tREQUESTS GO THROUGH\n"
+	for _, s := range statuses {
+		for _, server := range s.Servers {
+			if server.Unreachable {
+				fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\n", head, s.Instance, server.ID, server.Service, orDash(server.Dispatcher))
+				head = ""
+			}
+		}
+	}
+}
+
 // writeLimits writes the servers that limit their requests, if there are any.
 func writeLimits(w io.Writer, s inspector.Status) {
 	head := "\nLIMITED SERVER\tREQUESTS A SECOND\tFOR\n"
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -24,6 +24,7 @@
 		for _, m := range append([]resolver.Member{c.self()}, c.members...) {
 			status.Members = append(status.Members, inspector.Member{
 				Instance: m.Instance, Domain: m.Domain, Address: m.Address, Leaving: m.Leaving, Capacity: m.Capacity,
+				LostServices: lostServiceStatus(m.Lost),
 			})
 		}
 		status.Servers = c.serverStatus()
@@ -32,6 +33,15 @@
 	})
 }
 
+// lostServiceStatus returns the services that an instance has lost.
+func lostServiceStatus(lost resolver.LostServices) []inspector.LostService {
+	var list []inspector.LostService
+	for _, s := range lost.All() {
+		list = append(list, inspector.LostService{Service: s.Service, LostSeconds: max(0, time.Since(s.Since).Seconds())})
+	}
+	return list
+}
+
 // barredStatus returns the barred requests.
 func (c *Controller) barredStatus() []inspector.BarredRequest {
 	now := time.Now() // the Forwarder's times are of time.Now
@@ -65,7 +75,7 @@
 	for _, s := range c.catalog.Servers() {
 		server := inspector.Server{
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Address: s.Address, State: s.State.String(), Slots: s.Slots,
-			Ranges: ranges[s.ID], Keys: keys[s.ID],
+			Ranges: ranges[s.ID], Keys: keys[s.ID], Unreachable: c.options.Forwarder.ServerLost(s.ID),
 		}
 		if server.Ranges > 0 && c.view != nil {
 			server.Dispatcher = dispatcherOf(c.view, s.ID)
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -27,9 +27,11 @@
 	relaxInterval = 250 * time.Millisecond
 	// declineDuration is how long an instance that has lost its path to a pool is not asked to dispatch for it again.
 	declineDuration = time.Second
-	// maxDetours bounds how many instances that have lost their path to a server pool a request meets, and how many may have
-	// declined the pool of late before its requests are refused without asking another one.
+	// maxDetours bounds how many instances that have lost their path to a server pool a request meets.
 	maxDetours = 4
+	// maxDeclines is how many instances may have declined a server pool of late before its requests are refused without asking
+	// another one.
+	maxDeclines = 16
 	// maxFailedConnects bounds how many instances try in vain to connect to a server for one request: when two have failed,
 	// the server has probably ended.
 	maxFailedConnects = 2
@@ -318,6 +320,7 @@
 		req.failedConnects++
 	}
 	req.triedDispatchers = append(req.triedDispatchers, instance)
+	req.withoutPath = append(req.withoutPath, instance)
 	if len(req.triedDispatchers) >= maxDetours || req.failedConnects >= maxFailedConnects {
 		return false
 	}
--- a/internal/forwarder/paths_test.go
+++ b/internal/forwarder/paths_test.go
@@ -26,14 +26,13 @@
 	return listener.Addr().String()
 }
 
-// startDispatcherWithoutPath starts an instance that has no path to any server, and returns it as a member and the number of its
-// hops.
-func startDispatcherWithoutPath(t *testing.T, name, domain string) (resolver.Member, *meter.Meter) {
+// startDispatcherWithoutPath starts an instance that has no path to any server, and returns it as a member.
+func startDispatcherWithoutPath(t *testing.T, name, domain string) resolver.Member {
 	t.Helper()
 	dispatcher := newForwarder(t, &scriptedServer{address: closedAddress(t)})
 	peer := httptest.NewServer(http.HandlerFunc(dispatcher.ServeHop))
 	t.Cleanup(peer.Close)
-	return resolver.Member{Instance: name, Domain: domain, Address: strings.TrimPrefix(peer.URL, "http://")}, dispatcher.meter
+	return resolver.Member{Instance: name, Domain: domain, Address: strings.TrimPrefix(peer.URL, "http://")}
 }
 
 // TestRequestIsSentAroundDispatcherWithoutPath guards against requests that fail because their dispatcher has lost its path to a
@@ -45,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := startScriptedServer(t, answerOK)
-			member, _ := startDispatcherWithoutPath(t, "dispatcher", "d")
+			member := startDispatcherWithoutPath(t, "dispatcher", "d")
 			f := newForwarder(t, b, member)
 			v := *f.view.Load()
 			v.Self.Domain = "elsewhere" // so that the member in domain d is the dispatcher
@@ -67,10 +66,8 @@
 func TestServerThatNobodyReachesIsNotAskedAbout(t *testing.T) {
 	is := is.New(t)
 	var members []resolver.Member
-	var meters []*meter.Meter
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-		member, m := startDispatcherWithoutPath(t, name, "d")
-		members, meters = append(members, member), append(meters, m)
+		members = append(members, startDispatcherWithoutPath(t, name, "d"))
 	}
 	f := newForwarder(t, &scriptedServer{address: closedAddress(t)}, members...)
 	for range 50 {
@@ -79,10 +76,10 @@
 		is.True(w.Header().Get("Retry-After") != "")
 	}
 	before := f.meter.Get(meter.RequestsForwarded)
-	is.True(before <= 50*maxDetours)
+	// Each instance tries to connect twice before it knows, and then declines.
+	is.True(before <= 3*int64(len(members)))
 	sendRequest(f, "POST", "/keyonce/x", "5", "")
-	is.Equal(f.meter.Get(meter.RequestsForwarded), before) // enough instances have said that they have no path
-	is.True(len(meters) > maxDetours)
+	is.Equal(f.meter.Get(meter.RequestsForwarded), before) // all have said that they have no path
 }
 
 // TestWaitingRequestsLeaveDispatcherWithoutPath guards against requests that wait in the queue of an instance for a server to which
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -41,7 +41,8 @@
 	ownerMapVersion  partitioner.Version // version of the owner map by which pool was chosen
 	newOwner         string              // owner of the key that a dispatcher named, by the map of ownerMapVersion
 	avoidServer      string              // server that failed or rejected this request, or could not be reached
-	triedDispatchers []string            // instances that had no path to a server of the pool
+	triedDispatchers []string            // instances that had no path to a server of pool
+	withoutPath      []string            // the same for all pools, with repetitions; for the log
 	failedConnects   int                 // how many of them tried in vain to connect to the server
 	sends            int                 // how often it may have reached a server
 	moveWaitStart    time.Time           // when it first waited for a moving key; zero if it never did
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -82,7 +82,7 @@
 	f.mu.Lock()
 	declined := f.declines.of(now, req.pool)
 	f.mu.Unlock()
-	if len(declined) >= maxDetours {
+	if len(declined) >= maxDeclines {
 		return resolver.Member{}, false
 	}
 	unreachable := f.unreachableAt(now)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -143,7 +143,7 @@
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
 		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "server", res.server,
-		"front", res.dispatcher, "arrivals", req.sends, "fingerprints", req.fingerprints,
+		"front", res.dispatcher, "without_path", req.withoutPath, "arrivals", req.sends, "fingerprints", req.fingerprints,
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
 		"took", time.Since(start), "retry_after", res.retryAfter, "write_error", err)
 }
--- a/internal/inspector/answers.go
+++ b/internal/inspector/answers.go
@@ -51,6 +51,14 @@
 	Leaving bool `json:"leaving"`
 	// Capacity is the capacity of the instance's machine, in thousandths of a core.
 	Capacity int `json:"capacity"`
+	// LostServices are the services of whose servers the instance has lost more than it reaches. Others dispatch in its place.
+	LostServices []LostService `json:"lost_services"`
+}
+
+// LostService is a service that an instance has lost, LostSeconds ago by the clock of the instance that answers.
+type LostService struct {
+	Service     string  `json:"service"`
+	LostSeconds float64 `json:"lost_s"`
 }
 
 // Server is a backend server.
@@ -69,6 +77,8 @@
 	Keys   int `json:"keys"`
 	// Dispatcher is the instance that keeps the server's queue; it is empty if the server owns no keys.
 	Dispatcher string `json:"front"`
+	// Unreachable says that the instance that answers has lost its path to the server.
+	Unreachable bool `json:"unreachable"`
 	// Limited says that the server names a limit: Limit requests a second from all instances together, and LimitedSeconds ago it
 	// first named one.
 	Limited        bool    `json:"limited"`
