A crash counts also when all other servers of the service are down

Cause: since the check for lost paths, a crash counted only if another server of the service accepted a connection. Change: servers of other services, and those with a path, are asked first. A request whose key moves to another server while it is retried may use all dispatchers again.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -1,12 +1,14 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -217,27 +219,41 @@
 	return true
 }
 
-// reachesAnother reports whether this instance reaches another server of the service, or the service has no other. If it reaches
-// none, it has probably lost its paths to all of them.
+// reachesAnother reports whether this instance reaches another server, of any service, or there is no other. If it reaches none, it
+// has probably lost its paths to all of them. Servers of other services come first: those of the same one may have crashed too.
 func (f *Forwarder) reachesAnother(ctx context.Context, server cataloger.Server) bool {
-	others, probes := 0, make(chan bool, maxEndedProbes)
-	started := 0
+	var others []cataloger.Server
 	for _, other := range f.view.Load().AllServers() {
-		if other.Service != server.Service || other.ID == server.ID {
-			continue
-		}
-		others++
-		if started < maxEndedProbes && !f.paths.lost(other.ID) {
-			started++
-			go func() { probes <- f.accepts(ctx, other.Address) == nil }()
+		if other.ID != server.ID {
+			others = append(others, other)
 		}
 	}
-	for range started {
+	slices.SortFunc(others, func(a, b cataloger.Server) int {
+		return cmp.Or(compareBool(f.paths.lost(a.ID), f.paths.lost(b.ID)),
+			compareBool(a.Service == server.Service, b.Service == server.Service), cmp.Compare(a.ID, b.ID))
+	})
+	probed := others[:min(len(others), maxEndedProbes)]
+	probes := make(chan bool, len(probed))
+	for _, other := range probed {
+		go func() { probes <- f.accepts(ctx, other.Address) == nil }()
+	}
+	for range probed {
 		if <-probes {
 			return true
 		}
 	}
-	return others == 0
+	return len(others) == 0
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // endedAt returns when it was noticed that a server had ended, and false if it was not.
--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -182,6 +182,22 @@
 	is.Equal(len(f.QuarantinedRequests()), 0)
 }
 
+// TestCrashOfLastServerCounts guards against a request that crashes all servers of a service, of which the last ones don't count
+// because no other server of the service accepts connections.
+func TestCrashOfLastServerCounts(t *testing.T) {
+	is := is.New(t)
+	crashing := startCrashingServers(t, 2, 0)
+	other := startScriptedServer(t, answerOK)
+	f := newCrashingForwarder(t, crashing)
+	v := f.View()
+	servers := append(crashing.servers, cataloger.Server{ID: "k", Service: "keyed", Address: other.address, Domain: "d", Slots: 2})
+	f.SetView(time.Now(), resolver.New(v.Self, v.Table, servers, v.Owners, nil))
+	for range 2 {
+		sendFrom(f, "10.0.0.1", "POST", "/once/poison")
+	}
+	is.Equal(f.meter.Get(meter.ServersEnded), int64(2))
+}
+
 // TestCrashingRequestIsBarred guards against a request that is sent on and on although each server that executes it crashes.
 func TestCrashingRequestIsBarred(t *testing.T) {
 	for _, path := range []string{"/idempotent/poison", "/once/poison"} {
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -54,6 +54,7 @@
 func (f *Forwarder) attempt(ctx context.Context, req *clientRequest, spillovers int) result {
 	now := time.Now()
 	v := f.view.Load()
+	pool := req.pool
 	if req.keyed {
 		if r, ok := f.resolveOwner(ctx, now, req); !ok {
 			return r
@@ -66,6 +67,9 @@
 		}
 		req.pool = pools[spillovers%len(pools)]
 	}
+	if req.pool != pool {
+		req.triedDispatchers, req.failedConnects = nil, 0
+	}
 	dispatcher, ok := f.chooseDispatcher(now, v, req)
 	if !ok {
 		return result{outcome: refused, reason: reasonNoPath, retryAfter: defaultRetryAfter}
@@ -200,7 +204,6 @@
 		return false
 	}
 	*spillovers++
-	req.triedDispatchers, req.failedConnects = nil, 0
 	return true
 }
 
