Review, case 3: a late copy of the answer to an order counts as the next answer

Orders share connections, and nothing in an order or its answer is compared. A release counts as answered while the server is still at work, and another server is granted the keys (OWNER).

--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -23,6 +23,7 @@
 // cases are the scenarios by name. Each returns the violations of the rule that it checks.
 var cases = map[string]func(c *cluster, trouble bool) ([]string, error){
 	"late_rejection": lateRejection,
+	"late_order":     lateOrder,
 }
 
 func main() {
