--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(c *cluster, trouble bool) ([]string, error){
 	"late_rejection": lateRejection,
 	"late_order":     lateOrder,
+	"large_bodies":   largeBodies,
 }
 
 func main() {
