--- a/review/tool/cluster.go
+++ b/review/tool/cluster.go
@@ -120,6 +120,12 @@
 
 // publish writes the configuration to the store.
 func (c *cluster) publish(services []string, routes []route) error {
+	const timeout = 4 * time.Second
+	return c.publishWithTimeout(services, routes, timeout)
+}
+
+// publishWithTimeout is publish with a timeout of all routes.
+func (c *cluster) publishWithTimeout(services []string, routes []route, timeout time.Duration) error {
 	var serviceList, paths []map[string]any
 	for _, name := range services {
 		serviceList = append(serviceList, map[string]any{
@@ -128,7 +134,7 @@
 	}
 	for i, r := range routes {
 		paths = append(paths, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "path_prefix": r.prefix, "type": r.kind, "timeout_ms": 4000, "target_latency_ms": 600,
+			"name": fmt.Sprintf("r-%d", i), "path_prefix": r.prefix, "type": r.kind, "timeout_ms": timeout.Milliseconds(), "target_latency_ms": 600,
 			"priority": 1, "service": r.service, "max_attempts": 2,
 		})
 	}
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -28,6 +28,7 @@
 	id, service, zone string
 	slots, queue      int
 	work              func() time.Duration
+	workFor           func(path string) time.Duration // replaces work if it is not nil
 	// sheds reports whether the next request is rejected although there is room.
 	sheds func() bool
 	// copiesAnswer reports whether a second copy of an answer comes late: where the next answer on its connection is due.
@@ -262,7 +263,11 @@
 	if !ok {
 		return reject(http.StatusMisdirectedRequest, "key not held")
 	}
-	time.Sleep(s.work())
+	if s.workFor != nil {
+		time.Sleep(s.workFor(r.URL.Path))
+	} else {
+		time.Sleep(s.work())
+	}
 	s.ledger.end(run)
 	header.Set(platform.HeaderSignature, s.id+"."+strconv.Itoa(run.number))
 	return encodeAnswer(http.StatusOK, header, "done "+id)
