--- a/review/tool/cluster.go
+++ b/review/tool/cluster.go
@@ -247,7 +247,7 @@
 
 // awaitServing waits until all instances are ready and each answers requests for some keys.
 func (c *cluster) awaitServing(path string) error {
-	const probes = 8
+	const probes = 3
 	deadline := time.Now().Add(startTimeout)
 	for _, e := range c.entries {
 		for answered := 0; answered < probes; {
@@ -256,7 +256,7 @@
 			}
 			a := send(request{
 				entry: e, method: http.MethodPost, path: path, id: fmt.Sprintf("probe-%s-%d", e.name, rand.Uint64()),
-				key: answered * 8192, timeout: probeTimeout,
+				key: answered * keyCount / probes, timeout: probeTimeout,
 			})
 			if e.ready() && a.status == http.StatusOK {
 				answered++
--- a/review/tool/late_order.go
+++ b/review/tool/late_order.go
@@ -13,21 +13,21 @@
 func lateOrder(c *cluster, trouble bool) ([]string, error) {
 	const (
 		entries, servers = 3, 16
-		rate             = 45.0
-		length           = 80 * time.Second
-		replaceInterval  = 1300 * time.Millisecond
+		rate             = 42.0
+		length           = 88 * time.Second
+		replaceInterval  = time.Second
 		// hotShare of the requests are about hotKeys neighbouring keys, which change from time to time.
 		hotShare    = 0.35
 		hotKeys     = 200
-		hotInterval = 3 * time.Second
-		// Three of five servers send a second copy of one in 34 answers: garble (extra late), share 0.6, x 0.03.
+		hotInterval = 2 * time.Second
+		// Three of five servers send a second copy for one in 34 answers, of an answer to an order: garble (extra late), share 0.6,
+		// x 0.03.
 		copyEvery = 34
 	)
 	settings := func(n int, s *serverSettings) {
-		s.work = func() time.Duration { return 400*time.Millisecond + rand.N(600*time.Millisecond) }
+		s.work = func() time.Duration { return 500*time.Millisecond + rand.N(700*time.Millisecond) }
 		if n%5 < 3 && trouble {
-			copyDue := fraction(copyEvery)
-			s.copiesAnswer = func(bool) bool { return copyDue() }
+			s.copiesAnswer = orderCopies(copyEvery)
 		}
 	}
 	if err := c.newDeskCluster(entries, servers, settings); err != nil {
@@ -65,3 +65,16 @@
 	}
 	return append(c.ledger.ownerViolations(), c.ledger.checkUnsafe(l.answers)...), l.checkServed()
 }
+
+// orderCopies returns a function that is called with each answer, and reports true for as many answers to orders as make one in
+// every so many of all answers.
+func orderCopies(every int64) func(order bool) bool {
+	var answers, copies atomic.Int64
+	return func(order bool) bool {
+		if due := answers.Add(1) / every; !order || copies.Load() >= due {
+			return false
+		}
+		copies.Add(1)
+		return true
+	}
+}
