--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/wasabibank/wasabibank/platform"
@@ -34,18 +37,37 @@
 	status int // 0 without a complete answer
 	err    error
 	took   time.Duration
+	reused bool // sent on a connection of an earlier request
+	closed bool // the connection was closed or reset before the answer was complete
+}
+
+// keptConnections are connections that clients keep open for many requests.
+type keptConnections struct{ transport *http.Transport }
+
+func newKeptConnections() *keptConnections {
+	const perEntry = 16
+	return &keptConnections{transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: perEntry}}
 }
 
 // send sends a request on a new connection, once.
 func send(r request) answer {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
+	return sendThrough(transport, r)
+}
+
+// sendThrough sends a request once, on a connection of transport.
+func sendThrough(transport *http.Transport, r request) answer {
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
 	defer cancel()
 	started := time.Now()
 	result := func(status int, err error) answer {
-		return answer{id: r.id, status: status, err: err, took: time.Since(started)}
+		closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+		return answer{id: r.id, status: status, err: err, took: time.Since(started), reused: reused, closed: closed}
 	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
 	url := "http://" + net.JoinHostPort(r.entry.ip, clientPort) + r.path
 	httpRequest, err := http.NewRequestWithContext(ctx, r.method, url, bytes.NewReader(r.body))
 	if err != nil {
@@ -72,6 +94,7 @@
 // load sends requests at a constant rate and collects the answers.
 type load struct {
 	record  *record
+	kept    *keptConnections // nil if each request has a new connection
 	mu      sync.Mutex
 	answers []answer
 	pending sync.WaitGroup
@@ -95,7 +118,12 @@
 	l.record.line("sent %s %s %s key %d, %d bytes to %s", r.id, r.method, r.path, r.key, len(r.body), r.entry.name)
 	go func() {
 		defer l.pending.Done()
-		a := send(r)
+		var a answer
+		if l.kept != nil {
+			a = sendThrough(l.kept.transport, r)
+		} else {
+			a = send(r)
+		}
 		l.record.line("answered %s status %d after %.3f s%s", a.id, a.status, a.took.Seconds(), errorText(a.err))
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -22,10 +22,9 @@
 
 // cases are the scenarios by name. Each returns the violations of the rule that it checks.
 var cases = map[string]func(c *cluster, trouble bool) ([]string, error){
-	"late_rejection": lateRejection,
-	"late_order":     lateOrder,
-	"large_bodies":   largeBodies,
-	"late_stop":      lateStop,
+	"foreign_entry":  foreignEntryAtAddress,
+	"unreadable_key": unreadableKey,
+	"planned_stop":   plannedStop,
 }
 
 func main() {
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	draining bool
+	cut      bool // from the store
 	waiting  int
 	tokens   chan struct{} // one for each slot in use
 	conns    map[net.Conn]bool
@@ -85,6 +86,12 @@
 // heartbeat writes the registration to the store's stand-in, or removes it.
 func (s *server) heartbeat(remove bool) {
 	const expiryHeartbeats = 3
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
+	if cut {
+		return
+	}
 	beat := emulator.Heartbeat{ID: s.id, TTLMS: expiryHeartbeats * heartbeatInterval.Milliseconds()}
 	if !remove {
 		state := cataloger.Ready
@@ -112,6 +119,14 @@
 	}
 }
 
+// cutFromStore partitions the server from the store, or ends that. Requests and orders still reach the server.
+func (s *server) cutFromStore(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	s.ledger.record.line("server %s is partitioned from the store: %t", s.id, cut)
+}
+
 // drain makes the server report that it is draining. It ends some seconds after drain_ms.
 func (s *server) drain() {
 	const servesFor = 5 * time.Second
