--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Plays the case late_rejection; the exit code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/wasabibank ] && [ -x target/review-standin ] && [ -x target/review ] || exit 2
+exec target/review late_rejection review/1/record.txt
