--- a/review/tool/foreign_entry.go
+++ b/review/tool/foreign_entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -39,23 +38,10 @@
 		calm, cut, after     = 5 * time.Second, 10 * time.Second, 3 * time.Second
 		work                 = 150 * time.Millisecond
 	)
-	for n := range desks {
-		if _, err := c.startServer(serverSettings{
-			id: fmt.Sprintf("i-desk-%d", n+1), service: deskService, zone: zones[n%len(zones)], slots: 2, queue: 8,
-			work: func() time.Duration { return work },
-		}); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.publish([]string{deskService}, []route{{prefix: "/sign-off/", kind: "unsafe", service: deskService}}); err != nil {
-		return nil, err
-	}
-	for range entries {
-		if err := c.addEntry(); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.awaitServing("/sign-off/probe"); err != nil {
+	err := c.newDeskCluster(entries, desks, func(_ int, s *serverSettings) {
+		s.work = func() time.Duration { return work }
+	})
+	if err != nil {
 		return nil, err
 	}
 	cutServer := c.servers[0]
@@ -73,10 +59,7 @@
 		time.AfterFunc(calm+cut, func() { cutServer.cutFromStore(false) })
 	}
 	l.run(start.Add(calm+cut+after), rate, func(n int) request {
-		return request{
-			entry: c.entries[n%entries], method: http.MethodPost, path: "/sign-off/a", id: fmt.Sprintf("order-%d", n),
-			key: n * 7919 % keyCount, body: []byte("{}"), timeout: 4 * time.Second,
-		}
+		return order(c.entries[n%entries], "/sign-off/a", fmt.Sprintf("order-%d", n), n)
 	})
 	if err := l.checkServed(); err != nil {
 		return nil, err
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -22,6 +22,7 @@
 
 // cases are the scenarios by name. Each returns the violations of the rule that it checks.
 var cases = map[string]func(c *cluster, trouble bool) ([]string, error){
+	"late_rejection": lateRejection,
 	"foreign_entry":  foreignEntryAtAddress,
 	"unreadable_key": unreadableKey,
 	"planned_stop":   plannedStop,
--- a/review/tool/planned_stop.go
+++ b/review/tool/planned_stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -15,38 +14,22 @@
 		entries, desks, clients, rate = 3, 4, 8, 10
 		calm, tail                    = 4 * time.Second, 8 * time.Second
 		shortWork, longWork           = 120 * time.Millisecond, 2700 * time.Millisecond
-		timeout                       = 4 * time.Second
 		// firstLate is the time from SIGTERM to the first of the requests; they follow each other at lateInterval.
 		firstLate, lateInterval = 3020 * time.Millisecond, 15 * time.Millisecond
 	)
-	for n := range desks {
-		if _, err := c.startServer(serverSettings{
-			id: fmt.Sprintf("i-desk-%d", n+1), service: deskService, zone: zones[n%len(zones)], slots: 6, queue: 8,
-			workFor: func(path string) time.Duration {
-				if path == "/sign-off/long" {
-					return longWork
-				}
-				return shortWork
-			},
-		}); err != nil {
-			return nil, err
+	err := c.newDeskCluster(entries, desks, func(_ int, s *serverSettings) {
+		s.slots = 6
+		s.workFor = func(path string) time.Duration {
+			if path == "/sign-off/long" {
+				return longWork
+			}
+			return shortWork
 		}
-	}
-	if err := c.publish([]string{deskService}, []route{{prefix: "/sign-off/", kind: "unsafe", service: deskService}}); err != nil {
-		return nil, err
-	}
-	for range entries {
-		if err := c.addEntry(); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.awaitServing("/sign-off/probe"); err != nil {
+	})
+	if err != nil {
 		return nil, err
 	}
 	stopped := c.entries[0]
-	order := func(e *entry, path, id string, n int) request {
-		return request{entry: e, method: http.MethodPost, path: path, id: id, key: n * 7919 % keyCount, body: []byte("{}"), timeout: timeout}
-	}
 	l := &load{record: c.record}
 	start := time.Now()
 	var late []answer
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -45,12 +45,11 @@
 	stopped  chan struct{}
 	once     sync.Once
 
-	mu       sync.Mutex
-	draining bool
-	cut      bool // from the store
-	waiting  int
-	tokens   chan struct{} // one for each slot in use
-	conns    map[net.Conn]bool
+	mu      sync.Mutex
+	cut     bool // from the store
+	waiting int
+	tokens  chan struct{} // one for each slot in use
+	conns   map[net.Conn]bool
 }
 
 // startServer starts a server and registers it.
@@ -94,14 +93,8 @@
 	}
 	beat := emulator.Heartbeat{ID: s.id, TTLMS: expiryHeartbeats * heartbeatInterval.Milliseconds()}
 	if !remove {
-		state := cataloger.Ready
-		s.mu.Lock()
-		if s.draining {
-			state = cataloger.Draining
-		}
-		s.mu.Unlock()
 		registration, err := platform.EncodeServer(cataloger.Server{
-			ID: s.id, Service: s.service, Address: s.listener.Addr().String(), Domain: s.zone, Slots: s.slots, State: state,
+			ID: s.id, Service: s.service, Address: s.listener.Addr().String(), Domain: s.zone, Slots: s.slots, State: cataloger.Ready,
 			Incarnation: s.born.UnixMilli(),
 		})
 		if err != nil {
@@ -127,17 +120,6 @@
 	s.ledger.record.line("server %s is partitioned from the store: %t", s.id, cut)
 }
 
-// drain makes the server report that it is draining. It ends some seconds after drain_ms.
-func (s *server) drain() {
-	const servesFor = 5 * time.Second
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.ledger.record.line("server %s drains", s.id)
-	s.heartbeat(false)
-	time.AfterFunc(servesFor, s.stop)
-}
-
 // stop ends the server.
 func (s *server) stop() {
 	s.once.Do(func() {
--- a/review/tool/unreadable_key.go
+++ b/review/tool/unreadable_key.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -25,23 +24,11 @@
 		writeInterval   = 1500 * time.Millisecond
 		work            = 200 * time.Millisecond
 	)
-	for n := range desks {
-		if _, err := c.startServer(serverSettings{
-			id: fmt.Sprintf("i-desk-%d", n+1), service: deskService, zone: zones[n%len(zones)], slots: 4, queue: 8,
-			work: func() time.Duration { return work },
-		}); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.publish([]string{deskService}, []route{{prefix: "/sign-off/", kind: "unsafe", service: deskService}}); err != nil {
-		return nil, err
-	}
-	for range entries {
-		if err := c.addEntry(); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.awaitServing("/sign-off/probe"); err != nil {
+	err := c.newDeskCluster(entries, desks, func(_ int, s *serverSettings) {
+		s.slots = 4
+		s.work = func() time.Duration { return work }
+	})
+	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -53,10 +40,7 @@
 	}
 	l := &load{record: c.record, kept: newKeptConnections()}
 	l.run(start.Add(calm+disturbed), rate, func(n int) request {
-		return request{
-			entry: c.entries[n%entries], method: http.MethodPost, path: "/sign-off/a", id: fmt.Sprintf("order-%d", n),
-			key: n * 7919 % keyCount, body: []byte("{}"), timeout: 4 * time.Second,
-		}
+		return order(c.entries[n%entries], "/sign-off/a", fmt.Sprintf("order-%d", n), n)
 	})
 	cancel()
 	if err := l.checkServed(); err != nil {
