--- a/review/tool/foreign_entry.go
+++ b/review/tool/foreign_entry.go
@@ -10,8 +10,7 @@
 	"github.com/wasabibank/wasabibank/platform"
 )
 
-// writeForeign writes a record of another writer into the topic of the servers' registrations. Its service is none of the
-// configuration.
+// writeForeign writes a record of another writer into the topic of the servers' registrations.
 func (c *cluster) writeForeign(ctx context.Context, key string, entry map[string]any) error {
 	value, err := json.Marshal(entry)
 	if err != nil {
@@ -21,7 +20,7 @@
 	return err
 }
 
-// foreignEntry is an entry of another writer, for a service that no configuration names, with a server's address.
+// foreignEntry returns an entry of another writer, which has the form of a server's registration.
 func foreignEntry(service, address string) map[string]any {
 	return map[string]any{
 		"address": address, "born": time.Now().UnixMilli(),
