A late answer to an order neither ends a lease nor confirms one

Cause: a late copy of the answer to any order on a kept connection counted as the answer to the next order there. As the answer to a release, it freed keys whose server had not received the release yet. As the refusal of a renewal (409, 421), it let the leader count a lease as ended that the server had just renewed. As the acceptance of a grant, it let a release overtake a grant that was still pending.

Change: releases and the first grants of a leader use a connection that was not used before. On a used one only the acceptance of a renewal is believed; a refusal there counts as unanswered and is asked again on a new connection. Before a release the leader sends a grant that demands an answer on a new connection if the newest accepted one was a renewal: its higher fence makes the server refuse all earlier grants. If that confirmation fails, the range waits for the end of the lease after the release. Renewals keep their connections. The wire format of orders is unchanged.

--- a/internal/granter/fake_server_test.go
+++ b/internal/granter/fake_server_test.go
@@ -21,12 +21,13 @@
 	up                bool
 	losesAnswers      bool // applies orders (a release half of the time), but its answers do not arrive
 	appliesGrantsLate bool // applies grants after grantDelay and releases never, and answers neither
+	repeatsAnswers    bool // answers grants by a copy of an earlier answer, unless they are confirmed, and applies them after grantDelay
 	leases            []serverLease
 	highestFences     map[int]uint64 // highest fence by checked key
 	lateGrants        []lateGrant
 }
 
-// grantDelay is the time after which a server with appliesGrantsLate applies a grant: longer than the timeout of a grant,
+// grantDelay is the time after which a server with appliesGrantsLate or repeatsAnswers applies a grant: longer than the timeout of a grant,
 // shorter than a range lease.
 const grantDelay = 2500 * time.Millisecond
 
--- a/internal/granter/fault_table_test.go
+++ b/internal/granter/fault_table_test.go
@@ -76,6 +76,8 @@
 	"owner's answers lost":              func(sim *simulation) { sim.servers[0].losesAnswers = true },
 	"owner slow to execute grants":      func(sim *simulation) { sim.servers[0].appliesGrantsLate = true },
 	"owner out of reach":                func(sim *simulation) { sim.makeUnreachable(sim.servers[0]) },
+	"the owner repeats answers":         func(sim *simulation) { sim.servers[0].repeatsAnswers = true },
+	"the next owner repeats answers":    func(sim *simulation) { sim.servers[1].repeatsAnswers = true },
 	"next owner killed":                 func(sim *simulation) { sim.killServer(sim.servers[1]) },
 	"next owner restarted":              func(sim *simulation) { sim.restart(sim.servers[1]) },
 	"next owner loses its answers":      func(sim *simulation) { sim.servers[1].losesAnswers = true },
@@ -142,7 +144,7 @@
 			s.up, s.highestFences = true, map[int]uint64{}
 			s.registration.Incarnation++
 		}
-		s.losesAnswers, s.appliesGrantsLate, s.registration.State = false, false, cataloger.Ready
+		s.losesAnswers, s.appliesGrantsLate, s.repeatsAnswers, s.registration.State = false, false, false, cataloger.Ready
 	}
 	if !sim.now.Before(sim.leader().leaseExpiry) {
 		sim.elect()
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -4,11 +4,13 @@
 // The pause of keys that move is kept short: the owner serves a range until the release is sent, requests wait while the
 // owner finishes those in flight, and the next owner serves the range as soon as it has answered its grant.
 //
-// Exclusive ownership rests on three rules:
+// Exclusive ownership rests on four rules:
 //   - A range is granted to another server only after its previous owner has answered a release, or after every lease that
 //     the previous owner may have has expired.
 //   - These leases include those of grants that got no answer, and those of grants by an earlier leader whose leader lease
 //     has not expired.
+//   - Before a release, the server has accepted a grant by an answer that is certainly to it, so that no earlier grant can be
+//     applied after the release.
 //   - The store records who may own a range before the grant is sent.
 //
 // After the store came back from an older copy, its record may name an earlier owner. DistrustPlan and Freeze then make the
@@ -90,6 +92,8 @@
 	failing          bool      // the latest order failed, a grant or a release
 	failingSince     time.Time // when the first of consecutive failed grants failed; only valid if a grant set failing
 	released         bool      // the server has answered the release, but may still apply a grant that it has not answered
+	unconfirmed      bool      // the answer to the latest grant may have been one to an earlier order; see Grant.Confirmed
+	confirmFailed    bool      // during a release: the grant that was to confirm the lease has not been accepted
 	serverEnded      bool      // the server has ended, and its leases with it; reset by markFree, not for a new incarnation
 }
 
@@ -122,6 +126,9 @@
 	// Handover is the previous owner's answer to its release, an opaque text that lets the new owner serve the keys without
 	// a warm-up. It is empty if there was no answered release, and for a renewal.
 	Handover string
+	// Confirmed demands an answer that can't be a late one to an earlier order. Without it, Accepted may come before the server has
+	// applied this grant. Once a confirmed grant is accepted, the server refuses all earlier ones, whose fences are lower.
+	Confirmed bool
 }
 
 // Release ends a server's lease of a range.
@@ -450,6 +457,7 @@
 // startRelease starts the release of a range. Its next owner is nextOwner, or chosen by planOwner if nextOwner is empty.
 func (g *Granter) startRelease(now time.Time, o *ownership, nextOwner string) {
 	o.state, o.nextOwner, o.nextOrderAt, o.failing, o.released, o.handover = releasing, nextOwner, now, false, false, ""
+	o.confirmFailed = false
 	g.changed[o.id] = true
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -56,6 +56,25 @@
 	"an unanswered plan counts as not stored":    {unansweredPlanIsNotStored: true},
 }
 
+// TestLateAnswersDetectMissingConfirmations guards against a fault table in which a server that repeats its answers does no harm.
+func TestLateAnswersDetectMissingConfirmations(t *testing.T) {
+	for name, step := range grantSteps {
+		for _, fault := range []string{"the owner repeats answers", "the next owner repeats answers"} {
+			sim := faultPair{first: fault, second: fault}.simulate(func(sim *simulation) {
+				step(sim)
+				faults[fault](sim)
+				sim.run(2*time.Second, 0)
+				sim.moveToNextOwner()
+			}, flaws{anyAnswerConfirms: true})
+			if sim.violation != "" {
+				t.Logf("%s, %s: %s", name, fault, sim.violation)
+				return
+			}
+		}
+	}
+	t.Error("no violation")
+}
+
 // TestRandomFaultsDetectDisabledMechanisms guards against checks that can't fail: with a mechanism disabled, the simulations
 // of TestKeysHaveOneOwnerUnderRandomFaults must show a violation.
 func TestRandomFaultsDetectDisabledMechanisms(t *testing.T) {
--- a/internal/granter/simulation_test.go
+++ b/internal/granter/simulation_test.go
@@ -40,6 +40,7 @@
 	unansweredReleaseIsDone    bool // treats an unanswered release as done
 	reusesFences               bool // renews a lease with the fence of the previous grant
 	unansweredPlanIsNotStored  bool // treats an unanswered plan as not stored
+	anyAnswerConfirms          bool // treats each accepted grant as confirmed
 }
 
 // fakeLeader is a granter that may send orders until its leader lease expires.
@@ -62,6 +63,7 @@
 // simulation simulates leaders, servers, the store and time.
 type simulation struct {
 	random                     *rand.Rand
+	confirmationRandom         *rand.Rand // for confirmed grants before releases, so that these leave the other events as they are
 	flaws                      flaws
 	now                        time.Time
 	servers                    []*fakeServer
@@ -106,7 +108,7 @@
 
 func newSimulation(seed int64, servers int, f flaws) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewSource(seed)), flaws: f, now: epoch, fences: map[int]map[string]uint64{},
+		random: rand.New(rand.NewSource(seed)), confirmationRandom: rand.New(rand.NewSource(seed)), flaws: f, now: epoch, fences: map[int]map[string]uint64{},
 		latestFences: map[int]uint64{},
 	}
 	for i := range servers {
@@ -303,6 +305,7 @@
 			if outcome == Fenced && l.replaced {
 				l.leaseExpiry = sim.now // the elector ends the leader lease until an append is acknowledged
 			}
+			o.Confirmed = o.Confirmed || sim.flaws.anyAnswerConfirms
 			l.granter.CompleteGrant(sim.now, o, outcome)
 		case Release:
 			outcome, handover := sim.deliverRelease(l, o, faultPercent)
@@ -352,6 +355,11 @@
 // deliverGrant delivers a grant to its server and returns the outcome that the leader sees.
 func (sim *simulation) deliverGrant(l *fakeLeader, o Grant, faultPercent int) Outcome {
 	s := sim.server(o.Server)
+	if l.granter.ranges[o.ID].state == releasing {
+		random := sim.random
+		sim.random = sim.confirmationRandom
+		defer func() { sim.random = random }()
+	}
 	if sim.flaws.reusesFences && l.granter.ranges[o.ID].state == granted && sim.latestFences[o.ID] != 0 {
 		o.Fence = sim.latestFences[o.ID]
 	}
@@ -364,6 +372,10 @@
 		s.lateGrants = append(s.lateGrants,
 			lateGrant{applyAt: sim.now.Add(grantDelay), arrivedAt: sim.now, grant: o})
 		return sim.unansweredOutcome()
+	case s.up && s.repeatsAnswers && !o.Confirmed && !l.cannotReach(sim.now, o.Server):
+		s.lateGrants = append(s.lateGrants,
+			lateGrant{applyAt: sim.now.Add(grantDelay), arrivedAt: sim.now, grant: o})
+		return Accepted
 	case !s.up || l.cannotReach(sim.now, o.Server) || sim.chance(faultPercent):
 		return NotSent
 	case sim.chance(faultPercent * 2): // no answer: applied at once, later or never
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -34,6 +34,11 @@
 		case granting, granted:
 			orders = append(orders, g.grantOrder(now, o))
 		case releasing:
+			if o.needsConfirmation(now) {
+				o.fence = g.nextFence()
+				orders = append(orders, g.grantOrder(now, o))
+				continue
+			}
 			o.orderInFlight = true
 			orders = append(orders, Release{ID: o.id, Server: o.Server, Range: o.Range, Fence: o.fence})
 		case free, planned:
@@ -50,13 +55,22 @@
 	}
 	o.orderInFlight = true
 	o.nextOrderAt = now.Add(g.settings.RenewInterval)
-	order := Grant{ID: o.id, Server: o.Server, Range: o.Range, Fence: o.fence, LeaseDuration: g.settings.LeaseDuration}
+	order := Grant{
+		ID: o.id, Server: o.Server, Range: o.Range, Fence: o.fence, LeaseDuration: g.settings.LeaseDuration,
+		Confirmed: o.state != granted || o.failing,
+	}
 	if o.state == granting {
 		order.Handover = o.handover
 	}
 	return order
 }
 
+// needsConfirmation reports whether a range that is being released needs a confirmed grant before the release. After a grant
+// without an answer the range has to wait for the end of the lease anyway.
+func (o *ownership) needsConfirmation(now time.Time) bool {
+	return o.unconfirmed && !o.confirmFailed && !now.Before(o.unansweredExpiry)
+}
+
 // advanceRange makes the state changes of o that depend only on the time, the known servers and the stored plan.
 func (g *Granter) advanceRange(now time.Time, o *ownership) {
 	expired := (o.serverEnded || !now.Before(o.latestExpiry())) && !o.orderInFlight
@@ -199,6 +213,7 @@
 		}
 		b.Range.First = a.Range.First
 		b.fence = g.nextFence()
+		b.unconfirmed = a.unconfirmed || b.unconfirmed
 		b.leaseExpiry, b.unansweredExpiry =
 			later(a.leaseExpiry, b.leaseExpiry), later(a.unansweredExpiry, b.unansweredExpiry)
 		if a.nextOrderAt.Before(b.nextOrderAt) {
@@ -230,6 +245,13 @@
 	if outcome == Accepted || outcome == Unanswered {
 		g.extendLease(now, o, outcome)
 	}
+	if outcome == Accepted {
+		o.unconfirmed = !order.Confirmed
+	}
+	if o.state == releasing {
+		o.confirmFailed = outcome != Accepted
+		o.nextOrderAt = now
+	}
 	if o.state != granting && o.state != granted {
 		return
 	}
@@ -282,6 +304,9 @@
 		}
 		return
 	}
+	if o.unconfirmed {
+		o.unansweredExpiry = later(o.unansweredExpiry, o.leaseExpiry)
+	}
 	// The server has ended its lease, but may still apply a grant that it has not answered. No further release is sent:
 	// Tick frees the range at unansweredExpiry.
 	o.leaseExpiry = time.Time{}
