A planned stop refuses what it can't answer, and answers what it has read

Clients on kept connections saw them closed without an answer, 2.4 s after their request was sent, while its server was at work on it or while it waited in a queue.

Cause: after SIGTERM an instance took requests for 3.2 s as if it lived on, and exited after 5.5 s whatever was in flight. Nothing compared the time that a request may take with the time that is left, nothing answered requests that still waited, and idle connections stayed open until 3.2 s.

Change: package admitter decides, for each request that has been read after SIGTERM, by when it must be answered. Until 2.5 s it is taken and its deadline is at most 5.3 s (with a grace period of 6 s), which the queue and the server are told, too; later it is refused at once with 503 if it could run beyond that. At 5.3 s all waits end: what has not been sent gets 503, what has an unknown outcome 502. A dispatcher that stops declines late requests of other instances, and hands back those that wait, by the reason that instances already have for a lost path, so that instances of earlier versions also go elsewhere. Idle connections are closed from 2.2 s on, when the platform opens no new ones.

--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,32 @@
+// Package admitter decides which requests an instance that shuts down still takes, and until when it must have answered them.
+package admitter
+
+import "time"
+
+// lateAfter is how long after the shutdown was requested an instance takes requests that may outlast it. By then the platform
+// sends it no new connections, and what remains of the grace period is enough for most requests.
+const lateAfter = 2500 * time.Millisecond
+
+// Shutdown is the shutdown of an instance. The zero Shutdown stands for none.
+type Shutdown struct {
+	requestedAt time.Time
+	lastAnswer  time.Time
+}
+
+// New returns the Shutdown of an instance that must have answered all requests at lastAnswer.
+func New(requestedAt, lastAnswer time.Time) Shutdown {
+	return Shutdown{requestedAt: requestedAt, lastAnswer: lastAnswer}
+}
+
+// Admit decides on a request that has been read completely at now. It returns the time by which the request must be answered:
+// deadline, or the end of the instance if that is earlier. ok is false if the request must be refused at once, because it has come
+// late and could still be running when the instance ends.
+func (s Shutdown) Admit(now, deadline time.Time) (limited time.Time, ok bool) {
+	switch {
+	case s.requestedAt.IsZero(), !deadline.After(s.lastAnswer):
+		return deadline, true
+	case now.Sub(s.requestedAt) >= lateAfter, !now.Before(s.lastAnswer):
+		return time.Time{}, false
+	}
+	return s.lastAnswer, true
+}
--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,40 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestAdmit guards against a request that comes late in a shutdown and is cut when the instance ends, and against refusing those
+// that can be answered.
+func TestAdmit(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const lastAnswer = 5300 * time.Millisecond
+	tests := map[string]struct {
+		shutdown      Shutdown
+		now, deadline time.Duration // after the shutdown was requested
+		want          time.Duration // 0 if refused
+	}{
+		"no shutdown":                         {now: 0, deadline: time.Minute, want: time.Minute},
+		"at once, ends in time":               {shutdown: New(start, start.Add(lastAnswer)), deadline: 5 * time.Second, want: 5 * time.Second},
+		"at once, may outlast the grace":      {shutdown: New(start, start.Add(lastAnswer)), deadline: 8 * time.Second, want: lastAnswer},
+		"just before late":                    {shutdown: New(start, start.Add(lastAnswer)), now: lateAfter - 1, deadline: 8 * time.Second, want: lastAnswer},
+		"late, may outlast the grace":         {shutdown: New(start, start.Add(lastAnswer)), now: lateAfter, deadline: lastAnswer + 1},
+		"late, ends in time":                  {shutdown: New(start, start.Add(lastAnswer)), now: lateAfter, deadline: lastAnswer, want: lastAnswer},
+		"very late, ends in time":             {shutdown: New(start, start.Add(lastAnswer)), now: 5 * time.Second, deadline: 5200 * time.Millisecond, want: 5200 * time.Millisecond},
+		"after the last answer":               {shutdown: New(start, start.Add(lastAnswer)), now: 5400 * time.Millisecond, deadline: 6 * time.Second},
+		"grace period shorter than lateAfter": {shutdown: New(start, start.Add(time.Second)), now: time.Second, deadline: 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			limited, ok := test.shutdown.Admit(start.Add(test.now), start.Add(test.deadline))
+			is.Equal(ok, test.want != 0)
+			if ok {
+				is.Equal(limited.Sub(start), test.want)
+			}
+		})
+	}
+}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -64,6 +64,20 @@
 // Addr implements net.Listener.
 func (d *Drainer) Addr() net.Addr { return d.listener.Addr() }
 
+// CloseIdle closes each connection once it is idle, until ctx ends. New connections are still accepted.
+func (d *Drainer) CloseIdle(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		d.sweep(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Drain stops accepting connections and closes each open one once it is idle, until none is left. Meanwhile the server's
 // handler must ask clients to close their connections, or one on which requests keep arriving stays open until ctx ends. The
 // error is that of closing the listener, or says that ctx ended before all connections were closed.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -68,7 +68,7 @@
 	}
 	if f.poolLost(q.view, req.pool) {
 		f.mu.Unlock()
-		return "", result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}, false
+		return "", declinedResult(), false
 	}
 	decision := q.queue.Offer(now, queuer.Request{
 		Class: req.route, Priority: req.priority, Objective: req.objective, Deadline: req.deadline, AvoidServer: req.avoidServer,
@@ -119,7 +119,7 @@
 		delete(q.waiters, ticket)
 	}
 	if ctx.Err() != nil {
-		return "", result{outcome: abandoned, reason: reasonClientLeft}, false
+		return "", result{outcome: abandoned, reason: f.endReason(ctx), retryAfter: minRetryAfter}, false
 	}
 	return "", result{outcome: abandoned, reason: "time_up_in_queue"}, false
 }
@@ -171,7 +171,7 @@
 		f.loads.countAnswer(server, took)
 	case r.outcome == rejected:
 		queueOutcome = queuer.Rejected
-	case r.outcome == abandoned, r.reason == reasonClientLeft:
+	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
 		queueOutcome = queuer.Inconclusive
 	case r.outcome == moved:
 		queueOutcome = queuer.Inconclusive
@@ -194,9 +194,12 @@
 	if !now.Before(req.deadline) {
 		return result{outcome: abandoned, server: serverID, reason: "time_up"}
 	}
+	if reason := f.endReason(ctx); reason != "" { // the slot may have become free because all requests end
+		return result{outcome: abandoned, server: serverID, reason: reason}
+	}
 	connection, err := f.serverConnPool(server.Address, server.Slots).AcquireFor(ctx, now, req.deadline, req.id)
 	if err != nil && ctx.Err() != nil {
-		return result{outcome: abandoned, server: serverID, reason: reasonClientLeft}
+		return result{outcome: abandoned, server: serverID, reason: f.endReason(ctx)}
 	}
 	if err != nil {
 		f.observeContact(time.Now(), serverID, classifyConnectError(err, req.deadline.Sub(now)))
@@ -209,7 +212,7 @@
 	// A request that is not idempotent is not cancelled when its client leaves, so that the server can complete it.
 	sendCtx := ctx
 	if !req.idempotent {
-		sendCtx = context.WithoutCancel(ctx)
+		sendCtx = f.lifetime
 	}
 	reused := connection.Reused()
 	response, err := connection.Do(sendCtx, f.serverRequest(req, now, serverID, server.Address), req.deadline, nil)
@@ -247,8 +250,8 @@
 	if exchanger.IsErrNotSent(err) {
 		r = result{outcome: unreached, server: serverID, reason: "not_sent: " + err.Error()}
 	}
-	if ctx.Err() != nil {
-		r.reason = reasonClientLeft
+	if reason := f.endReason(ctx); reason != "" {
+		r.reason = reason
 	}
 	return r
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/admitter"
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/limiter"
@@ -69,21 +70,23 @@
 // Forwarder forwards the requests that clients send to an instance, and those of the server pools that the instance
 // dispatches. Use New; it is safe for concurrent use.
 type Forwarder struct {
-	headers            HeaderNames
-	view               atomic.Pointer[resolver.View]
-	viewChanged        atomic.Pointer[chan struct{}] // closed when the view changes
-	budget             *limiter.RetryBudget
-	meter              *meter.Meter
-	splitter           matcher.Splitter
-	keepAlivesDisabled atomic.Bool   // answers ask clients to close their connections
-	nextRotation       atomic.Uint64 // counts clients' requests, to rotate the order of server pools
-	moveTimeout        time.Duration // the constant, except in tests
-	buffers            bufferBudget
-	sourceIP           net.IP // see SetSourceIP
-	paths              paths
-	onLeaving          func(server string, incarnation int64) // see OnLeaving; may be nil
-	onLimit            func(server string)                    // see OnLimit; may be nil
-	onQuarantine       func(quarantiner.Fingerprint)          // see OnQuarantine; may be nil
+	headers      HeaderNames
+	view         atomic.Pointer[resolver.View]
+	viewChanged  atomic.Pointer[chan struct{}] // closed when the view changes
+	budget       *limiter.RetryBudget
+	meter        *meter.Meter
+	splitter     matcher.Splitter
+	shutdown     atomic.Pointer[admitter.Shutdown] // nil before BeginShutdown
+	lifetime     context.Context                   // ends with errShuttingDown when all requests must have been answered
+	endLifetime  context.CancelCauseFunc
+	nextRotation atomic.Uint64 // counts clients' requests, to rotate the order of server pools
+	moveTimeout  time.Duration // the constant, except in tests
+	buffers      bufferBudget
+	sourceIP     net.IP // see SetSourceIP
+	paths        paths
+	onLeaving    func(server string, incarnation int64) // see OnLeaving; may be nil
+	onLimit      func(server string)                    // see OnLimit; may be nil
+	onQuarantine func(quarantiner.Fingerprint)          // see OnQuarantine; may be nil
 
 	mu               sync.Mutex
 	queues           map[resolver.ServerPool]*poolQueue
@@ -131,6 +134,7 @@
 		endedServers: map[quarantiner.Crash]time.Time{}, loads: newLoads(), declines: declines{},
 	}
 	f.buffers.limit = defaultBufferBytes
+	f.lifetime, f.endLifetime = context.WithCancelCause(context.Background())
 	viewChanged := make(chan struct{})
 	f.viewChanged.Store(&viewChanged)
 	return f
@@ -170,7 +174,7 @@
 		case handOver:
 			r = result{outcome: moved, reason: "dispatcher_changed"}
 		case lost:
-			r = result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}
+			r = declinedResult()
 		default:
 			continue
 		}
@@ -276,9 +280,6 @@
 	return running, waiting
 }
 
-// DisableKeepAlives makes further answers ask clients to close their connections.
-func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
-
 // unreachableAt returns a function that reports whether an instance counts as unreachable at now.
 func (f *Forwarder) unreachableAt(now time.Time) func(string) bool {
 	return func(instance string) bool {
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -166,7 +166,7 @@
 	connection, err := f.peerConnPool(dispatcher.Address).Acquire(ctx, now, req.deadline)
 	if err != nil {
 		if ctx.Err() != nil {
-			return result{outcome: abandoned, dispatcher: dispatcher.Instance, reason: reasonClientLeft}
+			return result{outcome: abandoned, dispatcher: dispatcher.Instance, reason: f.endReason(ctx)}
 		}
 		f.markUnreachable(now, dispatcher.Instance)
 		return result{outcome: unreached, dispatcher: dispatcher.Instance, reason: "no_front: " + err.Error()}
@@ -180,7 +180,7 @@
 	f.attachCrashes(now, req, httpReq.Header)
 	sendCtx := ctx
 	if !req.idempotent {
-		sendCtx = context.WithoutCancel(ctx)
+		sendCtx = f.lifetime
 	}
 	response, err := connection.Do(sendCtx, httpReq, req.deadline, nil)
 	var body []byte
@@ -212,8 +212,8 @@
 
 // hopFailure returns the result of a hop whose dispatcher did not answer.
 func (f *Forwarder) hopFailure(ctx context.Context, req *clientRequest, dispatcher resolver.Member, err error) result {
-	if ctx.Err() != nil {
-		return result{outcome: broken, maybeSent: true, dispatcher: dispatcher.Instance, reason: reasonClientLeft}
+	if reason := f.endReason(ctx); reason != "" {
+		return result{outcome: broken, maybeSent: true, dispatcher: dispatcher.Instance, reason: reason}
 	}
 	if time.Now().Before(req.deadline) {
 		f.markUnreachable(time.Now(), dispatcher.Instance)
@@ -241,6 +241,12 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
+	if _, ok := f.admit(time.Now(), req.deadline); !ok {
+		writeHopAnswer(w, declinedResult())
+		return
+	}
+	ctx, release := f.untilExit(r.Context())
+	defer release()
 	req.id = r.Header.Get(f.headers.RequestID)
 	req.header.Del(HeaderHop)
 	if fingerprints, err := quarantiner.ParseFingerprints(req.header.Get(headerFingerprints)); err == nil {
@@ -248,7 +254,10 @@
 	}
 	req.header.Del(headerFingerprints)
 	f.mergeCrashes(now, req, req.header)
-	res := f.dispatch(r.Context(), req)
+	res := f.dispatch(ctx, req)
+	if res.reason == reasonShuttingDown && res.notExecuted() {
+		res = declinedResult() // the other instance may have time to try another dispatcher
+	}
 	f.attachCrashes(time.Now(), req, w.Header())
 	writeHopAnswer(w, res)
 }
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -54,6 +54,12 @@
 // declined reports whether the dispatcher knew before that it has no path to any server of the pool.
 func (r result) declined() bool { return r.outcome == unreached && r.reason == reasonNoPath }
 
+// declinedResult returns the result by which a dispatcher makes another instance choose a different one. An instance that shuts down
+// uses it too, as those of earlier versions know no other reason.
+func declinedResult() result {
+	return result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}
+}
+
 // paths is what this instance knows about its paths to servers.
 type paths struct {
 	mu        sync.Mutex
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -121,6 +121,8 @@
 	// reasonClientLeft says that the client left before the answer. releaseSlot then records nothing about the server, and
 	// countResult counts the request as cancelled.
 	reasonClientLeft = "client_left"
+	// reasonShuttingDown says that this instance exits before it could answer. releaseSlot then records nothing about the server.
+	reasonShuttingDown = "shutting_down"
 	// reasonCrashesServers says that the request is barred, because servers that executed it have crashed.
 	reasonCrashesServers = "crashes_servers"
 	// reasonServerEnded says that the server has ended while it executed the request.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -139,7 +139,7 @@
 			timer.Stop()
 		case <-ctx.Done():
 			timer.Stop()
-			return result{outcome: abandoned, reason: reasonClientLeft}, false
+			return result{outcome: abandoned, reason: f.endReason(ctx), retryAfter: minRetryAfter}, false
 		case <-timer.C:
 			return result{outcome: refused, reason: "keys_moving", retryAfter: defaultRetryAfter}, false
 		}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -48,10 +48,16 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
+	if req.deadline, ok = f.admit(time.Now(), req.deadline); !ok {
+		f.refuse(w, r, now, http.StatusServiceUnavailable, reasonShuttingDown, minRetryAfter)
+		return
+	}
+	ctx, release := f.untilExit(r.Context())
+	defer release()
 	f.budget.CountRequest(now, req.service, len(v.Members)+1)
 	res, barred := f.refuseBarred(now, req)
 	if !barred {
-		res = f.sendWithRetries(r.Context(), req, route.MaxAttempts)
+		res = f.sendWithRetries(ctx, req, route.MaxAttempts)
 	}
 	f.writeAnswer(w, r, now, req, res)
 }
@@ -129,7 +135,7 @@
 	default:
 		status = http.StatusBadGateway
 	}
-	if f.keepAlivesDisabled.Load() {
+	if f.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	body := res.body
@@ -179,7 +185,7 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", formatRetryAfter(retryAfter))
 	}
-	if f.keepAlivesDisabled.Load() {
+	if f.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set("Content-Length", "0")
--- /dev/null
+++ b/internal/forwarder/shutdown.go
@@ -0,0 +1,56 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabibank/wasabibank/internal/admitter"
+)
+
+// errShuttingDown is the cause of the end of a request's context when this instance is about to exit.
+var errShuttingDown = errors.New("instance is shutting down")
+
+// BeginShutdown prepares for the exit of this instance, which must have answered all requests at lastAnswer. From now on answers ask
+// clients to close their connections, and late requests that could outlast the instance are refused. At lastAnswer all waits end:
+// a request that was not sent to a server is refused, and one whose outcome is unknown fails.
+func (f *Forwarder) BeginShutdown(now, lastAnswer time.Time) {
+	shutdown := admitter.New(now, lastAnswer)
+	f.shutdown.Store(&shutdown)
+	time.AfterFunc(lastAnswer.Sub(now), func() { f.endLifetime(errShuttingDown) })
+}
+
+// shuttingDown reports whether BeginShutdown was called.
+func (f *Forwarder) shuttingDown() bool { return f.shutdown.Load() != nil }
+
+// admit returns the time by which a request that was read at now must be answered. ok is false if it must be refused.
+func (f *Forwarder) admit(now, deadline time.Time) (limited time.Time, ok bool) {
+	shutdown := f.shutdown.Load()
+	if shutdown == nil {
+		return deadline, true
+	}
+	return shutdown.Admit(now, deadline)
+}
+
+// untilExit returns a context that ends with ctx, and with errShuttingDown when this instance is about to exit. release must be
+// called.
+func (f *Forwarder) untilExit(ctx context.Context) (limited context.Context, release func()) {
+	limited, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(f.lifetime, func() { cancel(errShuttingDown) })
+	return limited, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// endReason returns the reason of a result for a request whose context, from untilExit, has ended. It is empty if it has not.
+func (f *Forwarder) endReason(ctx context.Context) string {
+	switch {
+	case f.lifetime.Err() != nil: // may end before the contexts of requests
+		return reasonShuttingDown
+	case ctx.Err() != nil:
+		return reasonClientLeft
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/forwarder/shutdown_test.go
@@ -0,0 +1,103 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/resolver"
+)
+
+// shutdownHop sends a hop for a key of server k with a deadline of a minute to f and returns the result in the answer.
+func shutdownHop(t *testing.T, f *Forwarder) result {
+	t.Helper()
+	now := time.Now()
+	req := &clientRequest{
+		pool: resolver.ServerPool{Service: "keyed", Server: "k", Domain: "d"}, route: "keyonce", keyed: true, key: 5,
+		objective: now.Add(time.Minute), deadline: now.Add(time.Minute), ownerMapVersion: f.View().Owners.Version(),
+	}
+	r := httptest.NewRequest(http.MethodPost, "/keyonce/x", nil)
+	r.Header.Set(HeaderHop, req.encodeHop(now))
+	w := httptest.NewRecorder()
+	f.ServeHop(w, r)
+	var got result
+	is.New(t).NoErr(got.decode(w.Header().Get(headerOutcome)))
+	return got
+}
+
+// TestLateRequestOfAShutdownIsRefused guards against a request that is taken so late in a shutdown that the instance may exit while a
+// server is at work on it, and against refusing one that can be answered in time.
+func TestLateRequestOfAShutdownIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		requested, lastAnswer time.Duration // before and after now
+		wantStatus            int
+	}{
+		"late, may outlast the instance": {requested: 3 * time.Second, lastAnswer: time.Second, wantStatus: 503},
+		"late, ends in time":             {requested: 3 * time.Second, lastAnswer: 5 * time.Second, wantStatus: 200},
+		"early":                          {requested: time.Second, lastAnswer: time.Second, wantStatus: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startScriptedServer(t, answerOK)
+			f := newForwarder(t, server)
+			now := time.Now()
+			f.BeginShutdown(now.Add(-test.requested), now.Add(test.lastAnswer))
+			w := sendRequestWithTimeLeft(f, 2*time.Second, "POST", "/keyonce/x", "5", "")
+			is.Equal(w.Code, test.wantStatus)
+			is.Equal(w.Header().Get("Connection"), "close")
+			if test.wantStatus == 503 {
+				is.Equal(server.requests.Load(), int64(0))
+				is.Equal(w.Header().Get("Retry-After"), "0.05")
+			}
+		})
+	}
+}
+
+// TestLateHopOfAShutdownIsDeclined guards against a request from another instance that is cut when its dispatcher exits, although the
+// other instance could have used a different dispatcher.
+func TestLateHopOfAShutdownIsDeclined(t *testing.T) {
+	is := is.New(t)
+	server := startScriptedServer(t, answerOK)
+	f := newForwarder(t, server)
+	now := time.Now()
+	f.BeginShutdown(now.Add(-3*time.Second), now.Add(time.Second))
+	got := shutdownHop(t, f)
+	is.True(got.declined())
+	is.Equal(server.requests.Load(), int64(0))
+}
+
+// TestRequestsEndBeforeExit guards against requests whose connections are cut when the instance exits: those that wait in its queue,
+// which must be refused, or handed back to the instance that took them, and those at work, whose outcome is unknown.
+func TestRequestsEndBeforeExit(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // never answers
+	is.NoErr(err)
+	defer silent.Close()
+	f := newForwarderWithTimeout(t, &scriptedServer{address: silent.Addr().String()}, time.Minute)
+	atWork, queued, handedBack := make(chan int, 2), make(chan int, 1), make(chan result, 1)
+	send := func() int {
+		return sendRequestWithTimeLeft(f, time.Minute, "POST", "/keyonce/x", "5", "").Code
+	}
+	for range 2 { // server k has two slots
+		go func() { atWork <- send() }()
+	}
+	await(t, func() bool { running, _ := f.RequestCounts(); return running == 2 })
+	go func() { queued <- send() }()
+	go func() { handedBack <- shutdownHop(t, f) }()
+	await(t, func() bool { _, waiting := f.RequestCounts(); return waiting == 2 })
+	now := time.Now()
+	f.BeginShutdown(now, now.Add(50*time.Millisecond))
+	is.Equal(<-queued, 503)
+	declined := <-handedBack
+	is.True(declined.declined())
+	for range 2 {
+		is.Equal(<-atWork, 502)
+	}
+	is.True(!f.busy())
+	f.CloseUnused(nil)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -34,6 +34,11 @@
 	// checks readiness once a second and opens no connections to an instance after two failed checks, which take up to
 	// 2 s. The other 1.2 s are for a slow machine to accept and read what was sent to it until then.
 	deregistrationDelay = 3200 * time.Millisecond
+	// idleCloseDelay is how long after the shutdown request idle connections are kept. Until then their clients could open new
+	// ones to this instance.
+	idleCloseDelay = 2200 * time.Millisecond
+	// answerMargin is the time between the last answer and the exit.
+	answerMargin = 200 * time.Millisecond
 	// exitMargin is subtracted from the grace period, so that the process exits before SIGKILL.
 	exitMargin = 500 * time.Millisecond
 	// drainMargin is subtracted from the time within which a draining server must get no more requests. It covers the delay
@@ -165,15 +170,19 @@
 }
 
 // shutDown announces that this instance is leaving, waits until it gets no new connections, and then for its requests in
-// flight, all within the grace period of the platform.
+// flight, all within the grace period of the platform. Those that are not answered by then are refused or fail before the exit.
 func (r *Runner) shutDown(clientDrainer *drainer.Drainer) {
 	klog.InfoS("shutdown requested")
-	deadline := time.Now().Add(r.settings.Bounds.GracePeriod - exitMargin)
+	now := time.Now()
+	exit := now.Add(r.settings.Bounds.GracePeriod - exitMargin)
 	r.stopping.Store(true)
-	r.forwarder.DisableKeepAlives()
+	r.forwarder.BeginShutdown(now, exit.Add(-answerMargin))
 	r.controller.AnnounceLeaving()
-	time.Sleep(deregistrationDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	time.Sleep(idleCloseDelay)
+	deregistered, cancel := context.WithDeadline(context.Background(), now.Add(deregistrationDelay))
+	defer cancel()
+	clientDrainer.CloseIdle(deregistered)
+	ctx, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
 	if err := clientDrainer.Drain(ctx); err != nil {
 		klog.InfoS("draining client connections failed", "error", err)
