--- a/internal/verifier/stop_test.go
+++ b/internal/verifier/stop_test.go
@@ -28,18 +28,28 @@
 func TestPlannedStopAnswersEachRequest(t *testing.T) {
 	tests := map[string]struct {
 		slots, serviceTime, timeout string
+		leader                      bool // the stopped entry leads
 	}{
 		"at work":        {slots: "40", serviceTime: "2700ms", timeout: "4s"},
 		"at work, short": {slots: "40", serviceTime: "400ms", timeout: "20s"},
 		"queued":         {slots: "1", serviceTime: "900ms", timeout: "20s"},
+		"at the leader":  {slots: "40", serviceTime: "2700ms", timeout: "4s", leader: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			c := newCluster(t, defaultSize, "-slots", test.slots, "-service-time", test.serviceTime, "-jitter", "0")
-			stopped, other := c.entries[1], c.entries[2]
-			c.shortenGrace(stopped)
+			for _, e := range c.entries {
+				c.shortenGrace(e)
+			}
+			c.awaitAgreement(c.entries...)
+			leader := c.awaitLeader()
+			others := c.entriesExcept(leader)
+			stopped, other := others[0], others[1]
+			if test.leader {
+				stopped = leader
+			}
 			c.publishBundle([]string{"timeout: 2500ms", "timeout: " + test.timeout, "objective: 400ms", "objective: " + test.timeout})
 			c.awaitAgreement(c.entries...)
 			clients := map[*entry][]*http.Client{}
