A reused address ends no lease

A server that was cut off from the store lost its keys to another one about 1 s after its registration had expired, while it lived, held them for up to 4 s more and was at work on them.

Cause: a removed server counted as ended as soon as any other registration had its address, and its ranges were free at once, without a release and without waiting for its lease. Registrations come from any writer, so an entry of another one, for a service in no configuration, was enough. An entry for the same service would have been, too.

Change: nothing that another registration says ends a lease. A range leaves a server that is missing from the store only when that server has answered a release, or when its last lease has expired. EndedServers, ServersEnded and the flag of a range are removed.

TestServerWhoseAddressIsReusedHasEnded and TestEndedServerFreesItsRangesAtOnce asked for the inference that is wrong; TestRemovedServerKeepsItsRangesUntilItsLeasesEnd asks for the opposite at each step of 50 ms, and that the ranges are free at the end of the lease.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -201,21 +201,6 @@
 	return s, ok
 }
 
-// EndedServers returns the ids of removed servers that are known to have ended because another server has their address.
-func (c *Catalog) EndedServers() map[string]bool {
-	idByAddress := map[string]string{}
-	for id, s := range c.servers {
-		idByAddress[s.Address] = id
-	}
-	ended := map[string]bool{}
-	for id, s := range c.lastKnown {
-		if _, present := c.servers[id]; !present && idByAddress[s.Address] != "" {
-			ended[id] = true
-		}
-	}
-	return ended
-}
-
 // Servers returns the servers sorted by id.
 func (c *Catalog) Servers() []Server {
 	all := make([]Server, 0, len(c.servers))
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -91,20 +91,6 @@
 	is.Equal(len(c.Servers()), 0)
 }
 
-// TestServerWhoseAddressIsReusedHasEnded guards against waiting for the leases of a server whose address another server
-// has, and against treating a server as ended only because its registration is missing.
-func TestServerWhoseAddressIsReusedHasEnded(t *testing.T) {
-	is := is.New(t)
-	var c Catalog
-	c.Put(start, drainTimeout, server("a", Ready, 1))
-	is.Equal(len(c.EndedServers()), 0)
-	c.Remove(start, start, "a")
-	is.Equal(len(c.EndedServers()), 0) // without a registration it may still serve requests
-	successor := server("b", Ready, 1)
-	c.Put(start, drainTimeout, successor)
-	is.Equal(c.EndedServers(), map[string]bool{"a": true})
-}
-
 // TestOlderIncarnationDoesNotCancelRemoval guards against a server that stays in use after its registration was removed,
 // because a registration of its previous incarnation arrives late.
 func TestOlderIncarnationDoesNotCancelRemoval(t *testing.T) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -152,7 +152,6 @@
 		return
 	}
 	c.leaderState.granter.SetServers(now, c.table.KeyedServices(), c.catalog.Servers())
-	c.leaderState.granter.ServersEnded(c.catalog.EndedServers())
 }
 
 // runLeader runs everything that is due on the leader.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -94,7 +94,6 @@
 	released         bool      // the server has answered the release, but may still apply a grant that it has not answered
 	unconfirmed      bool      // the answer to the latest grant may have been one to an earlier order; see Grant.Confirmed
 	confirmFailed    bool      // during a release: the grant that was to confirm the lease has not been accepted
-	serverEnded      bool      // the server has ended, and its leases with it; reset by markFree, not for a new incarnation
 }
 
 // previousOwner is the server that has just released a range. The plan in the store names it until the plan with the next
@@ -328,16 +327,6 @@
 	g.changed[o.id] = true
 }
 
-// ServersEnded records that servers are known to have ended. The next Tick frees the ranges that they owned without
-// waiting for their leases to expire. The ids don't tell incarnations apart.
-func (g *Granter) ServersEnded(servers map[string]bool) {
-	for _, o := range g.ranges {
-		if servers[o.Server] && (o.state == granted || o.state == granting || o.state == releasing) {
-			o.serverEnded = true
-		}
-	}
-}
-
 // assignNewService plans equal ranges for the assignable servers of a service that has no assignments. No server can have a
 // lease of these ranges, unless the plan is distrusted.
 func (g *Granter) assignNewService(now time.Time, service string) {
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -323,16 +323,32 @@
 	is.True(changed[0].PauseMS > 2000 && changed[0].PauseMS <= uint32(testSettings.MaxLeaseLifetime().Milliseconds()))
 }
 
-// TestEndedServerFreesItsRangesAtOnce guards against waiting for the leases of a server that is known to have ended,
-// because another server has its address.
-func TestEndedServerFreesItsRangesAtOnce(t *testing.T) {
+// TestRemovedServerKeepsItsRangesUntilItsLeasesEnd guards against keys that get another owner while a server that is missing from the
+// store may still hold them: before it has answered a release, or before its leases have expired.
+func TestRemovedServerKeepsItsRangesUntilItsLeasesEnd(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, 2, flaws{})
 	sim.run(time.Second, 0)
 	g := sim.leaders[0].granter
-	g.SetServers(sim.now, []string{service}, sim.registrations()[1:])
-	g.ServersEnded(map[string]bool{"s0": true})
-	g.Tick(sim.now)
+	removed := sim.now
+	g.SetServers(removed, []string{service}, sim.registrations()[1:])
+	for now := removed; now.Sub(removed) < testSettings.MaxLeaseLifetime()-time.Second; now = now.Add(timeStep) {
+		for _, order := range g.Tick(now) {
+			switch o := order.(type) {
+			case Grant:
+				g.CompleteGrant(now, o, NotSent)
+			case Release:
+				is.Equal(o.Server, "s0")
+				g.CompleteRelease(now, o, NotSent, "")
+			}
+		}
+		owned := false
+		for _, s := range g.Segments(now) {
+			owned = owned || s.Server == "s0"
+		}
+		is.True(owned)
+	}
+	g.Tick(removed.Add(testSettings.MaxLeaseLifetime()))
 	for _, s := range g.Segments(sim.now) {
 		is.Equal(s.Server, "s1")
 	}
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -73,12 +73,10 @@
 
 // advanceRange makes the state changes of o that depend only on the time, the known servers and the stored plan.
 func (g *Granter) advanceRange(now time.Time, o *ownership) {
-	expired := (o.serverEnded || !now.Before(o.latestExpiry())) && !o.orderInFlight
+	expired := !now.Before(o.latestExpiry()) && !o.orderInFlight
 	switch o.state {
 	case granted, granting:
 		switch {
-		case o.serverEnded && expired:
-			g.markFree(o, "")
 		case slices.Contains(g.unreachable, o.Service):
 		case o.failing && expired:
 			g.markFree(o, "")
@@ -123,9 +121,6 @@
 // markFree records that no server owns o.
 func (g *Granter) markFree(o *ownership, handover string) {
 	o.state, o.handover, o.failing, o.inherited, o.previousOwner = free, handover, false, false, previousOwner{}
-	if o.serverEnded {
-		o.serverEnded, o.leaseExpiry, o.unansweredExpiry = false, time.Time{}, time.Time{}
-	}
 	g.changed[o.id] = true
 }
 
