Relays pass over records whose keys can't be sent

Cause: a relay's answer with a record whose key is no UTF-8 can't be encoded. Each instance that read through a relay got an error for as long as the record was among those that it lacked, skipped the relay for 3 s and read the store itself.

Change: relays leave such records out of their answers; the position after them says that they were read. An instance behind the leader accepts an answer without records if its position has advanced.

During an upgrade, an instance of the previous version that is behind the leader by such a record alone reads the store once, as before.

--- a/internal/controller/fetch.go
+++ b/internal/controller/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -90,10 +91,14 @@
 	return nil
 }
 
-// encodeRecords returns the answer with records, and the position after them.
+// encodeRecords returns the answer with records, and the position after them. Records whose keys can't be sent, because they are no
+// UTF-8, are left out: such a key names nothing that instances use.
 func encodeRecords(records []platform.Record, next platform.Position) *herald.FetchReply {
 	reply := &herald.FetchReply{Next: next.Offset, Era: next.Era}
 	for _, r := range records {
+		if !utf8.ValidString(r.Key) {
+			continue
+		}
 		reply.Records = append(reply.Records, &herald.Record{Key: r.Key, Value: r.Value, Gone: r.Value == nil, Offset: r.Offset})
 	}
 	return reply
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -208,7 +208,7 @@
 		return nil, w.next, ctx.Err()
 	case readCtx.Err() != nil:
 		return nil, w.next, errReadInterrupted
-	case err == nil && behind && len(records) == 0:
+	case err == nil && behind && next == w.next:
 		err = errors.New("relay has fewer records than the leader")
 	case err == nil || errors.Is(err, errStoreUnreachable) || platform.IsErrExpired(err):
 		return records, next, err
