A registration with an odd number or address names no server

Cause: DecodeServer checked that fields were there, not what they said. What callers would see: a server of 2^63-1 slots counts as one without end, so that the balancer moves every key there (and its connection pool overflows to the default size); an address with a port out of range, without a host or of no single machine gets keys that nobody serves until its grants have failed; a start in the far future makes each later registration of that id seem outdated, so that a sound server stays unknown. Deep nesting ended no process: encoding/json stops at 10,000 levels, and the entry is ignored; a test keeps that.

The error that is logged quotes 32 bytes of a state at most.

The rows of TestDecodeServer that had the address x:1 have 10.0.0.9:1 now; host names are among the refused ones.

--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -77,7 +77,7 @@
 				changed = true
 				continue
 			}
-			server, err := platform.DecodeServer(r.Key, r.Value)
+			server, err := platform.DecodeServer(time.Now(), r.Key, r.Value)
 			if err != nil {
 				klog.InfoS("server registration ignored", "server", r.Key, "offset", r.Offset, "error", err)
 				continue
--- a/internal/emulator/store_test.go
+++ b/internal/emulator/store_test.go
@@ -126,7 +126,7 @@
 	records, _, err := client.Changes(ctx, platform.TopicServers, platform.Position{Era: 1, Offset: 0}, 0)
 	is.NoErr(err)
 	is.Equal(len(records), 2)
-	registration, err := platform.DecodeServer(records[1].Key, records[1].Value)
+	registration, err := platform.DecodeServer(time.Now(), records[1].Key, records[1].Value)
 	is.NoErr(err)
 	is.Equal(registration, server.Registration("127.0.0.1:9"))
 	store.expire(time.Now().Add(time.Hour))
