An odd entry under the id of a sound server does not remove it

Cause: when all registrations are read anew (first read, records expired, a return of the store), a server whose newest record can't be used counted as missing and was removed, and its keys were moved; the same record among changes was only ignored.

Change: such a record leaves the server that was registered under its id as it is.

--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -63,41 +63,45 @@
 
 // watchServers applies changes of the backend servers' registrations.
 func (c *Controller) watchServers(ctx context.Context) {
-	c.watchTopic(ctx, platform.TopicServers, func(now time.Time, read topicRead) {
-		reappearDeadline := c.lastUnreachable[platform.TopicServers].Add(reappearTimeout)
-		if read.restored {
-			reappearDeadline = now.Add(c.confirmationTime())
+	c.watchTopic(ctx, platform.TopicServers, c.applyServers)
+}
+
+// applyServers applies registrations that were read. One that can't be used names no server; a server that was registered under its
+// id before stays, until the store removes the record or has another one.
+func (c *Controller) applyServers(now time.Time, read topicRead) {
+	reappearDeadline := c.lastUnreachable[platform.TopicServers].Add(reappearTimeout)
+	if read.restored {
+		reappearDeadline = now.Add(c.confirmationTime())
+	}
+	present := map[string]bool{}
+	changed := !c.catalogRead
+	for _, r := range read.records {
+		if r.Value == nil {
+			klog.InfoS("server registration removed", "server", r.Key, "offset", r.Offset)
+			c.catalog.Remove(now, reappearDeadline, r.Key)
+			changed = true
+			continue
 		}
-		present := map[string]bool{}
-		changed := !c.catalogRead
-		for _, r := range read.records {
-			if r.Value == nil {
-				klog.InfoS("server registration removed", "server", r.Key, "offset", r.Offset)
-				c.catalog.Remove(now, reappearDeadline, r.Key)
-				changed = true
-				continue
-			}
-			server, err := platform.DecodeServer(time.Now(), r.Key, r.Value)
-			if err != nil {
-				klog.InfoS("server registration ignored", "server", r.Key, "offset", r.Offset, "error", err)
-				continue
-			}
-			present[r.Key] = true
-			if c.putServer(now, read.restored, server) {
-				klog.InfoS("server registered or changed", "server", r.Key, "service", server.Service, "address", server.Address,
-					"state", server.State.String(), "born", server.Incarnation, "slots", server.Slots, "cold", server.WarmupLeft)
-				changed = true
-			}
+		present[r.Key] = true
+		server, err := platform.DecodeServer(time.Now(), r.Key, r.Value)
+		if err != nil {
+			klog.InfoS("server registration ignored", "server", r.Key, "offset", r.Offset, "error", err)
+			continue
 		}
-		if read.full {
-			c.catalog.Retain(now, reappearDeadline, present)
+		if c.putServer(now, read.restored, server) {
+			klog.InfoS("server registered or changed", "server", r.Key, "service", server.Service, "address", server.Address,
+				"state", server.State.String(), "born", server.Incarnation, "slots", server.Slots, "cold", server.WarmupLeft)
 			changed = true
 		}
-		c.catalogRead = true
-		if changed {
-			c.serversChanged(now)
-		}
-	})
+	}
+	if read.full {
+		c.catalog.Retain(now, reappearDeadline, present)
+		changed = true
+	}
+	c.catalogRead = true
+	if changed {
+		c.serversChanged(now)
+	}
 }
 
 // putServer records a registration, and reports whether that changes the catalog.
