An entry for a service that is not configured proves no path

Cause: when servers refuse connections while they run requests, an instance counts them as crashed if it still reaches another server, and bars the requests. Any registration counted as such a server, also one of another writer for a service in no configuration. An instance that had lost its paths to all servers but reached that address barred innocent requests. It also probed such addresses and reported their services as lost.

Change: View.AllServers, which probes and this check use, has servers of configured services alone.

Test: TestLostPathIsNoCrash has a case with a foreign entry, which failed before (servers counted as ended).

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -139,8 +139,20 @@
 }
 
 // TestLostPathIsNoCrash guards against requests that are barred because this instance is cut off from all servers while they run:
-// their connections are reset and new ones refused, as if the servers had ended.
+// their connections are reset and new ones refused, as if the servers had ended. What another writer has registered for a service
+// that is not configured, and is still reached, proves nothing.
 func TestLostPathIsNoCrash(t *testing.T) {
+	foreign := startScriptedServer(t, answerOK)
+	tests := map[string][]cataloger.Server{
+		"servers alone":   nil,
+		"a foreign entry": {{ID: "agent", Service: "metrics", Address: foreign.address, Domain: "d", Slots: 1}},
+	}
+	for name, others := range tests {
+		t.Run(name, func(t *testing.T) { testLostPathIsNoCrash(t, others) })
+	}
+}
+
+func testLostPathIsNoCrash(t *testing.T, others []cataloger.Server) {
 	is := is.New(t)
 	const requests = 4
 	cut := make(chan struct{})
@@ -170,7 +182,7 @@
 			_ = conn.Close()
 		}()
 	}
-	f := newCrashingForwarder(t, &crashingServers{servers: servers})
+	f := newCrashingForwarder(t, &crashingServers{servers: append(servers, others...)})
 	var clients sync.WaitGroup
 	for range requests {
 		clients.Go(func() { sendFrom(f, "10.0.0.1", "POST", "/once/popular") })
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -126,11 +126,12 @@
 	return s, ok
 }
 
-// AllServers returns the servers that are not gone, in no particular order.
+// AllServers returns the servers of configured services that are not gone, in no particular order. What is registered for another
+// service may be no server at all.
 func (v *View) AllServers() []cataloger.Server {
 	list := make([]cataloger.Server, 0, len(v.servers))
 	for _, s := range v.servers {
-		if s.State != cataloger.Gone {
+		if _, configured := v.Table.Service(s.Service); configured && s.State != cataloger.Gone {
 			list = append(list, s)
 		}
 	}
