The name of a crashing request can always be sent to other instances

Suspected by the review, now shown: a request line that is no UTF-8, under which a server crashes.

Cause: the method, host and path of such a request go into reports, publications and messages about crashes as they came. A name that is no UTF-8 can't be encoded, so reports of that instance failed and, at a leader, all its answers to reports: no instance would have got a new owner map for 20 minutes, while the record is kept. A path may have 64 kB, which went into each message as well.

Change: the name is cut to 256 bytes, and what is no UTF-8 in it is replaced. Fingerprints, which tell requests apart, are of the bytes.

Test: TestNameOfAnyRequestCanBeSent failed before in all four cases (invalid UTF-8, or more than 768 bytes).

--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -335,3 +337,22 @@
 	is.Equal(f.meter.Get(meter.RequestsForwarded), forwarded+1) // now it is refused on arrival
 	is.Equal(b.requests.Load(), sent)
 }
+
+// TestNameOfAnyRequestCanBeSent guards against instances whose reports fail because a server has crashed under a request whose line is
+// no UTF-8, or is long.
+func TestNameOfAnyRequestCanBeSent(t *testing.T) {
+	for name, uri := range map[string]string{
+		"no UTF-8":            "/a\xff\xfe/b?secret",
+		"long":                "/" + strings.Repeat("a", 60_000),
+		"cut in a character":  "/" + strings.Repeat("ä", 60_000),
+		"cut in no character": "/" + strings.Repeat("\xc3", 60_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			req := clientRequest{method: "GET", host: "h", uri: uri}
+			is.True(len(req.name()) <= 3*maxRequestNameBytes) // a replacement has three bytes
+			_, err := proto.Marshal(&herald.CrashRecord{Name: req.name()})
+			is.NoErr(err)
+		})
+	}
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -50,10 +51,15 @@
 	buffered         int64               // bytes of its answers that were taken from the buffer budget
 }
 
-// name returns the method, host and path of the request, for operators. The query is left out, as it may contain secrets.
+// maxRequestNameBytes bounds the name of a request.
+const maxRequestNameBytes = 256
+
+// name returns the method, host and path of the request, for operators. The query is left out, as it may contain secrets. The name
+// goes into messages between instances, which must be UTF-8.
 func (req *clientRequest) name() string {
 	path, _, _ := strings.Cut(req.uri, "?")
-	return req.method + " " + req.host + path
+	name := req.method + " " + req.host + path
+	return strings.ToValidUTF8(name[:min(len(name), maxRequestNameBytes)], string(unicode.ReplacementChar))
 }
 
 // readFrom sets the parts of a client's request that are forwarded. It returns errBodyTooLarge if the body has more than
