A stored plan that names two servers for a key is distrusted as a whole

Cause: decodePlan left out segments that it could not use and kept the rest. A plan with two segments for one key gave two servers its leases; one with a segment left out left keys without a range, which no leader would ever have granted. A leader's record that could not be decoded left what had been read of it in place.

Change: such a plan is an error, which has a rule already: the leader distrusts the plan, waits until all leases have expired and starts anew. What was read of a record that can't be decoded is dropped.

--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -189,9 +189,13 @@
 		var err error
 		switch r.Key {
 		case keyLeader:
-			err = proto.Unmarshal(r.Value, &leader)
+			if err = proto.Unmarshal(r.Value, &leader); err != nil {
+				leader.Reset() // of its fields, some may have been read
+			}
 		case keyPlan:
-			err = proto.Unmarshal(r.Value, &plan)
+			if err = proto.Unmarshal(r.Value, &plan); err != nil {
+				plan.Reset()
+			}
 			if err != nil || plan.GetTerm() >= c.planTerm {
 				c.plan, c.planTerm = r.Value, max(c.planTerm, plan.GetTerm())
 			}
@@ -217,14 +221,29 @@
 	return marshal(&herald.Plan{Term: term, Sequence: sequence, Services: services, Segments: encoded})
 }
 
-// decodePlan returns the assignments of a stored plan. The error says that it can't be decoded.
+// decodePlan returns the assignments of a stored plan. The error says that it can't be decoded, or that it does not name one server
+// at most for each key.
 func decodePlan(data []byte) ([]granter.Assignment, error) {
 	var plan herald.Plan
 	if err := proto.Unmarshal(data, &plan); err != nil {
 		return nil, errors.Wrap(err, "decode plan")
 	}
+	segments := herald.DecodeSegments(plan.GetServices(), plan.GetSegments())
+	if len(segments) != len(plan.GetSegments()) {
+		return nil, errors.Errorf("%d of %d segments of the plan are invalid", len(plan.GetSegments())-len(segments), len(plan.GetSegments()))
+	}
+	planned := map[string]*[partitioner.MaxKey + 1]bool{}
 	var assignments []granter.Assignment
-	for _, s := range herald.DecodeSegments(plan.GetServices(), plan.GetSegments()) {
+	for _, s := range segments {
+		if planned[s.Service] == nil {
+			planned[s.Service] = new([partitioner.MaxKey + 1]bool)
+		}
+		for key := int(s.Range.First); key <= int(s.Range.Last); key++ {
+			if planned[s.Service][key] {
+				return nil, errors.Errorf("the plan has key %d of %q twice", key, s.Service)
+			}
+			planned[s.Service][key] = true
+		}
 		assignments = append(assignments, granter.Assignment{Service: s.Service, Range: s.Range, Server: s.Server})
 	}
 	return assignments, nil
