--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -3,10 +3,15 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
+// maxLimitedMS bounds the time since a server first named a limit in a message, in milliseconds: a year.
+const maxLimitedMS = 365 * 24 * 60 * 60 * 1000
+
 // limitChanged records that an answer to this instance has changed the limit of a server.
 func (c *Controller) limitChanged(server string) {
 	if l := c.leaderState; l != nil {
@@ -38,9 +43,13 @@
 	now := time.Now()
 	var changed []string
 	for _, m := range limits {
+		if err := throttler.CheckRate(m.GetRate()); err != nil {
+			klog.InfoS("limit that another instance passed on is invalid", "server", m.GetServer(), "error", err)
+			continue
+		}
 		s := throttler.Statement{
 			Server: m.GetServer(), Incarnation: m.GetIncarnation(), Limited: m.GetLimited(),
-			Limit: throttler.Limit{Rate: m.GetRate(), Since: now.Add(-time.Duration(m.GetLimitedMs()) * time.Millisecond)},
+			Limit: throttler.Limit{Rate: m.GetRate(), Since: now.Add(-time.Duration(min(m.GetLimitedMs(), maxLimitedMS)) * time.Millisecond)},
 			At:    now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		}
 		if c.options.Forwarder.LearnLimit(now, s) {
--- a/internal/throttler/limits.go
+++ b/internal/throttler/limits.go
@@ -49,12 +49,20 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "limit of a server")
 	}
-	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return 0, errors.Errorf("limit of a server is no rate: %q", text)
+	if err := CheckRate(rate); err != nil {
+		return 0, err
 	}
 	return rate, nil
 }
 
+// CheckRate returns an error unless rate is a number from 0 on.
+func CheckRate(rate float64) error {
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return errors.Errorf("limit of a server is no rate: %v", rate)
+	}
+	return nil
+}
+
 // Named records an answer in which an incarnation of a server names a limit, and reports whether that is a change.
 func (l *Limits) Named(now time.Time, server string, incarnation int64, rate float64) bool {
 	s := l.statements[server]
