A stopping instance does not exit before its answers to other instances are sent

Cause: at the end of a planned stop an instance waits until no request runs or waits. A hop counts as ended when its server has answered; its answer to the other instance is then still to be written, and net/http sends it only after the handler has returned. An instance that exited in between left the other one with a request that had run and an unknown outcome.

Change: hops count until their answers have been flushed, which a stopping instance does itself.

Test: TestDrainWaitsForAnswersToHops, which without the change never sees the answer flushed (it ran into its time limit).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,6 +79,7 @@
 	shutdown     atomic.Pointer[admitter.Shutdown] // nil before BeginShutdown
 	lifetime     context.Context                   // ends with errShuttingDown when all requests must have been answered
 	endLifetime  context.CancelCauseFunc
+	hops         atomic.Int64  // requests of other instances whose answers have not been sent
 	nextRotation atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout  time.Duration // the constant, except in tests
 	buffers      bufferBudget
@@ -250,7 +251,8 @@
 // registrations of the backend servers.
 func (f *Forwarder) Ready() bool { return f.view.Load() != nil }
 
-// Drain waits until no requests run or wait in the queues that this instance dispatches, or until ctx ends.
+// Drain waits until no requests run or wait in the queues that this instance dispatches and all answers to other instances have been
+// sent, or until ctx ends.
 func (f *Forwarder) Drain(ctx context.Context) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
@@ -265,7 +267,7 @@
 
 func (f *Forwarder) busy() bool {
 	running, waiting := f.RequestCounts()
-	return running+waiting > 0
+	return running+waiting > 0 || f.hops.Load() > 0
 }
 
 // RequestCounts returns how many requests run at the servers of the pools that this instance dispatches, and how many
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -226,6 +226,13 @@
 
 // ServeHop dispatches a request that another instance forwarded, and answers it.
 func (f *Forwarder) ServeHop(w http.ResponseWriter, r *http.Request) {
+	f.hops.Add(1)
+	defer func() {
+		if f.shuttingDown() { // else the answer is sent only after this function has returned, and the instance may exit before
+			_ = http.NewResponseController(w).Flush() // fails only if the connection does
+		}
+		f.hops.Add(-1)
+	}()
 	now := time.Now()
 	req := &clientRequest{}
 	if err := req.decodeHop(now, r.Header.Get(HeaderHop)); err != nil {
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -101,3 +101,48 @@
 	is.True(!f.busy())
 	f.CloseUnused(nil)
 }
+
+// lateWriter is the answer to a hop that is sent only when it is flushed, as by net/http.
+type lateWriter struct {
+	*httptest.ResponseRecorder
+	flushing, resume chan struct{}
+}
+
+func (w *lateWriter) Flush() {
+	close(w.flushing)
+	<-w.resume
+}
+
+// TestDrainWaitsForAnswersToHops guards against an instance that exits after a server has answered the request of another instance and
+// before the answer is sent there: the other instance could not tell whether the request had run.
+func TestDrainWaitsForAnswersToHops(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, startScriptedServer(t, answerOK))
+	now := time.Now()
+	f.BeginShutdown(now, now.Add(time.Minute))
+	req := &clientRequest{
+		pool: resolver.ServerPool{Service: "keyed", Server: "k", Domain: "d"}, route: "keyonce", keyed: true, key: 5,
+		objective: now.Add(time.Second), deadline: now.Add(time.Second), ownerMapVersion: f.View().Owners.Version(),
+	}
+	r := httptest.NewRequest(http.MethodPost, "/keyonce/x", nil)
+	r.Header.Set("X-Id", "r1")
+	r.Header.Set(HeaderHop, req.encodeHop(now))
+	w := &lateWriter{ResponseRecorder: httptest.NewRecorder(), flushing: make(chan struct{}), resume: make(chan struct{})}
+	done := make(chan struct{})
+	go func() {
+		f.ServeHop(w, r)
+		close(done)
+	}()
+	select {
+	case <-w.flushing:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the answer was not flushed")
+	}
+	running, waiting := f.RequestCounts()
+	is.Equal(running+waiting, 0)
+	is.True(f.busy())
+	close(w.resume)
+	<-done
+	is.True(!f.busy())
+	is.Equal(w.Code, 200)
+}
