--- a/internal/forwarder/cut_answer_test.go
+++ b/internal/forwarder/cut_answer_test.go
@@ -81,7 +81,7 @@
 			address := server.start(t)
 			for cut := range len(test.answer) {
 				w := sendCut(newForwarder(t, address), cut) // a new one, as failures eject a server
-				is.Equal(w.Code, 502) // the outcome is unknown
+				is.Equal(w.Code, 502)                       // the outcome is unknown
 				is.Equal(w.Body.Len(), 0)
 				is.Equal(w.Header().Get("Content-Length"), "0")
 			}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -9,8 +9,8 @@
 //     the previous owner may have has expired.
 //   - These leases include those of grants that got no answer, and those of grants by an earlier leader whose leader lease
 //     has not expired.
-//   - Before a release, the server has accepted a grant by an answer that is certainly to it, so that no earlier grant can be
-//     applied after the release.
+//   - A release ends the leases at once only if the server has certainly accepted the newest grant. Otherwise it may still apply an
+//     earlier one afterwards.
 //   - The store records who may own a range before the grant is sent.
 //
 // After the store came back from an older copy, its record may name an earlier owner. DistrustPlan and Freeze then make the
