Log what an exit cuts, and who ended a hop

The hypotheses of the incident can't be told apart by the logs: a request that the exit of its instance cuts has no line, and `shutting_down` is the reason both of the instance that took a request and of its dispatcher.

Now each request that is left without a complete answer is logged with its stage (reading, at_work, answering), and how many requests and hops the exit cuts; lines of requests have the age of the shutdown; a dispatcher that ends a hop says front_shutting_down. No decision depends on any of this.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -30,3 +30,11 @@
 	}
 	return s.lastAnswer, true
 }
+
+// Age returns how long before now the shutdown was requested, or 0 for none.
+func (s Shutdown) Age(now time.Time) time.Duration {
+	if s.requestedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.requestedAt)
+}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -262,8 +262,11 @@
 	req.header.Del(headerFingerprints)
 	f.mergeCrashes(now, req, req.header)
 	res := f.dispatch(ctx, req)
-	if res.reason == reasonShuttingDown && res.notExecuted() {
+	switch {
+	case res.reason == reasonShuttingDown && res.notExecuted():
 		res = declinedResult() // the other instance may have time to try another dispatcher
+	case res.reason == reasonShuttingDown:
+		res.reason = reasonFrontShuttingDown
 	}
 	f.attachCrashes(time.Now(), req, w.Header())
 	writeHopAnswer(w, res)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -129,6 +129,8 @@
 	reasonClientLeft = "client_left"
 	// reasonShuttingDown says that this instance exits before it could answer. releaseSlot then records nothing about the server.
 	reasonShuttingDown = "shutting_down"
+	// reasonFrontShuttingDown says that the dispatcher exits before it could answer.
+	reasonFrontShuttingDown = "front_shutting_down"
 	// reasonCrashesServers says that the request is barred, because servers that executed it have crashed.
 	reasonCrashesServers = "crashes_servers"
 	// reasonServerEnded says that the server has ended while it executed the request.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -32,6 +32,8 @@
 func (f *Forwarder) serveClient(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	f.meter.Count(meter.RequestsReceived)
+	progress := f.inFlight.begin(now, r.Header.Get(f.headers.RequestID))
+	defer f.inFlight.end(progress)
 	v := f.view.Load()
 	if v == nil || v.Table == nil {
 		f.refuse(w, r, now, http.StatusServiceUnavailable, "no_configuration", defaultRetryAfter)
@@ -48,6 +50,7 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
+	progress.enter(atWork)
 	if req.deadline, ok = f.admit(time.Now(), req.deadline); !ok {
 		f.refuse(w, r, now, http.StatusServiceUnavailable, reasonShuttingDown, minRetryAfter)
 		return
@@ -59,6 +62,7 @@
 	if !barred {
 		res = f.sendWithRetries(ctx, req, route.MaxAttempts)
 	}
+	progress.enter(answering)
 	f.writeAnswer(w, r, now, req, res)
 }
 
@@ -148,7 +152,7 @@
 	_, err := w.Write(body)
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
-		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "server", res.server,
+		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "stopping_for", f.stoppingFor(time.Now()), "server", res.server,
 		"front", res.dispatcher, "without_path", req.withoutPath, "arrivals", req.sends, "fingerprints", req.fingerprints,
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
 		"took", time.Since(start), "retry_after", res.retryAfter, "write_error", err)
@@ -191,7 +195,7 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	klog.InfoS("request", "id", r.Header.Get(f.headers.RequestID), "host", r.Host, "path", r.URL.Path, "outcome", "refused",
-		"status", status, "reason", reason, "took", time.Since(start))
+		"status", status, "reason", reason, "stopping_for", f.stoppingFor(time.Now()), "took", time.Since(start))
 }
 
 // copyAnswerHeader copies the end-to-end headers of a server's answer to w, and sets Content-Length.
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -24,6 +24,15 @@
 // shuttingDown reports whether BeginShutdown was called.
 func (f *Forwarder) shuttingDown() bool { return f.shutdown.Load() != nil }
 
+// stoppingFor returns how long ago the shutdown was requested, or 0 without one.
+func (f *Forwarder) stoppingFor(now time.Time) time.Duration {
+	shutdown := f.shutdown.Load()
+	if shutdown == nil {
+		return 0
+	}
+	return shutdown.Age(now)
+}
+
 // admit returns the time by which a request that was read at now must be answered. ok is false if it must be refused.
 func (f *Forwarder) admit(now, deadline time.Time) (limited time.Time, ok bool) {
 	shutdown := f.shutdown.Load()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -189,6 +189,7 @@
 	}
 	// Requests that other instances forwarded may still wait in the queues of this instance.
 	r.forwarder.Drain(ctx)
+	r.forwarder.LogUnanswered(time.Now())
 }
 
 // readyHandler answers the platform's readiness checks.
