An instance whose dispatchers all decline dispatches the request itself

While all instances of a deployment stop and those that leave are not known yet, callers got 503 (no_path) from an instance that reached the server: each dispatcher that stops declines, after the fourth the request was refused, and once sixteen had declined a pool its requests were refused at once. View.Dispatcher falls back to this instance only when all others have been tried.

Now this instance is tried after the limits for others are reached, unless it has declined too or had no connection. That takes no hop, so the bounds on the load of a lost path hold; an instance that has lost its own path knows it before it sends anything.

Evidence: TestRequestIsServedWhileAllInstancesStop, a table of 1, 4, 8 and 20 members that stop, known or not, with an instance that stops or not and is in their domain or not.

Ruled out: a higher maxDetours, which would cost hops on a lost path and fail with more instances; skipping to this instance after the first decline, which would leave servers without a common queue.

--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,10 +28,10 @@
 	relaxInterval = 250 * time.Millisecond
 	// declineDuration is how long an instance that has lost its path to a pool is not asked to dispatch for it again.
 	declineDuration = time.Second
-	// maxDetours bounds how many instances that have lost their path to a server pool a request meets.
+	// maxDetours bounds how many instances that have lost their path to a server pool a request meets. If this instance is none of
+	// them, it is tried after them, as that takes no hop.
 	maxDetours = 4
-	// maxDeclines is how many instances may have declined a server pool of late before its requests are refused without asking
-	// another one.
+	// maxDeclines is how many instances may have declined a server pool of late before no other one is asked.
 	maxDeclines = 16
 	// maxFailedConnects bounds how many instances try in vain to connect to a server for one request: when two have failed,
 	// the server has probably ended.
@@ -314,9 +315,10 @@
 // detour prepares an attempt through another dispatcher after one without a path, and reports whether there may be one. A server
 // of a service without keys that can't be reached is no reason to give up, as the pool may have others.
 func (f *Forwarder) detour(now time.Time, req *clientRequest, r result) bool {
+	self := f.view.Load().Self.Instance
 	instance := r.dispatcher
 	if instance == "" {
-		instance = f.view.Load().Self.Instance
+		instance = self
 	}
 	if r.declined() {
 		f.mu.Lock()
@@ -327,7 +329,10 @@
 	}
 	req.triedDispatchers = append(req.triedDispatchers, instance)
 	req.withoutPath = append(req.withoutPath, instance)
-	if len(req.triedDispatchers) >= maxDetours || req.failedConnects >= maxFailedConnects {
+	switch tried := len(req.triedDispatchers); {
+	case req.failedConnects >= maxFailedConnects, tried > maxDetours:
+		return false
+	case tried == maxDetours && slices.Contains(req.triedDispatchers, self):
 		return false
 	}
 	f.meter.Count(meter.RequestsDetoured)
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -81,11 +81,16 @@
 }
 
 // chooseDispatcher returns the instance that dispatches the next attempt of a request. ok is false if none is known that can be
-// reached and may have a path to the servers of the request's pool.
+// reached and may have a path to the servers of the request's pool. After too many others without one, only this instance is tried.
 func (f *Forwarder) chooseDispatcher(now time.Time, v *resolver.View, req *clientRequest) (dispatcher resolver.Member, ok bool) {
 	f.mu.Lock()
 	declined := f.declines.of(now, req.pool)
 	f.mu.Unlock()
+	if len(declined) >= maxDeclines || len(req.triedDispatchers) >= maxDetours {
+		if !slices.Contains(declined, v.Self.Instance) && !slices.Contains(req.triedDispatchers, v.Self.Instance) {
+			return v.Self, true
+		}
+	}
 	if len(declined) >= maxDeclines {
 		return resolver.Member{}, false
 	}
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,6 +73,61 @@
 	is.Equal(server.requests.Load(), int64(0))
 }
 
+// startMember serves the hops for f, and returns f as a member.
+func startMember(t *testing.T, name, domain string, f *Forwarder) resolver.Member {
+	t.Helper()
+	peer := httptest.NewServer(http.HandlerFunc(f.ServeHop))
+	t.Cleanup(peer.Close)
+	return resolver.Member{Instance: name, Domain: domain, Address: strings.TrimPrefix(peer.URL, "http://")}
+}
+
+// setSelf makes f the instance "self" of a domain.
+func setSelf(f *Forwarder, domain string, leaving bool) {
+	v := *f.View()
+	v.Self.Domain, v.Self.Leaving = domain, leaving
+	f.SetView(time.Now(), &v)
+}
+
+// TestRequestIsServedWhileAllInstancesStop guards against a request that is refused because all dispatchers that it may use decline it,
+// although this instance reaches the server.
+func TestRequestIsServedWhileAllInstancesStop(t *testing.T) {
+	for _, members := range []int{1, maxDetours, 2 * maxDetours, maxDeclines + maxDetours} {
+		for _, known := range []bool{false, true} {
+			for _, selfStops := range []bool{false, true} {
+				for _, domain := range []string{"d", "elsewhere"} {
+					name := fmt.Sprintf("%d members, known %t, this one stops %t, in domain %s", members, known, selfStops, domain)
+					t.Run(name, func(t *testing.T) { testAllInstancesStop(t, members, known, selfStops, domain) })
+				}
+			}
+		}
+	}
+}
+
+func testAllInstancesStop(t *testing.T, members int, known, selfStops bool, domain string) {
+	is := is.New(t)
+	server := startScriptedServer(t, answerOK)
+	now := time.Now()
+	var list []resolver.Member
+	for n := range members {
+		dispatcher := newForwarder(t, server)
+		dispatcher.BeginShutdown(now.Add(-3*time.Second), now.Add(5*time.Second))
+		member := startMember(t, fmt.Sprintf("dispatcher-%d", n), "d", dispatcher)
+		member.Leaving = known
+		list = append(list, member)
+	}
+	f := newForwarderWithTimeout(t, server, time.Minute, list...)
+	setSelf(f, domain, selfStops)
+	if selfStops {
+		f.BeginShutdown(now, now.Add(6*time.Second))
+	}
+	for _, path := range []string{"/key/x", "/keyonce/x", "/idempotent/x", "/once/x"} {
+		for range 3 {
+			is.Equal(sendRequestWithTimeLeft(f, time.Minute, "POST", path, "5", "").Code, http.StatusOK)
+		}
+	}
+	is.Equal(server.requests.Load(), int64(12))
+}
+
 // TestRequestsEndBeforeExit guards against requests whose connections are cut when the instance exits: those that wait in its queue,
 // which must be refused, or handed back to the instance that took them, and those at work, whose outcome is unknown.
 func TestRequestsEndBeforeExit(t *testing.T) {
