A dispatcher that stops takes only hops that end before it does

Callers of one instance got 502, or waited for a second attempt, because another one, the dispatcher of their server's pool, stopped: it took their requests for 2.5 s after SIGTERM, ran them, and ended them at its last answer while the server was at work.

Cause: ServeHop asked Shutdown.Admit, which is made for the instance's own clients. It takes a request that may outlast the instance with a limited deadline, since a client sent here has nothing better. ServeHop ignored that deadline; and the other instance does have something better, a dispatcher that goes on.

Shutdown.AdmitHop takes a hop only if its deadline is not after the last answer, from SIGTERM on. Others are declined, by the reason that instances of earlier versions know and answer with a detour. It costs them a hop until they know that the dispatcher leaves, and as they remember for a second who declined a pool, shorter requests go around it too.

Evidence: TestRequestOutlastsItsDispatcher, two instances and a server that takes 500 ms, the dispatcher's last answer after 200 ms. Before, requests that must not be repeated ended with 502, others were sent to the server twice; now each gets 200 and is sent once. TestHopThatMayOutlastItsDispatcherIsDeclined failed at once after SIGTERM. It replaces TestLateHopOfAShutdownIsDeclined, whose case it has beside five others, among them hops that must still be taken.

Ruled out: a limited deadline for hops. The server and the queue would know, but a server that takes longer than the time left is waited for only by another dispatcher.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -31,6 +31,12 @@
 	return s.lastAnswer, true
 }
 
+// AdmitHop decides on a request that another instance has forwarded and that has been read completely at now. ok is false if it must
+// be handed back at once, because it could still be running when this instance ends: the other instance may use one that goes on.
+func (s Shutdown) AdmitHop(now, deadline time.Time) (ok bool) {
+	return s.requestedAt.IsZero() || now.Before(s.lastAnswer) && !deadline.After(s.lastAnswer)
+}
+
 // Age returns how long before now the shutdown was requested, or 0 for none.
 func (s Shutdown) Age(now time.Time) time.Duration {
 	if s.requestedAt.IsZero() {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -38,3 +38,30 @@
 		})
 	}
 }
+
+// TestAdmitHop guards against a request of another instance that is cut when its dispatcher ends, and against handing back those that
+// can be answered.
+func TestAdmitHop(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const lastAnswer = 5300 * time.Millisecond
+	stopping := New(start, start.Add(lastAnswer))
+	tests := map[string]struct {
+		shutdown      Shutdown
+		now, deadline time.Duration // after the shutdown was requested
+		want          bool
+	}{
+		"no shutdown":                   {deadline: time.Minute, want: true},
+		"at once, ends in time":         {shutdown: stopping, deadline: lastAnswer, want: true},
+		"at once, may outlast it":       {shutdown: stopping, deadline: lastAnswer + 1},
+		"late, ends in time":            {shutdown: stopping, now: 5 * time.Second, deadline: lastAnswer, want: true},
+		"late, may outlast it":          {shutdown: stopping, now: 5 * time.Second, deadline: 8 * time.Second},
+		"after the last answer":         {shutdown: stopping, now: lastAnswer, deadline: 8 * time.Second},
+		"overdue after the last answer": {shutdown: stopping, now: lastAnswer, deadline: lastAnswer - 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.shutdown.AdmitHop(start.Add(test.now), start.Add(test.deadline)), test.want)
+		})
+	}
+}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -248,7 +248,7 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
-	if _, ok := f.admit(time.Now(), req.deadline); !ok {
+	if !f.admitHop(time.Now(), req.deadline) {
 		writeHopAnswer(w, declinedResult())
 		return
 	}
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -13,8 +13,9 @@
 var errShuttingDown = errors.New("instance is shutting down")
 
 // BeginShutdown prepares for the exit of this instance, which must have answered all requests at lastAnswer. From now on answers ask
-// clients to close their connections, and late requests that could outlast the instance are refused. At lastAnswer all waits end:
-// a request that was not sent to a server is refused, and one whose outcome is unknown fails.
+// clients to close their connections, late requests that could outlast the instance are refused, and requests of other instances that
+// could outlast it are declined. At lastAnswer all waits end: a request that was not sent to a server is refused, and one whose
+// outcome is unknown fails.
 func (f *Forwarder) BeginShutdown(now, lastAnswer time.Time) {
 	shutdown := admitter.New(now, lastAnswer)
 	f.shutdown.Store(&shutdown)
@@ -42,6 +43,12 @@
 	return shutdown.Admit(now, deadline)
 }
 
+// admitHop reports whether a request of another instance that was read at now is taken. Otherwise it must be declined.
+func (f *Forwarder) admitHop(now, deadline time.Time) bool {
+	shutdown := f.shutdown.Load()
+	return shutdown == nil || shutdown.AdmitHop(now, deadline)
+}
+
 // untilExit returns a context that ends with ctx, and with errShuttingDown when this instance is about to exit. release must be
 // called.
 func (f *Forwarder) untilExit(ctx context.Context) (limited context.Context, release func()) {
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -16,13 +16,20 @@
 
 // shutdownHop sends a hop for a key of server k with a deadline of a minute to f and returns the result in the answer.
 func shutdownHop(t *testing.T, f *Forwarder) result {
+	t.Helper()
+	return shutdownHopWithTimeLeft(t, f, time.Minute)
+}
+
+// shutdownHopWithTimeLeft is shutdownHop with another deadline.
+func shutdownHopWithTimeLeft(t *testing.T, f *Forwarder, timeLeft time.Duration) result {
 	t.Helper()
 	now := time.Now()
 	req := &clientRequest{
 		pool: resolver.ServerPool{Service: "keyed", Server: "k", Domain: "d"}, route: "keyonce", keyed: true, key: 5,
-		objective: now.Add(time.Minute), deadline: now.Add(time.Minute), ownerMapVersion: f.View().Owners.Version(),
+		objective: now.Add(timeLeft), deadline: now.Add(timeLeft), ownerMapVersion: f.View().Owners.Version(),
 	}
 	r := httptest.NewRequest(http.MethodPost, "/keyonce/x", nil)
+	r.Header.Set("X-Id", "r1")
 	r.Header.Set(HeaderHop, req.encodeHop(now))
 	w := httptest.NewRecorder()
 	f.ServeHop(w, r)
@@ -60,19 +67,6 @@
 	}
 }
 
-// TestLateHopOfAShutdownIsDeclined guards against a request from another instance that is cut when its dispatcher exits, although the
-// other instance could have used a different dispatcher.
-func TestLateHopOfAShutdownIsDeclined(t *testing.T) {
-	is := is.New(t)
-	server := startScriptedServer(t, answerOK)
-	f := newForwarder(t, server)
-	now := time.Now()
-	f.BeginShutdown(now.Add(-3*time.Second), now.Add(time.Second))
-	got := shutdownHop(t, f)
-	is.True(got.declined())
-	is.Equal(server.requests.Load(), int64(0))
-}
-
 // startMember serves the hops for f, and returns f as a member.
 func startMember(t *testing.T, name, domain string, f *Forwarder) resolver.Member {
 	t.Helper()
@@ -81,6 +75,21 @@
 	return resolver.Member{Instance: name, Domain: domain, Address: strings.TrimPrefix(peer.URL, "http://")}
 }
 
+// startSlowServer starts a backend server that answers each request after a delay.
+func startSlowServer(t *testing.T, delay time.Duration) *scriptedServer {
+	t.Helper()
+	b := &scriptedServer{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.requests.Add(1)
+		time.Sleep(delay)
+		w.Header().Set("X-Signature", "s")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	}))
+	t.Cleanup(server.Close)
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	return b
+}
+
 // setSelf makes f the instance "self" of a domain.
 func setSelf(f *Forwarder, domain string, leaving bool) {
 	v := *f.View()
@@ -88,6 +97,54 @@
 	f.SetView(time.Now(), &v)
 }
 
+// TestHopThatMayOutlastItsDispatcherIsDeclined guards against a request from another instance that is cut when its dispatcher exits,
+// although the other instance could have used a different dispatcher, and against declining those that end in time.
+func TestHopThatMayOutlastItsDispatcherIsDeclined(t *testing.T) {
+	tests := map[string]struct {
+		requested, lastAnswer time.Duration // before and after now
+		wantDeclined          bool
+	}{
+		"at once, may outlast it":  {lastAnswer: 5 * time.Second, wantDeclined: true},
+		"at once, ends in time":    {lastAnswer: 15 * time.Second},
+		"late, may outlast it":     {requested: 3 * time.Second, lastAnswer: time.Second, wantDeclined: true},
+		"late, ends in time":       {requested: 3 * time.Second, lastAnswer: 15 * time.Second},
+		"after the last answer":    {requested: 6 * time.Second, lastAnswer: -time.Second, wantDeclined: true},
+		"grace period of a minute": {requested: 30 * time.Second, lastAnswer: 30 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startScriptedServer(t, answerOK)
+			f := newForwarder(t, server)
+			now := time.Now()
+			f.BeginShutdown(now.Add(-test.requested), now.Add(test.lastAnswer))
+			got := shutdownHopWithTimeLeft(t, f, 10*time.Second)
+			is.Equal(got.declined(), test.wantDeclined)
+			is.Equal(server.requests.Load() == 0, test.wantDeclined)
+		})
+	}
+}
+
+// TestRequestOutlastsItsDispatcher guards against a request that is cut, with an unknown outcome, because its dispatcher exits before the
+// server has answered.
+func TestRequestOutlastsItsDispatcher(t *testing.T) {
+	for name, path := range map[string]string{
+		"keyed": "/key/x", "keyed, at most once": "/keyonce/x", "without key": "/idempotent/x", "without key, at most once": "/once/x",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startSlowServer(t, 500*time.Millisecond)
+			dispatcher := newForwarder(t, server)
+			f := newForwarder(t, server, startMember(t, "dispatcher", "d", dispatcher))
+			setSelf(f, "elsewhere", false) // so that the member in domain d is the dispatcher
+			now := time.Now()
+			dispatcher.BeginShutdown(now, now.Add(200*time.Millisecond))
+			is.Equal(sendRequest(f, "POST", path, "5", "").Code, http.StatusOK)
+			is.Equal(server.requests.Load(), int64(1))
+		})
+	}
+}
+
 // TestRequestIsServedWhileAllInstancesStop guards against a request that is refused because all dispatchers that it may use decline it,
 // although this instance reaches the server.
 func TestRequestIsServedWhileAllInstancesStop(t *testing.T) {
