A dispatcher that stops hands back the waiting hops that could outlast it

Callers of one instance got 502 for requests that had waited at the dispatcher of their server's pool, another instance that stopped. It started them as slots became free, until its last answer, and then cut them at the server. Those still waiting then were handed back, after 5.3 s of a limit of 8 s.

Hops that end in time wait on, as before.

Evidence: TestWaitingRequestOutlastsItsDispatcher, a server that takes 400 ms, two of its slots taken, the last answer after 600 ms. With the loop left out, a request that must not be repeated ended with 502, and another one was sent twice. TestShutdownHandsWaitingHopsBack failed too: the hop came back only at the last answer.

Weighed: ending these waits 2.5 s after SIGTERM. Requests that get a slot earlier would keep their place, and the next dispatcher would not get all in one burst, after which it takes its load for higher than it is for up to 2 s and may refuse some that miss their objective. But a server that hangs or is slow takes a request at 2.4 s as it does at 0 s, and then the request is cut; and for as long as the old queue sends, servers get requests from two dispatchers. Refusing the instance's own waiting requests was ruled out: they have no other way, and may get a slot in time.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -56,6 +56,10 @@
 func (f *Forwarder) acquireSlot(ctx context.Context, req *clientRequest) (server string, r result, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
+	if req.isHop && !f.admitHop(now, req.deadline) {
+		f.mu.Unlock()
+		return "", declinedResult(), false
+	}
 	_, req.suspect = f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -234,7 +234,7 @@
 		f.hops.Add(-1)
 	}()
 	now := time.Now()
-	req := &clientRequest{}
+	req := &clientRequest{isHop: true}
 	if err := req.decodeHop(now, r.Header.Get(HeaderHop)); err != nil {
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
 		return
@@ -248,10 +248,6 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
-	if !f.admitHop(time.Now(), req.deadline) {
-		writeHopAnswer(w, declinedResult())
-		return
-	}
 	ctx, release := f.untilExit(r.Context())
 	defer release()
 	req.id = r.Header.Get(f.headers.RequestID)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -29,6 +29,7 @@
 	fingerprints quarantiner.Fingerprints // the same when the request comes again
 	suspect      bool                     // a server may have crashed because of the request; set for the current attempt
 
+	isHop      bool // another instance took it from the client
 	service    string
 	route      string
 	priority   int
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -20,6 +20,23 @@
 	shutdown := admitter.New(now, lastAnswer)
 	f.shutdown.Store(&shutdown)
 	time.AfterFunc(lastAnswer.Sub(now), func() { f.endLifetime(errShuttingDown) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, q := range f.queues {
+		f.limitWaits(now, shutdown, q)
+	}
+}
+
+// limitWaits hands back the waiting requests of other instances that could outlast this one. The caller holds mu.
+func (f *Forwarder) limitWaits(now time.Time, shutdown admitter.Shutdown, q *poolQueue) {
+	for ticket, w := range q.waiters {
+		if w.req.isHop && !shutdown.AdmitHop(now, w.req.deadline) {
+			q.queue.Cancel(ticket)
+			delete(q.waiters, ticket)
+			w.done <- waitResult{result: declinedResult()}
+		}
+	}
+	f.notifyWaiters(q, q.queue.Advance(now)) // those behind may start
 }
 
 // shuttingDown reports whether BeginShutdown was called.
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -185,6 +186,94 @@
 	is.Equal(server.requests.Load(), int64(12))
 }
 
+// startBlockingServer starts a backend server that answers requests for paths with "slow" only after unblock was called or they were
+// cancelled, and others at once.
+func startBlockingServer(t *testing.T) (b *scriptedServer, unblock func()) {
+	t.Helper()
+	b = &scriptedServer{headers: make(chan http.Header, 64)}
+	blocked := make(chan struct{})
+	unblock = sync.OnceFunc(func() { close(blocked) })
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.requests.Add(1)
+		b.headers <- r.Header
+		if strings.Contains(r.URL.Path, "slow") {
+			select {
+			case <-blocked:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		w.Header().Set("X-Signature", "s")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(unblock)
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	return b, unblock
+}
+
+// occupy sends requests for server k to f until its two slots are taken, and returns their statuses.
+func occupy(t *testing.T, f *Forwarder) <-chan int {
+	t.Helper()
+	statuses := make(chan int, 2)
+	for range 2 {
+		go func() { statuses <- sendRequestWithTimeLeft(f, time.Minute, "POST", "/keyonce/slow", "5", "").Code }()
+	}
+	await(t, func() bool { running, _ := f.RequestCounts(); return running == 2 })
+	return statuses
+}
+
+// TestShutdownHandsWaitingHopsBack guards against a request of another instance that waits at a dispatcher that stops, and is started
+// there so late that the exit cuts it, and against handing back one that ends in time.
+func TestShutdownHandsWaitingHopsBack(t *testing.T) {
+	is := is.New(t)
+	server, unblock := startBlockingServer(t)
+	f := newForwarderWithTimeout(t, server, time.Minute)
+	atWork := occupy(t, f)
+	long, short := make(chan result, 1), make(chan result, 1)
+	go func() { long <- shutdownHopWithTimeLeft(t, f, time.Minute) }()
+	go func() { short <- shutdownHopWithTimeLeft(t, f, 10*time.Second) }()
+	await(t, func() bool { _, waiting := f.RequestCounts(); return waiting == 2 })
+	now := time.Now()
+	f.BeginShutdown(now, now.Add(20*time.Second))
+	handedBack := <-long
+	is.True(handedBack.declined())
+	_, waiting := f.RequestCounts()
+	is.Equal(waiting, 1)
+	unblock()
+	answer := <-short
+	is.Equal(answer.outcome, answered)
+	is.True(time.Since(now) < 10*time.Second)
+	for range 2 {
+		is.Equal(<-atWork, 200)
+	}
+}
+
+// TestWaitingRequestOutlastsItsDispatcher guards against a request that waits at a dispatcher that stops, is started there and then cut,
+// with an unknown outcome, when the dispatcher exits.
+func TestWaitingRequestOutlastsItsDispatcher(t *testing.T) {
+	for name, path := range map[string]string{"keyed": "/key/x", "keyed, at most once": "/keyonce/x"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startSlowServer(t, 400*time.Millisecond)
+			dispatcher := newForwarderWithTimeout(t, server, time.Minute)
+			f := newForwarderWithTimeout(t, server, time.Minute, startMember(t, "dispatcher", "d", dispatcher))
+			setSelf(f, "elsewhere", false) // so that the member in domain d is the dispatcher
+			atWork := occupy(t, dispatcher)
+			status := make(chan int, 1)
+			go func() { status <- sendRequestWithTimeLeft(f, time.Minute, "POST", path, "5", "").Code }()
+			await(t, func() bool { _, waiting := dispatcher.RequestCounts(); return waiting == 1 })
+			now := time.Now()
+			dispatcher.BeginShutdown(now, now.Add(600*time.Millisecond))
+			is.Equal(<-status, http.StatusOK)
+			is.Equal(server.requests.Load(), int64(3))
+			for range 2 {
+				is.Equal(<-atWork, http.StatusOK)
+			}
+		})
+	}
+}
+
 // TestRequestsEndBeforeExit guards against requests whose connections are cut when the instance exits: those that wait in its queue,
 // which must be refused, or handed back to the instance that took them, and those at work, whose outcome is unknown.
 func TestRequestsEndBeforeExit(t *testing.T) {
