A request sent during a shutdown gets no more time than is left

Callers of an instance that stops got 502 at its last answer for requests that it had accepted before SIGTERM, had not sent yet, and then sent with the deadline that they had come with: from its queue, after a failure, or after another dispatcher had handed them back. The queue held an answer to be possible, and the server was told that it had seconds that the instance did not have.

Cause: a deadline was limited only when a request was admitted. Now it is limited whenever a client's request is queued, started or passed on, and BeginShutdown limits the deadlines of those that wait (Queue.LimitDeadlines). The queue then starts a request only if it can be answered by the end of the instance (for one that must not be repeated: if that is likely), and refuses the others as soon as this is known, so that their clients can go elsewhere. A server that keeps to the time that it is told answers by itself before the exit. Requests that are at a server when SIGTERM comes keep their time: the server has been told.

TestLimitDeadlines and TestLimit are for the new methods.

A hop that waits at another dispatcher ends by this deadline there, as not sent, instead of as unknown at the last answer; one that was passed on before SIGTERM still has its first deadline.

Ruled out: refusing all waiting requests 2.5 s after SIGTERM, as new ones that come late. Those have no place in a queue, and their clients can be told at once; for these the queue knows whether they can be answered.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -37,6 +37,18 @@
 	return s.requestedAt.IsZero() || now.Before(s.lastAnswer) && !deadline.After(s.lastAnswer)
 }
 
+// Limit returns the time by which a request that was admitted before the shutdown, and is about to be sent, must be answered: deadline,
+// or the end of the instance if that is earlier.
+func (s Shutdown) Limit(deadline time.Time) time.Time {
+	if s.requestedAt.IsZero() || !deadline.After(s.lastAnswer) {
+		return deadline
+	}
+	return s.lastAnswer
+}
+
+// LastAnswer returns when the instance must have answered all requests, or the zero Time for none.
+func (s Shutdown) LastAnswer() time.Time { return s.lastAnswer }
+
 // Age returns how long before now the shutdown was requested, or 0 for none.
 func (s Shutdown) Age(now time.Time) time.Duration {
 	if s.requestedAt.IsZero() {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -65,3 +65,22 @@
 		})
 	}
 }
+
+// TestLimit guards against a request that is sent with more time than its instance has, or with less time than its own.
+func TestLimit(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		shutdown       Shutdown
+		deadline, want time.Duration // after the shutdown was requested
+	}{
+		"no shutdown":              {deadline: time.Minute, want: time.Minute},
+		"ends in time":             {shutdown: New(start, start.Add(5*time.Second)), deadline: time.Second, want: time.Second},
+		"may outlast the instance": {shutdown: New(start, start.Add(5*time.Second)), deadline: 8 * time.Second, want: 5 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.shutdown.Limit(start.Add(test.deadline)).Sub(start), test.want)
+		})
+	}
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -34,6 +34,7 @@
 		now := time.Now()
 		f.releaseSlot(now, now, req, server, result{outcome: abandoned, server: server})
 	}
+	f.limitDeadline(req) // the shutdown may have begun while it waited
 	start := time.Now()
 	r := f.exchange(ctx, start, req, server)
 	f.releaseSlot(time.Now(), start, req, server, r)
@@ -60,6 +61,7 @@
 		f.mu.Unlock()
 		return "", declinedResult(), false
 	}
+	f.limitDeadline(req)
 	_, req.suspect = f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -162,6 +162,7 @@
 // forwardTo sends the request to its dispatcher, another instance.
 func (f *Forwarder) forwardTo(ctx context.Context, req *clientRequest, dispatcher resolver.Member) result {
 	now := time.Now()
+	f.limitDeadline(req)
 	v := f.view.Load()
 	connection, err := f.peerConnPool(dispatcher.Address).Acquire(ctx, now, req.deadline)
 	if err != nil {
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// limitWaits hands back the waiting requests of other instances that could outlast this one. The caller holds mu.
+// limitWaits hands back the waiting requests of other instances that could outlast this one, and limits the deadlines of its own. The
+// caller holds mu.
 func (f *Forwarder) limitWaits(now time.Time, shutdown admitter.Shutdown, q *poolQueue) {
 	for ticket, w := range q.waiters {
 		if w.req.isHop && !shutdown.AdmitHop(now, w.req.deadline) {
@@ -36,7 +37,7 @@
 			w.done <- waitResult{result: declinedResult()}
 		}
 	}
-	f.notifyWaiters(q, q.queue.Advance(now)) // those behind may start
+	f.notifyWaiters(q, q.queue.LimitDeadlines(now, shutdown.LastAnswer()))
 }
 
 // shuttingDown reports whether BeginShutdown was called.
@@ -66,6 +67,14 @@
 	return shutdown == nil || shutdown.AdmitHop(now, deadline)
 }
 
+// limitDeadline moves the deadline of a client's request that is about to wait for a server, or to be sent, to the end of this instance
+// if that is earlier.
+func (f *Forwarder) limitDeadline(req *clientRequest) {
+	if shutdown := f.shutdown.Load(); shutdown != nil && !req.isHop {
+		req.deadline = shutdown.Limit(req.deadline)
+	}
+}
+
 // untilExit returns a context that ends with ctx, and with errShuttingDown when this instance is about to exit. release must be
 // called.
 func (f *Forwarder) untilExit(ctx context.Context) (limited context.Context, release func()) {
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,15 +189,19 @@
 }
 
 // startBlockingServer starts a backend server that answers requests for paths with "slow" only after unblock was called or they were
-// cancelled, and others at once.
+// cancelled, and others at once. If the first request is for a path with "broken", it then closes the connection instead.
 func startBlockingServer(t *testing.T) (b *scriptedServer, unblock func()) {
 	t.Helper()
 	b = &scriptedServer{headers: make(chan http.Header, 64)}
 	blocked := make(chan struct{})
 	unblock = sync.OnceFunc(func() { close(blocked) })
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b.requests.Add(1)
 		b.headers <- r.Header
+		first := b.requests.Add(1) == 1
+		if strings.Contains(r.URL.Path, "broken") && first {
+			<-blocked
+			panic(http.ErrAbortHandler)
+		}
 		if strings.Contains(r.URL.Path, "slow") {
 			select {
 			case <-blocked:
@@ -255,7 +261,7 @@
 	for name, path := range map[string]string{"keyed": "/key/x", "keyed, at most once": "/keyonce/x"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			server := startSlowServer(t, 400*time.Millisecond)
+			server := startSlowServer(t, 800*time.Millisecond)
 			dispatcher := newForwarderWithTimeout(t, server, time.Minute)
 			f := newForwarderWithTimeout(t, server, time.Minute, startMember(t, "dispatcher", "d", dispatcher))
 			setSelf(f, "elsewhere", false) // so that the member in domain d is the dispatcher
@@ -264,7 +270,7 @@
 			go func() { status <- sendRequestWithTimeLeft(f, time.Minute, "POST", path, "5", "").Code }()
 			await(t, func() bool { _, waiting := dispatcher.RequestCounts(); return waiting == 1 })
 			now := time.Now()
-			dispatcher.BeginShutdown(now, now.Add(600*time.Millisecond))
+			dispatcher.BeginShutdown(now, now.Add(1300*time.Millisecond))
 			is.Equal(<-status, http.StatusOK)
 			is.Equal(server.requests.Load(), int64(3))
 			for range 2 {
@@ -274,6 +280,88 @@
 	}
 }
 
+// TestRequestSentDuringShutdownHasTheTimeThatIsLeft guards against a server that is told it has more time for a request than the
+// instance which took the request before its shutdown.
+func TestRequestSentDuringShutdownHasTheTimeThatIsLeft(t *testing.T) {
+	const timeLeft = 10 * time.Second
+	tests := map[string]struct {
+		path string
+		// begin returns the instance, whether the shutdown may begin, and what lets the request go on.
+		begin func(t *testing.T, server *scriptedServer, unblock func()) (f *Forwarder, isReady func() bool, resume func())
+	}{
+		"waits in the queue": {path: "/key/x", begin: func(t *testing.T, server *scriptedServer, unblock func()) (*Forwarder, func() bool, func()) {
+			f := newForwarderWithTimeout(t, server, time.Minute)
+			occupy(t, f)
+			return f, func() bool { _, waiting := f.RequestCounts(); return waiting == 1 }, unblock
+		}},
+		"is sent again": {path: "/key/broken", begin: func(t *testing.T, server *scriptedServer, unblock func()) (*Forwarder, func() bool, func()) {
+			f := newForwarderWithTimeout(t, server, time.Minute)
+			return f, func() bool { return server.requests.Load() == 1 }, unblock
+		}},
+		"is handed back by another instance": {path: "/keyonce/x", begin: func(t *testing.T, server *scriptedServer, unblock func()) (*Forwarder, func() bool, func()) {
+			var hops atomic.Int64
+			resumed := make(chan struct{})
+			var members []resolver.Member
+			for _, name := range []string{"dispatcher-1", "dispatcher-2"} {
+				dispatcher := newForwarderWithTimeout(t, server, time.Minute)
+				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if hops.Add(1) == 1 {
+						<-resumed
+						writeHopAnswer(w, declinedResult())
+						return
+					}
+					dispatcher.ServeHop(w, r)
+				}))
+				t.Cleanup(peer.Close)
+				members = append(members, resolver.Member{Instance: name, Domain: "d", Address: strings.TrimPrefix(peer.URL, "http://")})
+			}
+			f := newForwarderWithTimeout(t, server, time.Minute, members...)
+			setSelf(f, "elsewhere", false) // so that a member in domain d is the dispatcher
+			return f, func() bool { return hops.Load() == 1 }, func() { close(resumed) }
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, unblock := startBlockingServer(t)
+			f, isReady, resume := test.begin(t, server, unblock)
+			status := make(chan int, 1)
+			go func() { status <- sendRequestWithTimeLeft(f, time.Minute, "POST", test.path, "5", "").Code }()
+			await(t, isReady)
+			now := time.Now()
+			f.BeginShutdown(now, now.Add(timeLeft))
+			resume()
+			is.Equal(<-status, http.StatusOK)
+			var last http.Header
+			for range server.requests.Load() {
+				last = <-server.headers
+			}
+			left, err := strconv.Atoi(last.Get("X-Left"))
+			is.NoErr(err)
+			is.True(left > 0 && left <= int(timeLeft.Milliseconds()))
+		})
+	}
+}
+
+// TestShutdownStartsNoRequestThatItWouldCut guards against a waiting request that must not be repeated and is sent to a server which is
+// likely to take longer than the instance has.
+func TestShutdownStartsNoRequestThatItWouldCut(t *testing.T) {
+	is := is.New(t)
+	server := startSlowServer(t, 800*time.Millisecond)
+	f := newForwarderWithTimeout(t, server, time.Minute)
+	start := time.Now()
+	atWork := occupy(t, f)
+	status := make(chan int, 1)
+	go func() { status <- sendRequestWithTimeLeft(f, time.Minute, "POST", "/keyonce/x", "5", "").Code }()
+	await(t, func() bool { _, waiting := f.RequestCounts(); return waiting == 1 })
+	f.BeginShutdown(time.Now(), start.Add(1300*time.Millisecond))
+	is.Equal(<-status, http.StatusServiceUnavailable)
+	for range 2 {
+		is.Equal(<-atWork, http.StatusOK)
+	}
+	is.Equal(server.requests.Load(), int64(2))
+}
+
 // TestRequestsEndBeforeExit guards against requests whose connections are cut when the instance exits: those that wait in its queue,
 // which must be refused, or handed back to the instance that took them, and those at work, whose outcome is unknown.
 func TestRequestsEndBeforeExit(t *testing.T) {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -498,6 +498,17 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waitingRequest) bool { return w.ticket == t })
 }
 
+// LimitDeadlines moves the deadlines of waiting requests that are later than latest there, because this instance ends then. Those
+// that can't be answered by then are refused.
+func (q *Queue) LimitDeadlines(now, latest time.Time) Change {
+	for _, w := range q.waiting {
+		if w.Deadline.After(latest) {
+			w.Deadline = latest
+		}
+	}
+	return q.advance(now)
+}
+
 // Advance refuses the waiting requests that can no longer be answered before their deadlines, and starts those that can
 // start, for example at a server whose ejection has ended. It must be called from time to time while requests wait.
 func (q *Queue) Advance(now time.Time) Change { return q.advance(now) }
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -395,3 +395,32 @@
 		})
 	}
 }
+
+// TestLimitDeadlines guards against a waiting request that is started although its instance ends before the answer, and against
+// refusing one that can still be answered.
+func TestLimitDeadlines(t *testing.T) {
+	tests := map[string]struct {
+		latest, deadline int
+		wantRefused      bool
+	}{
+		"answered before the end":       {latest: 400, deadline: 5000},
+		"not answered before the end":   {latest: 120, deadline: 5000, wantRefused: true},
+		"its own deadline is earlier":   {latest: 5000, deadline: 400},
+		"its own deadline is too early": {latest: 5000, deadline: 160, wantRefused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := busyQueue(t)
+			q.load = 0
+			is.Equal(q.Offer(start, request(1, 5000, test.deadline)), Wait{Ticket: 1})
+			change := q.LimitDeadlines(at(20), at(test.latest))
+			is.Equal(len(change.Started), 0)
+			is.Equal(len(change.Refused) == 1, test.wantRefused)
+			if test.wantRefused {
+				return
+			}
+			is.Equal(q.Done(at(390), "a", "c", Answered, 100*time.Millisecond).Started, []Started(nil)) // too late by then
+		})
+	}
+}
