Tests of what already holds when dispatchers stop

A safe request whose hop ends when its dispatcher exits, or is cut off without an answer, is sent again in time and answered whole, whether the instance that took it goes on or stops later (TestSafeRequestIsSentAgainAfterItsDispatcherExits).

A request that is passed on during a shutdown and waits at its dispatcher until the last answer ends with 503, not sent: the dispatcher knows the limited deadline (TestWaitingHopIsNotUnknownAtTheExit). One that was passed on before SIGTERM and still waits at the last answer ends with 502, which stays: the dispatcher was told the first deadline, only it knows whether the request has been sent, and messages can't be changed while earlier versions run. An interim answer when the request is sent would not do, as it may be on its way at the last answer; that takes a message that withdraws a hop and is answered.

--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -189,7 +189,8 @@
 }
 
 // startBlockingServer starts a backend server that answers requests for paths with "slow" only after unblock was called or they were
-// cancelled, and others at once. If the first request is for a path with "broken", it then closes the connection instead.
+// cancelled, and others at once. If the first request is for a path with "broken", it then closes the connection instead; if it is for one
+// with "hanging", it is not answered.
 func startBlockingServer(t *testing.T) (b *scriptedServer, unblock func()) {
 	t.Helper()
 	b = &scriptedServer{headers: make(chan http.Header, 64)}
@@ -202,6 +203,10 @@
 			<-blocked
 			panic(http.ErrAbortHandler)
 		}
+		if strings.Contains(r.URL.Path, "hanging") && first {
+			<-r.Context().Done()
+			return
+		}
 		if strings.Contains(r.URL.Path, "slow") {
 			select {
 			case <-blocked:
@@ -211,6 +216,7 @@
 		}
 		w.Header().Set("X-Signature", "s")
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		_, _ = w.Write([]byte("hi"))
 	}))
 	t.Cleanup(server.Close)
 	t.Cleanup(unblock)
@@ -280,6 +286,51 @@
 	}
 }
 
+// TestSafeRequestIsSentAgainAfterItsDispatcherExits guards against a request that may be repeated and ends without the server's answer
+// because its dispatcher exits, while the instance that took it has time left.
+func TestSafeRequestIsSentAgainAfterItsDispatcherExits(t *testing.T) {
+	tests := map[string]struct {
+		stopsLater bool // the instance that took the request stops too
+		killed     bool // the dispatcher ends the hop without an answer
+	}{
+		"one stops":                      {},
+		"both stop":                      {stopsLater: true},
+		"one stops, without an answer":   {killed: true},
+		"both stop, one without answers": {stopsLater: true, killed: true},
+	}
+	for name, test := range tests {
+		for _, path := range []string{"/key/hanging", "/idempotent/hanging"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				is := is.New(t)
+				server, _ := startBlockingServer(t)
+				dispatcher := newForwarderWithTimeout(t, server, time.Minute)
+				peer := httptest.NewServer(http.HandlerFunc(dispatcher.ServeHop))
+				defer peer.Close()
+				f := newForwarderWithTimeout(t, server, time.Minute, resolver.Member{
+					Instance: "dispatcher", Domain: "d", Address: strings.TrimPrefix(peer.URL, "http://"),
+				})
+				setSelf(f, "elsewhere", false) // so that the member in domain d is the dispatcher
+				answer := make(chan *httptest.ResponseRecorder, 1)
+				go func() { answer <- sendRequestWithTimeLeft(f, time.Minute, "POST", path, "5", "") }()
+				await(t, func() bool { return server.requests.Load() == 1 })
+				now := time.Now()
+				dispatcher.BeginShutdown(now, now.Add(200*time.Millisecond))
+				if test.stopsLater {
+					f.BeginShutdown(now, now.Add(10*time.Second))
+				}
+				if test.killed {
+					peer.CloseClientConnections()
+				}
+				w := <-answer
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), "hi")
+				is.True(time.Since(now) < 10*time.Second)
+				is.Equal(server.requests.Load(), int64(2))
+			})
+		}
+	}
+}
+
 // TestRequestSentDuringShutdownHasTheTimeThatIsLeft guards against a server that is told it has more time for a request than the
 // instance which took the request before its shutdown.
 func TestRequestSentDuringShutdownHasTheTimeThatIsLeft(t *testing.T) {
@@ -362,6 +413,29 @@
 	is.Equal(server.requests.Load(), int64(2))
 }
 
+// TestWaitingHopIsNotUnknownAtTheExit guards against a request with an unknown outcome that waits at another instance until the one that
+// passed it on during its shutdown exits.
+func TestWaitingHopIsNotUnknownAtTheExit(t *testing.T) {
+	for name, path := range map[string]string{"keyed": "/key/x", "keyed, at most once": "/keyonce/x"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, unblock := startBlockingServer(t)
+			dispatcher := newForwarderWithTimeout(t, server, time.Minute)
+			f := newForwarderWithTimeout(t, server, time.Minute, startMember(t, "dispatcher", "d", dispatcher))
+			setSelf(f, "elsewhere", false) // so that the member in domain d is the dispatcher
+			atWork := occupy(t, dispatcher)
+			now := time.Now()
+			f.BeginShutdown(now, now.Add(time.Second))
+			is.Equal(sendRequestWithTimeLeft(f, time.Minute, "POST", path, "5", "").Code, http.StatusServiceUnavailable)
+			is.Equal(server.requests.Load(), int64(2))
+			unblock()
+			for range 2 {
+				is.Equal(<-atWork, http.StatusOK)
+			}
+		})
+	}
+}
+
 // TestRequestsEndBeforeExit guards against requests whose connections are cut when the instance exits: those that wait in its queue,
 // which must be refused, or handed back to the instance that took them, and those at work, whose outcome is unknown.
 func TestRequestsEndBeforeExit(t *testing.T) {
