Keep a connection busy while its pipelined request is in progress

Clients that send the next request before the answer to the first lost it in a planned stop: the connection closed without an answer, and the log said client_left.

net/http reads both requests at once. After the first answer it reports the connection idle; for the second it neither reads nor reports it active, because no byte comes off the wire.

The Drainer now wraps the server's handler, which marks the connection busy. The hook ConnState can't tell: it is not called with StateActive for a request that is buffered completely. A request that arrives while the handler of the one before runs was not affected: its second byte is read after the connection becomes idle.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -31,14 +31,8 @@
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idleSince = time.Time{}
-	if c.closing { // the request arrived before the read timed out
-		c.closing = false
-		if deadlineErr := c.Conn.SetReadDeadline(c.serverDeadline); deadlineErr != nil && err == nil {
-			err = deadlineErr
-		}
+	if deadlineErr := c.markBusy(); deadlineErr != nil && err == nil {
+		err = deadlineErr
 	}
 	return n, err
 }
@@ -60,6 +54,19 @@
 	return c.Conn.Close()
 }
 
+// markBusy records that a request is being read or is in progress. It undoes closeIfIdle, because the request arrived before the read
+// timed out.
+func (c *conn) markBusy() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	if !c.closing {
+		return nil
+	}
+	c.closing = false
+	return c.Conn.SetReadDeadline(c.serverDeadline)
+}
+
 // markIdle records that the connection became idle at now, after a request.
 func (c *conn) markIdle(now time.Time) {
 	c.mu.Lock()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -33,10 +33,15 @@
 	conns map[*conn]bool
 }
 
-// New returns a Drainer for the connections that listener accepts. It sets the ConnState hook of server, whose Serve must be
-// called with the Drainer.
+// connKey is the key of a request's conn in its context.
+type connKey struct{}
+
+// New returns a Drainer for the connections that listener accepts. It wraps the handler of server and sets its ConnState and
+// ConnContext hooks; Serve must be called with the Drainer.
 func New(listener net.Listener, server *http.Server) *Drainer {
 	d := &Drainer{listener: listener, conns: map[*conn]bool{}}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.Handler = handler{server.Handler}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked, ok := c.(*conn); ok && state == http.StateIdle {
 			tracked.markIdle(time.Now())
@@ -45,6 +50,18 @@
 	return d
 }
 
+// handler marks the connections of requests as busy. The server reads a pipelined request together with the one before, and then
+// neither calls Read for it nor reports that the connection is active.
+type handler struct{ http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		_ = c.markBusy() // fails only on a closed connection
+	}
+	h.Handler.ServeHTTP(w, r)
+}
+
 // Accept implements net.Listener.
 func (d *Drainer) Accept() (net.Conn, error) {
 	inner, err := d.listener.Accept()
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -213,3 +213,37 @@
 	is.Equal(c.readStatus(), 0)
 	is.Equal(unused.readStatus(), 0)
 }
+
+// TestPipelinedRequestIsAnswered guards against the end of a request that the server had already buffered with the one before, so that
+// its connection counts as idle while the request is in progress.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	requests := 0
+	d := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if requests++; requests == 1 {
+			return
+		}
+		close(started)
+		select {
+		case <-finish:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := dial(t, d)
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, err := io.WriteString(c.conn, request+request)
+	is.NoErr(err)
+	is.Equal(c.readStatus(), 200)
+	<-started
+	for range 3 { // the deadline of the first sweep ends the server's pending read a little later
+		d.sweep(time.Now().Add(time.Hour))
+		time.Sleep(sweepInterval)
+	}
+	close(finish)
+	is.Equal(c.readStatus(), 200)
+	for d.sweep(time.Now().Add(time.Hour)) > 0 { // idle again
+		time.Sleep(time.Millisecond)
+	}
+}
