Answer requests whose bodies are half read before the exit

A client whose body had not arrived completely when an instance stopped got no answer: its connection was cut at the exit.

The handler waited for the rest of the body, which nothing ended. Now the end of the shutdown's waits also ends the reading, by a read deadline, and the request is refused with 503 shutting_down, which is true: it was not passed on. A body that completes earlier is admitted by the same rule as other requests, and an invalid one still gets 400.

TestHalfReadBodyIsAnsweredBeforeExit: before, three of its cases (the body or its chunks never end, no byte of the body) had no answer within 10 s; the other two passed. Now all pass.

The deadline that comes just as the body is complete does no harm: the request's waits end at that moment by errShuttingDown anyway, which takes precedence over client_left. The bodies of other instances' requests are not covered, see ServeHop.

--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,9 +46,15 @@
 		f.refuse(w, r, now, http.StatusNotFound, "no_route", 0)
 		return
 	}
+	readAll := f.endReadingAtExit(w)
 	req, status, reason := f.newClientRequest(r, now, v, route)
+	readAll()
 	if req == nil {
-		f.refuse(w, r, now, status, reason, 0)
+		var retryAfter time.Duration
+		if reason == reasonShuttingDown {
+			retryAfter = minRetryAfter
+		}
+		f.refuse(w, r, now, status, reason, retryAfter)
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
@@ -66,6 +74,16 @@
 	f.writeAnswer(w, r, now, req, res)
 }
 
+// endReadingAtExit makes the reading of a client's body fail when this instance is about to exit. readAll must be called once the
+// body has been read.
+func (f *Forwarder) endReadingAtExit(w http.ResponseWriter) (readAll func() bool) {
+	return context.AfterFunc(f.lifetime, func() {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)); err != nil {
+			klog.InfoS("reading a body can't be ended", "error", err)
+		}
+	})
+}
+
 // newClientRequest reads a client's request. For an invalid one it returns nil, and the status and reason of the refusal.
 func (f *Forwarder) newClientRequest(
 	r *http.Request, now time.Time, v *resolver.View, route *bundler.Route,
@@ -102,6 +120,8 @@
 	}
 	if err := req.readFrom(r, v.Table.Limits().BodyBytes); errors.Is(err, errBodyTooLarge) {
 		return nil, http.StatusRequestEntityTooLarge, "body_too_large"
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && f.lifetime.Err() != nil {
+		return nil, http.StatusServiceUnavailable, reasonShuttingDown
 	} else if err != nil {
 		return nil, http.StatusBadRequest, "bad_body"
 	}
--- /dev/null
+++ b/internal/forwarder/shutdown_body_test.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestHalfReadBodyIsAnsweredBeforeExit guards against requests whose connections are cut when the instance exits because their bodies
+// have not arrived, and against refusing one whose body arrives in time.
+func TestHalfReadBodyIsAnsweredBeforeExit(t *testing.T) {
+	const lengthHeader, chunkedHeader = "Content-Length: 8\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]struct {
+		header, start, rest string
+		lastAnswer          time.Duration // after the start was sent
+		wantStatus          int
+	}{
+		"body never completes": {
+			header: lengthHeader, start: "half", lastAnswer: 100 * time.Millisecond, wantStatus: http.StatusServiceUnavailable,
+		},
+		"chunks never end": {
+			header: chunkedHeader, start: "4\r\nhalf\r\n", lastAnswer: 100 * time.Millisecond, wantStatus: http.StatusServiceUnavailable,
+		},
+		"no byte of the body": {header: lengthHeader, lastAnswer: 100 * time.Millisecond, wantStatus: http.StatusServiceUnavailable},
+		"body completes in time": {
+			header: lengthHeader, start: "half", rest: "rest", lastAnswer: time.Minute, wantStatus: http.StatusOK,
+		},
+		"rest of the body is invalid": {
+			header: chunkedHeader, start: "4\r\nhalf\r\n", rest: "no chunk\r\n", lastAnswer: time.Minute, wantStatus: http.StatusBadRequest,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			backend := startScriptedServer(t, answerOK)
+			f := newForwarder(t, backend)
+			server := httptest.NewServer(f)
+			defer server.Close()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+			_, err = io.WriteString(c, "POST /keyonce/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: 5\r\n"+test.header+test.start)
+			is.NoErr(err)
+			await(t, func() bool { return len(f.inFlight.oldestFirst()) == 1 })
+			now := time.Now()
+			f.BeginShutdown(now, now.Add(test.lastAnswer))
+			_, err = io.WriteString(c, test.rest)
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			defer response.Body.Close()
+			is.Equal(response.StatusCode, test.wantStatus)
+			is.True(response.Close) // Connection: close
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			if test.wantStatus != http.StatusOK {
+				is.Equal(backend.requests.Load(), int64(0))
+			}
+		})
+	}
+}
