Plan the times of a shutdown from the grace period

With grace periods under 4.2 s an instance ended its waits before the last sixth of the grace period, 0.7 s before its end, so that requests at which servers worked count as broken off. Up to 3.9 s it ended them before it closed its listener, 3.2 s after SIGTERM, and with 2 s it was killed before that.

The times were constants, whatever the grace period. Now admitter.Plan computes them: waits end in the last 15 % of the grace period, at most 0.7 s before its end; the exit keeps its place in that span; connections are accepted for at most 80 % of the time until then, which covers the platform's 2 s for deregistration from a grace period of 3 s on. For 6 s, 10 s and 30 s all times are those of before.

--- /dev/null
+++ b/internal/admitter/plan.go
@@ -0,0 +1,62 @@
+package admitter
+
+import "time"
+
+const (
+	// idleCloseDelay is how long after the shutdown request idle connections are kept. Until then their clients could open new
+	// ones to this instance.
+	idleCloseDelay = 2200 * time.Millisecond
+	// deregistrationDelay is how long an instance keeps accepting connections after the shutdown request. The platform
+	// checks readiness once a second and opens no connections to an instance after two failed checks, which take up to
+	// 2 s. The other 1.2 s are for a slow machine to accept and read what was sent to it until then.
+	deregistrationDelay = 3200 * time.Millisecond
+	// acceptingRatio is the part of the time until the last answer in which connections are accepted. The rest is for their requests.
+	acceptingRatio = 0.8
+	// finalSpan is the time between the last answer and the end of the grace period, and maxFinalRatio its greatest part of the grace
+	// period: a server that is still at work in the last sixth is no longer waited for.
+	finalSpan     = 700 * time.Millisecond
+	maxFinalRatio = 0.15
+	// exitRatio is the part of the final span in which the last answers are written.
+	exitRatio = 2.0 / 7
+)
+
+// Plan holds the times of a graceful shutdown, in this order: CloseIdle, StopAccepting, LastAnswer, Exit. The platform kills the instance
+// after the last one.
+type Plan struct {
+	requestedAt time.Time
+	gracePeriod time.Duration
+}
+
+// NewPlan returns the Plan of a shutdown that was requested at requestedAt, gracePeriod before the platform kills the instance.
+func NewPlan(requestedAt time.Time, gracePeriod time.Duration) Plan {
+	return Plan{requestedAt: requestedAt, gracePeriod: gracePeriod}
+}
+
+// CloseIdle returns the time at which the instance begins to close idle connections.
+func (p Plan) CloseIdle() time.Time {
+	return p.requestedAt.Add(min(idleCloseDelay, p.acceptingSpan()))
+}
+
+// StopAccepting returns the time at which the instance closes its listener for clients.
+func (p Plan) StopAccepting() time.Time {
+	return p.requestedAt.Add(min(deregistrationDelay, p.acceptingSpan()))
+}
+
+// LastAnswer returns the time at which all waits end, so that each request is answered.
+func (p Plan) LastAnswer() time.Time { return p.requestedAt.Add(p.gracePeriod - p.finalSpan()) }
+
+// Exit returns the time at which the instance exits in any case.
+func (p Plan) Exit() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), exitRatio)) }
+
+// finalSpan returns the time between the last answer and the end of the grace period.
+func (p Plan) finalSpan() time.Duration { return min(finalSpan, scale(p.gracePeriod, maxFinalRatio)) }
+
+// acceptingSpan returns how long after the shutdown request connections may be accepted at most.
+func (p Plan) acceptingSpan() time.Duration {
+	return scale(p.gracePeriod-p.finalSpan(), acceptingRatio)
+}
+
+// scale returns ratio times d, to the millisecond.
+func scale(d time.Duration, ratio float64) time.Duration {
+	return time.Duration(float64(d) * ratio).Round(time.Millisecond)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/wasabibank/wasabibank/internal/admitter"
 	"github.com/wasabibank/wasabibank/internal/controller"
 	"github.com/wasabibank/wasabibank/internal/drainer"
 	"github.com/wasabibank/wasabibank/internal/forwarder"
@@ -30,17 +31,6 @@
 )
 
 const (
-	// deregistrationDelay is how long an instance keeps accepting connections after the shutdown request. The platform
-	// checks readiness once a second and opens no connections to an instance after two failed checks, which take up to
-	// 2 s. The other 1.2 s are for a slow machine to accept and read what was sent to it until then.
-	deregistrationDelay = 3200 * time.Millisecond
-	// idleCloseDelay is how long after the shutdown request idle connections are kept. Until then their clients could open new
-	// ones to this instance.
-	idleCloseDelay = 2200 * time.Millisecond
-	// answerMargin is the time between the last answer and the exit.
-	answerMargin = 200 * time.Millisecond
-	// exitMargin is subtracted from the grace period, so that the process exits before SIGKILL.
-	exitMargin = 500 * time.Millisecond
 	// drainMargin is subtracted from the time within which a draining server must get no more requests. It covers the delay
 	// until the instances know that the server drains, up to that of a failure domain that reads the store through others: one
 	// call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to 1.25 s. The delay is longer
@@ -174,15 +164,15 @@
 func (r *Runner) shutDown(clientDrainer *drainer.Drainer) {
 	klog.InfoS("shutdown requested")
 	now := time.Now()
-	exit := now.Add(r.settings.Bounds.GracePeriod - exitMargin)
+	plan := admitter.NewPlan(now, r.settings.Bounds.GracePeriod)
 	r.stopping.Store(true)
-	r.forwarder.BeginShutdown(now, exit.Add(-answerMargin))
+	r.forwarder.BeginShutdown(now, plan.LastAnswer())
 	r.controller.AnnounceLeaving()
-	time.Sleep(idleCloseDelay)
-	deregistered, cancel := context.WithDeadline(context.Background(), now.Add(deregistrationDelay))
+	time.Sleep(time.Until(plan.CloseIdle()))
+	deregistered, cancel := context.WithDeadline(context.Background(), plan.StopAccepting())
 	defer cancel()
 	clientDrainer.CloseIdle(deregistered)
-	ctx, cancel := context.WithDeadline(context.Background(), exit)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.Exit())
 	defer cancel()
 	if err := clientDrainer.Drain(ctx); err != nil {
 		klog.InfoS("draining client connections failed", "error", err)
