Let clients receive their answers before the exit

Clients that read a large answer slowly during a planned stop lost its rest: at the latest at the exit, 0.5 s before the end of the grace period, and earlier if they had sent bytes that the instance had not read (the rest of a refused body, the next request): closing such a connection resets it, and the kernel discards what it has not sent yet. A cut answer never looked whole, as all have a Content-Length.

During a shutdown, closing a connection on which a request was answered now ends the sending side first, reads on, and waits until the client's kernel has acknowledged the answer; for 500 ms more if the client may still be writing. After the planned exit FinishAnswers ends all reading, so that stalled headers and bodies hold nothing, and waits for answers alone, until 0.2 s before the end of the grace period (in proportion for short ones). The process exits as soon as none is left.

http.Server ended the sending side of such connections already, but not of those of package drainer, which hid CloseWrite; its 500 ms wait was cut short by the exit, and the reset came in any case.

--- a/internal/admitter/plan.go
+++ b/internal/admitter/plan.go
@@ -16,12 +16,14 @@
 	// period: a server that is still at work in the last sixth is no longer waited for.
 	finalSpan     = 700 * time.Millisecond
 	maxFinalRatio = 0.15
-	// exitRatio is the part of the final span in which the last answers are written.
-	exitRatio = 2.0 / 7
+	// exitRatio and lastByteRatio are the parts of the final span after which the instance exits: when all answers are written, and
+	// when clients read theirs slowly.
+	exitRatio     = 2.0 / 7
+	lastByteRatio = 5.0 / 7
 )
 
-// Plan holds the times of a graceful shutdown, in this order: CloseIdle, StopAccepting, LastAnswer, Exit. The platform kills the instance
-// after the last one.
+// Plan holds the times of a graceful shutdown, in this order: CloseIdle, StopAccepting, LastAnswer, Exit, LastByte. The platform kills the
+// instance after the last one.
 type Plan struct {
 	requestedAt time.Time
 	gracePeriod time.Duration
@@ -45,9 +47,12 @@
 // LastAnswer returns the time at which all waits end, so that each request is answered.
 func (p Plan) LastAnswer() time.Time { return p.requestedAt.Add(p.gracePeriod - p.finalSpan()) }
 
-// Exit returns the time at which the instance exits in any case.
+// Exit returns the time at which the instance exits unless clients are still receiving answers.
 func (p Plan) Exit() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), exitRatio)) }
 
+// LastByte returns the time at which the instance exits in any case.
+func (p Plan) LastByte() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), lastByteRatio)) }
+
 // finalSpan returns the time between the last answer and the end of the grace period.
 func (p Plan) finalSpan() time.Duration { return min(finalSpan, scale(p.gracePeriod, maxFinalRatio)) }
 
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,12 +17,15 @@
 // without a connection to answer on.
 type conn struct {
 	net.Conn
-	drainer *Drainer
+	drainer   *Drainer
+	answering atomic.Bool // a request is in progress, or the client may not have received its answer
+	bodyRead  atomic.Bool // the body of the last request was read completely
 
 	mu             sync.Mutex
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
 	minIdle        time.Duration // how long it must be idle before it is closed
 	closing        bool          // the read deadline is pastDeadline
+	closed         bool          // Close was called
 	serverDeadline time.Time     // read deadline that the server has set
 }
 
@@ -48,12 +52,27 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. During a shutdown it returns when the client has received the answer.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	closed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if !closed && c.answering.Load() && c.drainer.draining.Load() {
+		c.linger()
+	}
 	c.drainer.remove(c)
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side of the connection. http.Server calls it if the connection has such a method.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // markBusy records that a request is being read or is in progress. It undoes closeIfIdle, because the request arrived before the read
 // timed out.
 func (c *conn) markBusy() error {
@@ -69,6 +88,7 @@
 
 // markIdle records that the connection became idle at now, after a request.
 func (c *conn) markIdle(now time.Time) {
+	c.answering.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince, c.minIdle = now, minIdleTime
@@ -84,3 +104,14 @@
 	c.closing = true
 	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
 }
+
+// endReading makes the server's reads fail, whatever they are for.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.closed {
+		return
+	}
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 // Drainer is the listener of one server and tracks the server's connections. Use New; it is safe for concurrent use.
 type Drainer struct {
 	listener net.Listener
+	draining atomic.Bool // CloseIdle or Drain was called
+	ended    atomic.Bool // FinishAnswers has returned
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -50,18 +53,6 @@
 	return d
 }
 
-// handler marks the connections of requests as busy. The server reads a pipelined request together with the one before, and then
-// neither calls Read for it nor reports that the connection is active.
-type handler struct{ http.Handler }
-
-// ServeHTTP implements http.Handler.
-func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-		_ = c.markBusy() // fails only on a closed connection
-	}
-	h.Handler.ServeHTTP(w, r)
-}
-
 // Accept implements net.Listener.
 func (d *Drainer) Accept() (net.Conn, error) {
 	inner, err := d.listener.Accept()
@@ -83,6 +74,7 @@
 
 // CloseIdle closes each connection once it is idle, until ctx ends. New connections are still accepted.
 func (d *Drainer) CloseIdle(ctx context.Context) {
+	d.draining.Store(true)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -99,6 +91,7 @@
 // handler must ask clients to close their connections, or one on which requests keep arriving stays open until ctx ends. The
 // error is that of closing the listener, or says that ctx ended before all connections were closed.
 func (d *Drainer) Drain(ctx context.Context) error {
+	d.draining.Store(true)
 	err := d.Close()
 	for {
 		open := d.sweep(time.Now())
@@ -112,6 +105,36 @@
 	}
 }
 
+// FinishAnswers ends the reading of requests and waits until all answers that are being written have been received by their clients, or
+// until ctx ends; the error says so. It is called after Drain.
+func (d *Drainer) FinishAnswers(ctx context.Context) error {
+	defer d.ended.Store(true)
+	for {
+		answering := d.endReading()
+		if answering == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("%d answers are incomplete: %v", answering, ctx.Err())
+		}
+		time.Sleep(sweepInterval)
+	}
+}
+
+// endReading makes all reads fail, and returns how many connections have an answer that the client has not received.
+func (d *Drainer) endReading() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answering := 0
+	for c := range d.conns {
+		if c.answering.Load() {
+			answering++
+		}
+		c.endReading()
+	}
+	return answering
+}
+
 // sweep closes the connections that have been idle for long enough at now, and returns how many are open.
 func (d *Drainer) sweep(now time.Time) int {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/drainer/linger.go
@@ -0,0 +1,108 @@
+package drainer
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
+)
+
+// lingerTimeout is how long a connection that the client may still write to stays open after the client has received the answer. A
+// client may drop an answer that it has not read when it learns that its own bytes were rejected.
+const lingerTimeout = 500 * time.Millisecond
+
+// linger waits until the client has received the answer. Closing a connection with unread bytes resets it and discards what was not
+// sent, and so may the exit of the process.
+func (c *conn) linger() {
+	sockets, ok := c.Conn.(interface {
+		syscall.Conn
+		CloseWrite() error
+	})
+	if !ok {
+		return
+	}
+	raw, err := sockets.SyscallConn()
+	if err != nil || sockets.CloseWrite() != nil {
+		return // the connection is broken
+	}
+	mayWrite := !c.bodyRead.Load() || pendingBytes(raw, unix.SIOCINQ) > 0
+	buffer := make([]byte, 4096)
+	for start := time.Now(); !c.drainer.ended.Load(); {
+		if pendingBytes(raw, unix.SIOCOUTQ) == 0 && (!mayWrite || time.Since(start) >= lingerTimeout) {
+			return
+		}
+		if err := c.Conn.SetReadDeadline(time.Now().Add(sweepInterval)); err != nil {
+			return
+		}
+		n, err := c.Conn.Read(buffer)
+		mayWrite = mayWrite || n > 0
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, io.EOF):
+			mayWrite = false
+			time.Sleep(sweepInterval)
+		default:
+			return
+		}
+	}
+}
+
+// pendingBytes returns how many bytes are in the send queue (SIOCOUTQ) or in the receive queue (SIOCINQ) of a connection, or 0 for one
+// that is closed.
+func pendingBytes(raw syscall.RawConn, queue uint) int {
+	count := 0
+	err := raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), queue)
+		if err != nil {
+			klog.InfoS("the queue of a connection is unknown", "error", err)
+			return
+		}
+		count = n
+	})
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
+// trackedBody is the body of a request. It records whether the body was read completely.
+type trackedBody struct {
+	io.ReadCloser
+	complete *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.complete.Store(true)
+	}
+	return n, err
+}
+
+// handler tells the connections of requests about their progress. The server reads a pipelined request together with the one before, and
+// then neither calls Read for it nor reports that the connection is active.
+type handler struct{ http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		h.Handler.ServeHTTP(w, r)
+		return
+	}
+	_ = c.markBusy() // fails only on a closed connection
+	c.answering.Store(true)
+	c.bodyRead.Store(r.Body == nil || r.Body == http.NoBody)
+	tracked := *r // the server recognises its own type of body
+	if !c.bodyRead.Load() {
+		tracked.Body = trackedBody{ReadCloser: r.Body, complete: &c.bodyRead}
+	}
+	h.Handler.ServeHTTP(w, &tracked)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -179,6 +179,11 @@
 	}
 	// Requests that other instances forwarded may still wait in the queues of this instance.
 	r.forwarder.Drain(ctx)
+	ctx, cancel = context.WithDeadline(context.Background(), plan.LastByte())
+	defer cancel()
+	if err := clientDrainer.FinishAnswers(ctx); err != nil {
+		klog.InfoS("clients have not received all answers", "error", err)
+	}
 	r.forwarder.LogUnanswered(time.Now())
 }
 
