Drain the connections of other instances before the exit

Requests that one instance forwarded to another were reset by the exit of the latter while they were read, so that the first could not tell whether they had run and answered 502; so were messages of the control plane.

Only the listener for clients was drained. A request of another instance counted from the moment its header had been read, and connections that were kept open were used up to the exit.

Now the answers of a stopping instance ask its peers not to use the connection again; idle connections are closed from 2.2 s after SIGTERM, when other instances know that it leaves; and once all clients are answered, at the latest at the last answer, the listener is closed, so that a connect is refused, which is known not to have run. What is being read until then is answered before the exit.

Closing an idle connection can still cross a request of another instance, as the exit did; those that are left by then have been unused for over 2 s. The header comes from the handler of the port, so that it is also on the answers of twirp.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -132,7 +133,7 @@
 	ready := &http.Server{Handler: r.readyHandler(), IdleTimeout: idleTimeout}
 	admin := &http.Server{Handler: r.adminHandler(), IdleTimeout: idleTimeout}
 	peerAddress := net.JoinHostPort(r.settings.Address, fmt.Sprint(r.settings.PeerPort))
-	var clientDrainer *drainer.Drainer
+	drainers := map[*http.Server]*drainer.Drainer{}
 	// The addresses must differ: of servers with the same address only one would be started.
 	for address, server := range map[string]*http.Server{
 		r.settings.ClientAddress: clients, peerAddress: peers, r.settings.ReadyAddress: ready,
@@ -142,9 +143,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if server == clients {
-			clientDrainer = drainer.New(listener, clients)
-			listener = clientDrainer
+		if server == clients || server == peers {
+			drainers[server] = drainer.New(listener, server)
+			listener = drainers[server]
 		}
 		go func() { serveErrors <- server.Serve(listener) }()
 	}
@@ -154,14 +155,15 @@
 		return err
 	case <-stop.Done():
 	}
-	r.shutDown(clientDrainer)
+	r.shutDown(drainers[clients], drainers[peers])
 	klog.InfoS("stop")
 	return nil
 }
 
 // shutDown announces that this instance is leaving, waits until it gets no new connections, and then for its requests in
 // flight, all within the grace period of the platform. Those that are not answered by then are refused or fail before the exit.
-func (r *Runner) shutDown(clientDrainer *drainer.Drainer) {
+// Other instances may send requests and messages until all clients are answered.
+func (r *Runner) shutDown(clients, peers *drainer.Drainer) {
 	klog.InfoS("shutdown requested")
 	now := time.Now()
 	plan := admitter.NewPlan(now, r.settings.Bounds.GracePeriod)
@@ -169,22 +171,42 @@
 	r.forwarder.BeginShutdown(now, plan.LastAnswer())
 	r.controller.AnnounceLeaving()
 	time.Sleep(time.Until(plan.CloseIdle()))
-	deregistered, cancel := context.WithDeadline(context.Background(), plan.StopAccepting())
+	exit, cancel := context.WithDeadline(context.Background(), plan.Exit())
 	defer cancel()
-	clientDrainer.CloseIdle(deregistered)
-	ctx, cancel := context.WithDeadline(context.Background(), plan.Exit())
+	unanswered, answered := context.WithDeadline(context.Background(), plan.LastAnswer())
+	defer answered()
+	var finishing sync.WaitGroup
+	finishing.Go(func() {
+		peers.CloseIdle(unanswered)
+		drain(exit, peers, "instances")
+		finishAnswers(peers, "instances", plan)
+	})
+	accepting, cancel := context.WithDeadline(context.Background(), plan.StopAccepting())
 	defer cancel()
-	if err := clientDrainer.Drain(ctx); err != nil {
-		klog.InfoS("draining client connections failed", "error", err)
-	}
+	clients.CloseIdle(accepting)
+	drain(exit, clients, "clients")
 	// Requests that other instances forwarded may still wait in the queues of this instance.
-	r.forwarder.Drain(ctx)
-	ctx, cancel = context.WithDeadline(context.Background(), plan.LastByte())
+	r.forwarder.Drain(exit)
+	answered()
+	finishAnswers(clients, "clients", plan)
+	finishing.Wait()
+	r.forwarder.LogUnanswered(time.Now())
+}
+
+// drain closes a listener, and its connections once they are idle, until exit ends.
+func drain(exit context.Context, d *drainer.Drainer, callers string) {
+	if err := d.Drain(exit); err != nil {
+		klog.InfoS("draining connections failed", "callers", callers, "error", err)
+	}
+}
+
+// finishAnswers waits until all answers that are being written have been received, or until the last time that the plan allows.
+func finishAnswers(d *drainer.Drainer, callers string, plan admitter.Plan) {
+	lastByte, cancel := context.WithDeadline(context.Background(), plan.LastByte())
 	defer cancel()
-	if err := clientDrainer.FinishAnswers(ctx); err != nil {
-		klog.InfoS("clients have not received all answers", "error", err)
+	if err := d.FinishAnswers(lastByte); err != nil {
+		klog.InfoS("answers were not received completely", "callers", callers, "error", err)
 	}
-	r.forwarder.LogUnanswered(time.Now())
 }
 
 // readyHandler answers the platform's readiness checks.
@@ -233,10 +255,14 @@
 // ready reports whether this instance accepts requests: it has a view of the system and is not shutting down.
 func (r *Runner) ready() bool { return !r.stopping.Load() && r.forwarder.Ready() }
 
-// peerHandler answers other instances: requests that they forward, and messages between instances.
+// peerHandler answers other instances: requests that they forward, and messages between instances. While this instance stops, its
+// answers ask them not to use their connections again.
 func (r *Runner) peerHandler() http.Handler {
 	messages := herald.NewHeraldServer(r.controller)
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		switch {
 		case request.Header.Get(forwarder.HeaderHop) != "":
 			r.forwarder.ServeHop(w, request)
