Read a request that has arrived before its idle connection is closed

In a planned stop a client could get a reset for a request that had arrived on an idle connection: with its process held up, an instance closes idle connections before it reads what has come meanwhile. The request had not run, but its client can't know that.

Idle connections are closed by a read deadline in the past. Go's network poller checks the deadline before it tries to read, so bytes that are there are not seen. Now a read that fails in this way looks into the receive queue (SIOCINQ); if there are bytes, the connection is in use again.

TestArrivedRequestIsRead failed before (i/o timeout instead of the request's first bytes).

A request that is still under way when its connection is closed can't be helped. At the exit, when all reading ends, nothing is read any more.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // pastDeadline is a deadline in the past: it makes pending reads and writes fail at once.
@@ -25,6 +29,7 @@
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
 	minIdle        time.Duration // how long it must be idle before it is closed
 	closing        bool          // the read deadline is pastDeadline
+	readingEnded   bool          // endReading was called
 	closed         bool          // Close was called
 	serverDeadline time.Time     // read deadline that the server has set
 }
@@ -32,6 +37,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.keepForArrived() {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -73,6 +81,14 @@
 	return nil
 }
 
+// keepForArrived undoes closeIfIdle if bytes of a request have arrived that were not read in time, and reports whether it did.
+func (c *conn) keepForArrived() bool {
+	c.mu.Lock()
+	closing := c.closing && !c.readingEnded
+	c.mu.Unlock()
+	return closing && c.pendingBytes(unix.SIOCINQ) > 0 && c.markBusy() == nil
+}
+
 // markBusy records that a request is being read or is in progress. It undoes closeIfIdle, because the request arrived before the read
 // timed out.
 func (c *conn) markBusy() error {
@@ -109,6 +125,7 @@
 func (c *conn) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readingEnded = true
 	if c.closing || c.closed {
 		return
 	}
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -247,3 +247,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestArrivedRequestIsRead guards against the reset of a connection whose next request has arrived but, on a busy machine, is read only
+// after the connection was to be closed.
+func TestArrivedRequestIsRead(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	d := New(listener, &http.Server{Handler: http.NotFoundHandler()})
+	c := dial(t, d)
+	accepted, err := d.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	c.sendRequest()
+	time.Sleep(50 * time.Millisecond) // it has arrived
+	d.sweep(time.Now().Add(time.Hour))
+	buffer := make([]byte, 4)
+	_, err = io.ReadFull(accepted, buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer), "GET ")
+}
--- a/internal/drainer/linger.go
+++ b/internal/drainer/linger.go
@@ -20,21 +20,13 @@
 // linger waits until the client has received the answer. Closing a connection with unread bytes resets it and discards what was not
 // sent, and so may the exit of the process.
 func (c *conn) linger() {
-	sockets, ok := c.Conn.(interface {
-		syscall.Conn
-		CloseWrite() error
-	})
-	if !ok {
-		return
+	if _, ok := c.Conn.(syscall.Conn); !ok || c.CloseWrite() != nil {
+		return // the connection is broken, or no socket
 	}
-	raw, err := sockets.SyscallConn()
-	if err != nil || sockets.CloseWrite() != nil {
-		return // the connection is broken
-	}
-	mayWrite := !c.bodyRead.Load() || pendingBytes(raw, unix.SIOCINQ) > 0
+	mayWrite := !c.bodyRead.Load() || c.pendingBytes(unix.SIOCINQ) > 0
 	buffer := make([]byte, 4096)
 	for start := time.Now(); !c.drainer.ended.Load(); {
-		if pendingBytes(raw, unix.SIOCOUTQ) == 0 && (!mayWrite || time.Since(start) >= lingerTimeout) {
+		if c.pendingBytes(unix.SIOCOUTQ) == 0 && (!mayWrite || time.Since(start) >= lingerTimeout) {
 			return
 		}
 		if err := c.Conn.SetReadDeadline(time.Now().Add(sweepInterval)); err != nil {
@@ -53,11 +45,19 @@
 	}
 }
 
-// pendingBytes returns how many bytes are in the send queue (SIOCOUTQ) or in the receive queue (SIOCINQ) of a connection, or 0 for one
-// that is closed.
-func pendingBytes(raw syscall.RawConn, queue uint) int {
+// pendingBytes returns how many bytes are in the send queue (SIOCOUTQ) or in the receive queue (SIOCINQ) of the connection, or 0 if it
+// is closed or no socket.
+func (c *conn) pendingBytes(queue uint) int {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
 	count := 0
-	err := raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		n, err := unix.IoctlGetInt(int(fd), queue)
 		if err != nil {
 			klog.InfoS("the queue of a connection is unknown", "error", err)
@@ -65,7 +65,7 @@
 		}
 		count = n
 	})
-	if err != nil {
+	if err != nil { // it is closed
 		return 0
 	}
 	return count
