Keep the connection of an answer until unread bytes can't reset it, also before the drain

From SIGTERM on answers ask for a new connection, so before that a client that had sent its next request already still lost the rest of a large answer.

The new case "next request, before the drain" of TestUnreadBytesDoNotCutAnswer failed: 36714 of 262144 bytes, then "connection reset by peer". It passes now.

Connections with unread bytes are now closed in this way at any time, for 10 s at most; others are left to the system as before, unless the process is about to exit. TestExitWaitsForAnswersOnly also checks that the wait outlasts the reading.

--- a/internal/drainer/answers_test.go
+++ b/internal/drainer/answers_test.go
@@ -39,6 +39,7 @@
 func TestUnreadBytesDoNotCutAnswer(t *testing.T) {
 	tests := map[string]struct {
 		request, later string // later is sent while the request is in progress
+		beforeDrain    bool   // the answer is written before connections are drained
 	}{
 		"next request": {request: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", later: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
 		"long body": {
@@ -47,6 +48,9 @@
 		"short body that stalls": {
 			request: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n", later: strings.Repeat("x", 10000),
 		},
+		"next request, before the drain": {
+			request: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", later: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", beforeDrain: true,
+		},
 		"nothing": {request: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
 	}
 	for name, test := range tests {
@@ -70,16 +74,18 @@
 			is.NoErr(err)
 			exit, cancel := context.WithCancel(context.Background())
 			cancel()
-			is.True(d.Drain(exit) != nil)
+			if !test.beforeDrain {
+				is.True(d.Drain(exit) != nil)
+			}
 			close(finish)
 			<-written
+			time.Sleep(100 * time.Millisecond) // the server may close the connection now
 			finished := make(chan error, 1)
 			go func() {
 				lastByte, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				defer cancel()
 				finished <- d.FinishAnswers(lastByte)
 			}()
-			time.Sleep(100 * time.Millisecond) // the server may close the connection now
 			is.True(c.readLargeAnswer())
 			is.NoErr(c.conn.Close())
 			is.NoErr(<-finished)
@@ -129,6 +135,8 @@
 			finished := make(chan error, 1)
 			go func() { finished <- d.FinishAnswers(lastByte) }()
 			if test.reads {
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(len(finished), 0)
 				total, err := io.Copy(io.Discard, c.in)
 				is.NoErr(err)
 				is.True(total > hugeFactor*answerBytes)
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -60,13 +60,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn. During a shutdown it returns when the client has received the answer.
+// Close implements net.Conn. It may wait until the client has received the answer.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	closed := c.closed
 	c.closed = true
 	c.mu.Unlock()
-	if !closed && c.answering.Load() && c.drainer.draining.Load() {
+	if !closed && c.answering.Load() {
 		c.linger()
 	}
 	c.drainer.remove(c)
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -39,8 +39,8 @@
 // connKey is the key of a request's conn in its context.
 type connKey struct{}
 
-// New returns a Drainer for the connections that listener accepts. It wraps the handler of server and sets its ConnState and
-// ConnContext hooks; Serve must be called with the Drainer.
+// New returns a Drainer for the connections that listener accepts. It wraps the handler of server, which must not be nil,
+// and sets its ConnState and ConnContext hooks; Serve must be called with the Drainer.
 func New(listener net.Listener, server *http.Server) *Drainer {
 	d := &Drainer{listener: listener, conns: map[*conn]bool{}}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
--- a/internal/drainer/linger.go
+++ b/internal/drainer/linger.go
@@ -13,19 +13,26 @@
 	"k8s.io/klog/v2"
 )
 
-// lingerTimeout is how long a connection that the client may still write to stays open after the client has received the answer. A
-// client may drop an answer that it has not read when it learns that its own bytes were rejected.
-const lingerTimeout = 500 * time.Millisecond
+const (
+	// lingerTimeout is how long a connection that the client may still write to stays open after the client has received the
+	// answer. A client may drop an answer that it has not read when it learns that its own bytes were rejected.
+	lingerTimeout = 500 * time.Millisecond
+	// maxLinger bounds the time for a client that does not read its answer.
+	maxLinger = 10 * time.Second
+)
 
-// linger waits until the client has received the answer. Closing a connection with unread bytes resets it and discards what was not
-// sent, and so may the exit of the process.
+// linger ends the sending side and waits until the client has received the answer, if it could be lost otherwise: closing a connection
+// with unread bytes resets it and discards what was not sent, and so may the exit of the process.
 func (c *conn) linger() {
-	if _, ok := c.Conn.(syscall.Conn); !ok || c.CloseWrite() != nil {
-		return // the connection is broken, or no socket
+	if _, ok := c.Conn.(syscall.Conn); !ok {
+		return
 	}
 	mayWrite := !c.bodyRead.Load() || c.pendingBytes(unix.SIOCINQ) > 0
+	if !mayWrite && !c.drainer.draining.Load() || c.CloseWrite() != nil {
+		return // the system sends the rest, or the connection is broken
+	}
 	buffer := make([]byte, 4096)
-	for start := time.Now(); !c.drainer.ended.Load(); {
+	for start := time.Now(); !c.drainer.ended.Load() && time.Since(start) < maxLinger; {
 		if c.pendingBytes(unix.SIOCOUTQ) == 0 && (!mayWrite || time.Since(start) >= lingerTimeout) {
 			return
 		}
