Handle SIGHUP before the settings are read

An instance that got SIGHUP while it read its settings file ended: the handler was registered after the file had been read, and Go's default for SIGHUP is to end the process. Its callers found no listener, and the platform saw a process that ends by itself.

The handler is registered as soon as the flags are parsed. Not with -check, which a terminal's end may stop.

Before: TestSignalWhileSettingsAreRead, whose settings are a pipe, failed in each run with exit code -1 (ended by the signal). A SIGHUP in the 4 ms before main still ends the process: that is the start of Go's runtime and of the packages, of which 0.9 ms is package bundler.

What holds, and is shown by TestSignalsCutNoRequest with real processes and requests on connections that stay open: 40 SIGHUPs in a second, with settings that are as before, missing, cut in half or name other ports; SIGHUP, SIGTERM and SIGINT every 25 ms throughout a planned stop. TestSignalAtStart sends SIGTERM 0 to 40 ms after the start.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -43,6 +43,10 @@
 		flags.Usage()
 		return ExitUsage
 	}
+	hangups := make(chan os.Signal, 1)
+	if !*checkOnly {
+		signal.Notify(hangups, syscall.SIGHUP) // before anything else: an unhandled SIGHUP ends the process
+	}
 	settings, err := platform.LoadSettings(*path)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -51,12 +55,10 @@
 	if *checkOnly {
 		return ExitSuccess
 	}
-	return serveEntry(*path, settings, stdout, stderr)
+	return serveEntry(*path, settings, hangups, stdout, stderr)
 }
 
-func serveEntry(path string, settings platform.Settings, stdout, stderr io.Writer) ExitCode {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP) // before anything else: an unhandled SIGHUP ends the process
+func serveEntry(path string, settings platform.Settings, hangups <-chan os.Signal, stdout, stderr io.Writer) ExitCode {
 	events := &recorder.Ring{}
 	log := logger.New(stdout, events.Add)
 	if err := log.AttachKlog(); err != nil {
--- /dev/null
+++ b/internal/verifier/signal_test.go
@@ -0,0 +1,184 @@
+package verifier
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSignalWhileSettingsAreRead guards against an instance that ends because SIGHUP comes before it has read its settings.
+func TestSignalWhileSettingsAreRead(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings")
+	is.NoErr(syscall.Mkfifo(path, 0o600))
+	p := startProcess(t, "entry", "entry", "-settings", path)
+	p.exitExpected.Store(true)
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0) // blocks until the process opens it
+	is.NoErr(err)
+	p.signal(t, syscall.SIGHUP)
+	_, err = settings.WriteString("not settings\n")
+	is.NoErr(err)
+	is.NoErr(settings.Close())
+	<-p.exited
+	is.Equal(p.cmd.ProcessState.ExitCode(), 2) // -1 if a signal ended it
+	is.True(p.outputContains("self.node_name: missing"))
+}
+
+// TestSignalAtStart guards against an instance that does not end, or ends with a failure, because SIGTERM comes as it starts.
+func TestSignalAtStart(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
+	must(t, err)
+	for _, delay := range []time.Duration{0, 3, 6, 9, 12, 20, 40} {
+		t.Run(fmt.Sprintf("%d ms", delay), func(t *testing.T) {
+			t.Parallel()
+			ip := fmt.Sprintf("127.%d.%d.1", addressBlock, clusterCount.Add(1))
+			path := filepath.Join(t.TempDir(), "settings")
+			text := strings.NewReplacer("127.0.0.2", ip, "grace_period_s=8", "grace_period_s=4").Replace(string(raw))
+			must(t, os.WriteFile(path, []byte(text), 0o600))
+			p := startProcess(t, "entry", "entry", "-settings", path)
+			time.Sleep(delay * time.Millisecond)
+			started := time.Now()
+			p.terminate(t)
+			state := p.cmd.ProcessState
+			status, _ := state.Sys().(syscall.WaitStatus)
+			if !status.Signaled() && state.ExitCode() != 0 || time.Since(started) > 4*time.Second {
+				t.Errorf("%s after %v", state, time.Since(started))
+			}
+			if status.Signaled() && p.outputContains(`"start"`) {
+				t.Errorf("ended by the signal after it had started: %s", state)
+			}
+		})
+	}
+}
+
+// signalClients send requests to an entry on connections that they keep open, until they are told to end.
+type signalClients struct {
+	entry   *entry
+	dials   atomic.Int64
+	ended   chan struct{}
+	pending sync.WaitGroup
+	mu      sync.Mutex
+	results []stopResult
+}
+
+// signalClientCount is the number of connections that signalClients keep open.
+const signalClientCount = 8
+
+// startSignalClients opens the connections and starts to send.
+func startSignalClients(t *testing.T, e *entry) *signalClients {
+	t.Helper()
+	s := &signalClients{entry: e, ended: make(chan struct{})}
+	var dialer net.Dialer
+	for n := range signalClientCount {
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			s.dials.Add(1)
+			return dialer.DialContext(ctx, network, address)
+		}}
+		t.Cleanup(transport.CloseIdleConnections)
+		client := &http.Client{Transport: transport}
+		s.pending.Go(func() { s.send(client, n) })
+	}
+	return s
+}
+
+// send sends requests with a client, one after the other.
+func (s *signalClients) send(client *http.Client, n int) {
+	for i := 0; ; i++ {
+		select {
+		case <-s.ended:
+			return
+		default:
+		}
+		r := stopResult{id: fmt.Sprintf("signal-%s-%d-%d", s.entry.name, n, i)}
+		r.status, r.err = s.entry.sendStopRequest(client, "render.shashat.example", "/orders/a", r.id, n)
+		s.mu.Lock()
+		s.results = append(s.results, r)
+		s.mu.Unlock()
+		if r.err != nil {
+			return // the connection ended with the entry
+		}
+	}
+}
+
+// end waits for the requests in flight and returns the results of all.
+func (s *signalClients) end() []stopResult {
+	close(s.ended)
+	s.pending.Wait()
+	return s.results
+}
+
+// TestSignalsCutNoRequest guards against requests that an entry cuts, or does not answer, because of SIGHUP, and against a second
+// signal that ends the entry before a planned stop is complete.
+func TestSignalsCutNoRequest(t *testing.T) {
+	const series, interval = 40, 25 * time.Millisecond
+	tests := map[string]struct {
+		change  func(text string) string // of the settings file; nil to remove it
+		signals []syscall.Signal         // sent in turn
+		log     string                   // what the entry logs
+		stops   bool
+	}{
+		"SIGHUP, same settings":   {change: strings.Clone, signals: []syscall.Signal{syscall.SIGHUP}, log: "settings are valid"},
+		"SIGHUP, no settings":     {signals: []syscall.Signal{syscall.SIGHUP}, log: "settings are invalid"},
+		"SIGHUP, half of a file":  {change: func(s string) string { return s[:len(s)/2] }, signals: []syscall.Signal{syscall.SIGHUP}, log: "settings are invalid"},
+		"SIGHUP, other addresses": {change: strings.NewReplacer(":740", ":750", "7403,7403", "7503,7503").Replace, signals: []syscall.Signal{syscall.SIGHUP}, log: "settings are valid"},
+		"SIGHUP in a stop":        {change: strings.Clone, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}, log: "settings are valid", stops: true},
+		"SIGTERM in a stop":       {change: strings.Clone, signals: []syscall.Signal{syscall.SIGTERM}, log: `"stop"`, stops: true},
+		"SIGINT in a stop":        {change: strings.Clone, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}, log: `"stop"`, stops: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, defaultSize, "-slots", "40", "-service-time", "300ms", "-jitter", "0")
+			e := c.entries[1]
+			c.shortenGrace(e)
+			c.awaitAgreement(c.entries...)
+			clients := startSignalClients(t, e)
+			time.Sleep(time.Second)
+			if test.change == nil {
+				is.NoErr(os.Remove(e.settingsPath))
+			} else {
+				text, err := os.ReadFile(e.settingsPath)
+				is.NoErr(err)
+				is.NoErr(os.WriteFile(e.settingsPath, []byte(test.change(string(text))), 0o600))
+			}
+			e.process.exitExpected.Store(test.stops)
+			for i := 0; i < series || test.stops && !e.process.hasExited(); i++ {
+				_ = e.process.cmd.Process.Signal(test.signals[i%len(test.signals)]) // fails only once the process has exited
+				time.Sleep(interval)
+			}
+			if !test.stops {
+				time.Sleep(time.Second)
+			}
+			results := clients.end()
+			is.Equal(e.process.hasExited(), test.stops)
+			is.True(e.process.outputContains(test.log))
+			if test.stops {
+				is.Equal(e.process.cmd.ProcessState.ExitCode(), 0)
+			} else {
+				is.Equal(clients.dials.Load(), int64(signalClientCount))
+			}
+			runs := map[string]int{}
+			for _, execution := range c.fetchExecutions() {
+				runs[execution.RequestID]++
+			}
+			for _, r := range results {
+				if problem := r.problem(runs[r.id]); problem != "" || !test.stops && r.status != http.StatusOK {
+					t.Errorf("%s: status %d, executed %d times, %v %s", r.id, r.status, runs[r.id], r.err, problem)
+				}
+			}
+			is.True(len(results) > 2*signalClientCount)
+		})
+	}
+}
