Ignore further signals until the process has exited

An instance that got SIGTERM or SIGINT a second time while it wrote the end of its log ended by that signal: exit code -1 instead of 0, and the last lines, which say what the exit cut, were lost. The handler was released before the log was written.

The test for it makes the time long: TestSignalWhileLogIsWritten gives the process a full pipe for its log.

The handler is never released now; the process ends by os.Exit. Signals in the time before were ignored already: NotifyContext goes on catching them after the first one.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -69,8 +69,8 @@
 		klog.Flush()
 		log.Close()
 	}()
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	// It is never released: another signal must not end the process while it shuts down and writes its log.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	go checkSettingsOnHangup(path, hangups)
 	if err := runner.New(settings, log, events).Run(ctx); err != nil && err != http.ErrServerClosed {
 		klog.InfoS("stopped", "error", err)
--- a/internal/verifier/signal_test.go
+++ b/internal/verifier/signal_test.go
@@ -1,11 +1,14 @@
 package verifier
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -35,6 +38,58 @@
 	is.True(p.outputContains("self.node_name: missing"))
 }
 
+// TestSignalWhileLogIsWritten guards against a signal that ends an instance early, and with a failure, while it writes the end of its
+// log after a planned stop.
+func TestSignalWhileLogIsWritten(t *testing.T) {
+	is := is.New(t)
+	const grace = 4 * time.Second // ends after the delays of a planned stop
+	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
+	is.NoErr(err)
+	ip := fmt.Sprintf("127.%d.%d.1", addressBlock, clusterCount.Add(1))
+	text := strings.NewReplacer("127.0.0.2", ip, "grace_period_s=8", fmt.Sprintf("grace_period_s=%.0f", grace.Seconds())).Replace(string(raw))
+	path := filepath.Join(t.TempDir(), "settings")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	out, full, err := os.Pipe()
+	is.NoErr(err)
+	defer out.Close()
+	defer full.Close()
+	fillPipe(t, full)
+	entry := exec.Command(binary, "entry", "-settings", path)
+	entry.Stdout = full
+	is.NoErr(entry.Start())
+	defer func() { _ = entry.Process.Kill() }() // if the test fails
+	await(t, "the entry listens", func() bool {
+		connection, err := net.Dial("tcp", net.JoinHostPort(ip, clientPort))
+		return err == nil && connection.Close() == nil
+	})
+	is.NoErr(entry.Process.Signal(syscall.SIGTERM))
+	time.Sleep(grace)
+	is.NoErr(entry.Process.Signal(syscall.SIGTERM))
+	is.NoErr(entry.Process.Signal(syscall.SIGINT))
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(full.Close())
+	rest, err := io.ReadAll(out) // ends when the entry has exited
+	is.NoErr(err)
+	is.NoErr(entry.Wait())
+	is.True(bytes.Contains(rest, []byte(`"stop"`)))
+}
+
+// fillPipe fills a pipe, so that the next write to it blocks.
+func fillPipe(t *testing.T, pipe *os.File) {
+	t.Helper()
+	fd := int(pipe.Fd())
+	must(t, syscall.SetNonblock(fd, true))
+	for _, block := range [][]byte{make([]byte, 4096), {0}} {
+		for {
+			if _, err := syscall.Write(fd, block); err != nil {
+				is.New(t).Equal(err, syscall.EAGAIN)
+				break
+			}
+		}
+	}
+	must(t, syscall.SetNonblock(fd, false))
+}
+
 // TestSignalAtStart guards against an instance that does not end, or ends with a failure, because SIGTERM comes as it starts.
 func TestSignalAtStart(t *testing.T) {
 	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
