--- a/internal/verifier/signal_test.go
+++ b/internal/verifier/signal_test.go
@@ -163,6 +163,9 @@
 		if r.err != nil {
 			return // the connection ended with the entry
 		}
+		if r.status != http.StatusOK {
+			time.Sleep(pollInterval)
+		}
 	}
 }
 
