An instance that is leaving takes over the lead last

When a leader exits, the instance with the least delay takes over, also one that got SIGTERM itself. In a series of stops whose grace periods overlap, such a leader exits after seconds, and the keys change their leader again. Each change keeps keys of servers that begin to drain in the next 4.2 s from moving.

An instance that is leaving now behaves like one that has lost its paths to the servers: it replaces only a leader that is gone, a second later than others, and none that asks to be replaced. The elector's name for that, SetCutOff, becomes SetLastResort.

Before, TestLeavingInstanceTakesOverLast failed: a leaving instance took over as early as others (0s instead of 1s later).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,7 +69,7 @@
 var ElectionSettings = elector.Settings{
 	LeaseDuration: 20 * time.Second, RenewInterval: 700 * time.Millisecond,
 	ElectionTimeout: 2200 * time.Millisecond, SuspicionTimeout: 1300 * time.Millisecond,
-	RetryDelay: 250 * time.Millisecond, RefusalThreshold: 2, MaxJitter: 250 * time.Millisecond, CutOffDelay: time.Second,
+	RetryDelay: 250 * time.Millisecond, RefusalThreshold: 2, MaxJitter: 250 * time.Millisecond, LastResortDelay: time.Second,
 }
 
 // GrantSettings are the timings of range leases and grants.
@@ -326,6 +326,7 @@
 func (c *Controller) AnnounceLeaving() {
 	c.post(func(now time.Time) {
 		c.leaving = true
+		c.elector.SetLastResort(true)
 		c.announceSelf(now)
 	})
 }
--- a/internal/controller/cut_simulation_test.go
+++ b/internal/controller/cut_simulation_test.go
@@ -207,7 +207,7 @@
 		}
 	}
 	e.member.Lost = lost
-	e.elector.SetCutOff(lost.Contains(cutSimKeyed))
+	e.elector.SetLastResort(lost.Contains(cutSimKeyed))
 	e.view = nil
 	e.nextReport = s.now
 	if e.elector.Term() != 0 {
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -65,3 +65,34 @@
 		})
 	}
 }
+
+// TestLeavingInstanceTakesOverLast guards against an instance that becomes the leader while it is leaving, so that keys change their leader
+// once more when it exits, and against one that never does although no other is left.
+func TestLeavingInstanceTakesOverLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	takeover := func(leaving bool) time.Duration {
+		c := newControllerWithServers(t, "127.0.0.1:1")
+		c.elector = elector.New(ElectionSettings, now, elector.Identity{Instance: "self"}, 0, false)
+		leader := elector.Leader{Identity: elector.Identity{Instance: "leader"}, Term: 1}
+		c.elector.Tick(now)
+		c.elector.CompleteRead(now, 0, 2, leader, 0)
+		if leaving {
+			c.AnnounceLeaving()
+			for !c.leaving { // events of calls to the store may come before
+				(<-c.events)(now)
+			}
+			c.updatePaths(now)
+		}
+		for range ElectionSettings.RefusalThreshold {
+			c.elector.ReportFailed(leader, true)
+		}
+		for after := time.Duration(0); after < ElectionSettings.SuspicionTimeout; after += 10 * time.Millisecond {
+			if _, ok := c.elector.Tick(now.Add(after)).(elector.AppendLeader); ok {
+				return after
+			}
+		}
+		return 0
+	}
+	is.Equal(takeover(true)-takeover(false), ElectionSettings.LastResortDelay)
+}
--- a/internal/controller/paths.go
+++ b/internal/controller/paths.go
@@ -50,7 +50,7 @@
 		c.lostSince[s.Service] = s.Since
 	}
 	c.options.Meter.Set(meter.LostServices, int64(len(list)))
-	c.elector.SetCutOff(c.isCutOff())
+	c.elector.SetLastResort(c.leaving || c.isCutOff())
 	c.announceSelf(now)
 }
 
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -38,8 +38,8 @@
 	// MaxJitter is the longest delay before a takeover of instances with a jitterFraction of at most 1. The delays of the
 	// instances differ, so that they don't all append at once.
 	MaxJitter time.Duration
-	// CutOffDelay is how much later an instance takes over that has lost its paths to backend servers.
-	CutOffDelay time.Duration
+	// LastResortDelay is how much later an instance takes over that should lead only if no other one does.
+	LastResortDelay time.Duration
 }
 
 // readJitterFactor multiplies an instance's jitter in the delay between its reads of an unreachable store: when no
@@ -108,7 +108,7 @@
 	storedPlan     uint64 // highest sequence number of a plan of this term known to be stored
 	unansweredPlan uint64 // highest sequence number of a plan whose append got no answer
 	ineligible     bool   // this instance does not know enough to lead
-	cutOff         bool   // see SetCutOff
+	lastResort     bool   // see SetLastResort
 
 	leaderKnownAt     time.Time // when this instance learned of the leader
 	contact           Leader    // the last leader that answered this instance or called it
@@ -197,9 +197,9 @@
 // SetEligible sets whether this instance knows enough to lead. It is eligible by default.
 func (e *Elector) SetEligible(eligible bool) { e.ineligible = !eligible }
 
-// SetCutOff sets whether this instance has lost its paths to backend servers, so that it could not grant. It then replaces only a
-// leader that is gone, and CutOffDelay later than others.
-func (e *Elector) SetCutOff(cutOff bool) { e.cutOff = cutOff }
+// SetLastResort sets whether this instance should lead only if no other one does: it has lost its paths to backend servers, so that it
+// could not grant, or it is leaving. It then replaces only a leader that is gone, and LastResortDelay later than others.
+func (e *Elector) SetLastResort(lastResort bool) { e.lastResort = lastResort }
 
 // InvalidateLease ends the leader lease until the next append is acknowledged. It is called after this process was
 // suspended, or after a server reported a higher fence.
@@ -286,7 +286,7 @@
 		return ReadLeader{}
 	case e.term != 0:
 		return e.leaderCall(now)
-	case e.leaderReplaceable && !e.cutOff && e.StoreUnreachable(now):
+	case e.leaderReplaceable && !e.lastResort && e.StoreUnreachable(now):
 		return ReadLeader{} // checks whether this instance reaches the store, which the leader does not
 	case e.needsTakeover(now) && !e.synced:
 		return ReadLeader{}
@@ -337,7 +337,7 @@
 		return true // an earlier incarnation of this instance
 	case e.refusals >= e.settings.RefusalThreshold:
 		return true
-	case e.leaderStopped, e.leaderReplaceable && !e.cutOff:
+	case e.leaderStopped, e.leaderReplaceable && !e.lastResort:
 		return true
 	}
 	return now.Sub(e.leaderSeenAt) > e.settings.ElectionTimeout && e.mayReplaceSilentLeader(now)
@@ -347,8 +347,8 @@
 func (e *Elector) takeoverCall(now time.Time) Call {
 	if e.takeoverAt.IsZero() {
 		e.takeoverAt = now.Add(e.jitter)
-		if e.cutOff {
-			e.takeoverAt = e.takeoverAt.Add(e.settings.CutOffDelay)
+		if e.lastResort {
+			e.takeoverAt = e.takeoverAt.Add(e.settings.LastResortDelay)
 		}
 	}
 	if now.Before(e.takeoverAt) {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -12,7 +12,7 @@
 	settings = Settings{
 		LeaseDuration: 20 * time.Second, RenewInterval: time.Second, ElectionTimeout: 2 * time.Second,
 		SuspicionTimeout: 900 * time.Millisecond, RetryDelay: 250 * time.Millisecond, RefusalThreshold: 2,
-		MaxJitter: 200 * time.Millisecond, CutOffDelay: 500 * time.Millisecond,
+		MaxJitter: 200 * time.Millisecond, LastResortDelay: 500 * time.Millisecond,
 	}
 	self  = Identity{Instance: "self", Incarnation: 1, Address: "self:1"}
 	other = Identity{Instance: "other", Incarnation: 2, Address: "other:1"}
@@ -320,29 +320,29 @@
 	is.Equal(e.Tick(at(310*time.Millisecond)), AppendLeader{Leader: Leader{Identity: self, Term: 6, Settled: true}, Offset: 5})
 }
 
-// TestCutOffInstanceTakesOverLast guards against a leader that has lost its paths to the servers and is replaced by another such
-// instance, and against keys that nobody grants because all are cut off and the leader is gone.
-func TestCutOffInstanceTakesOverLast(t *testing.T) {
+// TestLastResortTakesOverLast guards against a leader that has lost its paths to the servers, or is leaving, and is replaced by another
+// such instance, and against keys that nobody grants because all instances are such and the leader is gone.
+func TestLastResortTakesOverLast(t *testing.T) {
 	takeover := AppendLeader{Leader: Leader{Identity: self, Term: 6, Settled: true}, Offset: 5}
 	tests := map[string]struct {
-		cutOff bool
-		event  func(e *Elector)
-		after  time.Duration
-		want   Call
+		lastResort bool
+		event      func(e *Elector)
+		after      time.Duration
+		want       Call
 	}{
-		"leader to be replaced":          {event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 10 * time.Millisecond, want: takeover},
-		"leader to be replaced, cut off": {cutOff: true, event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 800 * time.Millisecond},
+		"leader to be replaced":              {event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 10 * time.Millisecond, want: takeover},
+		"leader to be replaced, last resort": {lastResort: true, event: func(e *Elector) { e.ReportAnswered(start, otherLeader, true, true) }, after: 800 * time.Millisecond},
 		"leader replaced already": {event: func(e *Elector) {
 			e.ReportAnswered(start, Leader{Identity: Identity{Instance: "third"}, Term: 2}, true, true)
 		}, after: 800 * time.Millisecond},
-		"leader gone, cut off, before the delay": {cutOff: true, event: refuseTwice, after: settings.CutOffDelay - time.Millisecond},
-		"leader gone, cut off":                   {cutOff: true, event: refuseTwice, after: settings.CutOffDelay, want: takeover},
+		"leader gone, last resort, before the delay": {lastResort: true, event: refuseTwice, after: settings.LastResortDelay - time.Millisecond},
+		"leader gone, last resort":                   {lastResort: true, event: refuseTwice, after: settings.LastResortDelay, want: takeover},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			e := newNonLeader()
-			e.SetCutOff(tc.cutOff)
+			e.SetLastResort(tc.lastResort)
 			e.nextCallAt = start
 			tc.event(e)
 			first := e.Tick(start) // starts the delay
