--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -40,6 +40,8 @@
 	entries, keyedServers, unkeyedServers int
 	// seeded says that the settings name seeds: entry_1 and one that never runs.
 	seeded bool
+	// grace is the grace period of the entries; 0 leaves that of the example.
+	grace time.Duration
 }
 
 // defaultSize is the size of the clusters of all tests but the soak.
@@ -71,6 +73,7 @@
 // entry is an entry instance. A restart replaces its process.
 type entry struct {
 	name, ip     string
+	domain       string // failure domain
 	settingsPath string
 	storeProxy   *proxy // between the entry and the store
 	process      *process
@@ -92,6 +95,7 @@
 	dir       string
 	number    int
 	seeded    bool // the settings name seeds
+	grace     time.Duration
 	store     *process
 	collector *process
 	servers   []*server // first those with keys
@@ -106,7 +110,7 @@
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
 // owner. keyedServerFlags are added to the command line of the keyed servers.
 func newCluster(t *testing.T, size clusterSize, keyedServerFlags ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, admin: inspector.NewClient(adminTimeout)}
+	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, admin: inspector.NewClient(adminTimeout)}
 	t.Cleanup(c.admin.Close)
 	c.store = startStandin(t, "store", "standin", "store")
 	c.collector = startStandin(t, "collector", "standin", "collector")
@@ -149,17 +153,20 @@
 func (c *cluster) addEntry() *entry {
 	c.t.Helper()
 	n := len(c.entries) + 1
-	e := &entry{name: fmt.Sprintf("entry_%d", n), storeProxy: newProxy(c.t)}
+	e := &entry{name: fmt.Sprintf("entry_%d", n), domain: domains[n%len(domains)], storeProxy: newProxy(c.t)}
 	e.ip = fmt.Sprintf("127.%d.%d.%d", addressBlock, c.number, n)
 	e.storeProxy.setTarget(c.store.address())
 	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
 	must(c.t, err)
 	text := strings.NewReplacer("entry_1", e.name, "127.0.0.2", e.ip, "127.0.0.1:7400", e.storeProxy.address(),
-		"muscat_a", domains[n%len(domains)]).Replace(string(raw))
+		"muscat_a", e.domain).Replace(string(raw))
 	text += "network.source_address=" + e.ip + "\n"
 	if c.seeded {
 		text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
 	}
+	if c.grace > 0 {
+		text = strings.Replace(text, "grace_period_s=8", fmt.Sprintf("grace_period_s=%.0f", c.grace.Seconds()), 1)
+	}
 	e.settingsPath = filepath.Join(c.dir, e.name+".conf")
 	must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
 	c.entries = append(c.entries, e)
@@ -180,6 +187,12 @@
 	e.process = startProcess(c.t, e.name, "entry", "-settings", e.settingsPath)
 }
 
+// awaitStarted waits until an entry has logged its start. Before it handles signals, any signal would kill it.
+func (c *cluster) awaitStarted(e *entry) {
+	c.t.Helper()
+	await(c.t, e.name+" has started", func() bool { return e.process.outputContains(`"start"`) })
+}
+
 // publishBundle signs and publishes the next version of the example bundle. replacements are pairs of old and new text, as
 // for strings.NewReplacer.
 func (c *cluster) publishBundle(replacements []string) {
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -155,7 +155,12 @@
 
 // randomDuration returns a random duration of at least shortest and less than longest.
 func (s *soak) randomDuration(shortest, longest time.Duration) time.Duration {
-	return shortest + time.Duration(s.random.Int64N(int64(longest-shortest)))
+	return randomBetween(s.random, shortest, longest)
+}
+
+// randomBetween returns a random duration of at least shortest and less than longest.
+func randomBetween(random *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
 }
 
 // drawAction returns a random action. All its random values are drawn here and not when it runs, so that a seed gives the
@@ -210,11 +215,6 @@
 	s.startEntry(e)
 }
 
-// awaitStarted waits until an entry has logged its start. Before it handles signals, any signal would kill it.
-func (s *soak) awaitStarted(e *entry) {
-	await(s.t, e.name+" has started", func() bool { return e.process.outputContains(`"start"`) })
-}
-
 // restartEntry shuts an entry down gracefully and starts it again.
 func (s *soak) restartEntry(e *entry) {
 	s.recordAction("SIGTERM %s, restart", e.name)
