Rolling stops: a dispatcher that stops just after the leader has exited

The record of the incident has leaders that exit while other instances begin to stop. Without a leader, other instances learn late that a dispatcher is leaving; until then they send it requests, and it takes them though they may last longer than it.

--- a/internal/verifier/dispatcher_stop_test.go
+++ b/internal/verifier/dispatcher_stop_test.go
@@ -21,6 +21,7 @@
 		slots, work string
 		from, until time.Duration // when requests are sent, since the SIGTERM of the dispatcher
 		takerStop   time.Duration // the same for the SIGTERM of the instance that takes them
+		leaderStop  time.Duration // the same for the leader, if it is another one; 0 is none
 		leader      bool          // the dispatcher leads
 	}{
 		"sent after its SIGTERM": {
@@ -32,6 +33,14 @@
 		"sent after its SIGTERM, no key": {
 			route: frameRoute, slots: "60", work: "5700ms", from: 20 * time.Millisecond, until: 420 * time.Millisecond, takerStop: 2 * time.Second,
 		},
+		"sent after its SIGTERM, the leader stops before": {
+			route: orderRoute, slots: "60", work: "5700ms", from: 20 * time.Millisecond, until: 1220 * time.Millisecond, takerStop: 3 * time.Second,
+			leaderStop: -3 * time.Second,
+		},
+		"sent after its SIGTERM, the leader has exited": {
+			route: orderRoute, slots: "60", work: "5700ms", from: 20 * time.Millisecond, until: 1220 * time.Millisecond, takerStop: 3 * time.Second,
+			leaderStop: -3400 * time.Millisecond,
+		},
 		"waiting at its SIGTERM": {
 			route: orderRoute, slots: "4", work: "1500ms", from: -500 * time.Millisecond, until: -100 * time.Millisecond, takerStop: 2 * time.Second,
 		},
@@ -59,9 +68,13 @@
 			c.awaitAgreement(c.entries...)
 			r := newRolling(c)
 			dispatcher, taker, key := r.chooseInstances(test.route, test.leader)
-			start := time.Now().Add(max(0, -test.from) + 100*time.Millisecond)
+			stops := map[*entry]time.Duration{dispatcher: 0, taker: test.takerStop}
+			if test.leaderStop != 0 {
+				stops[c.awaitLeader()] = test.leaderStop
+			}
+			start := time.Now().Add(max(0, -test.from, -test.leaderStop) + 100*time.Millisecond)
 			var running sync.WaitGroup
-			for e, at := range map[*entry]time.Duration{dispatcher: 0, taker: test.takerStop} {
+			for e, at := range stops {
 				running.Go(func() {
 					time.Sleep(time.Until(start.Add(at)))
 					r.stopAndRestart(e, stop{})
