--- a/internal/verifier/dispatcher_stop_test.go
+++ b/internal/verifier/dispatcher_stop_test.go
@@ -16,6 +16,7 @@
 // TestDispatcherStopsFirst guards against a dispatcher that begins what it can't end, when the instance that took the request stops
 // after it and could have answered.
 func TestDispatcherStopsFirst(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		route       clientRoute
 		slots, work string
--- a/internal/verifier/rolling_test.go
+++ b/internal/verifier/rolling_test.go
@@ -145,7 +145,7 @@
 func (r *rolling) stopAndRestart(e *entry, s stop) {
 	life := r.life(e)
 	r.sendSignal(life, syscall.SIGTERM)
-	exited := time.Now()
+	start := time.Now()
 	for at, sig := range map[time.Duration]syscall.Signal{s.secondTerm: syscall.SIGTERM, s.reload: syscall.SIGHUP} {
 		if at > 0 {
 			time.AfterFunc(at, func() { r.sendSignal(life, sig) })
@@ -157,7 +157,7 @@
 		r.t.Errorf("%s was killed at the end of its grace period", e.name)
 		life.process.kill(r.t)
 	}
-	r.recordStop(life, time.Since(exited))
+	r.recordStop(life, time.Since(start))
 	time.Sleep(s.paused)
 	r.startEntry(e)
 	r.beginLife(e)
@@ -226,6 +226,7 @@
 // TestRollingStopsAnswerEachRequest guards against requests that end without an answer, or with one of the entry's own while a server
 // is at work, when instances are stopped in turn.
 func TestRollingStopsAnswerEachRequest(t *testing.T) {
+	t.Parallel()
 	for i := range max(minRollingSeeds, *rollingSeeds) {
 		seed := *rollingFirst + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
