Hand back a hop whose body is half read when its dispatcher exits

An instance got no answer for a request that it had forwarded, or 400, when the dispatcher stopped before the body had arrived, and told its client that the outcome was unknown, although nothing had been sent to a server.

ServeHop waited for the body until the exit. Now the end of the shutdown's waits ends the reading, as for clients' requests, and the hop is declined: the other instance tries another dispatcher.

--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -244,7 +245,14 @@
 		writeHopAnswer(w, result{outcome: refused, reason: "front_has_no_configuration", retryAfter: defaultRetryAfter})
 		return
 	}
-	if err := req.readFrom(r, maxBodyBytes); err != nil {
+	readAll := f.endReadingAtExit(w)
+	err := req.readFrom(r, maxBodyBytes)
+	readAll()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.lifetime.Err() != nil:
+		writeHopAnswer(w, declinedResult())
+		return
+	case err != nil:
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/forwarder/shutdown_body_test.go
+++ b/internal/forwarder/shutdown_body_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
 // TestHalfReadBodyIsAnsweredBeforeExit guards against requests whose connections are cut when the instance exits because their bodies
@@ -67,3 +69,34 @@
 		})
 	}
 }
+
+// TestHalfReadHopIsHandedBackBeforeExit guards against a request of another instance that ends as unknown, because its body has not
+// arrived when its dispatcher exits.
+func TestHalfReadHopIsHandedBackBeforeExit(t *testing.T) {
+	is := is.New(t)
+	backend := startScriptedServer(t, answerOK)
+	f := newForwarder(t, backend)
+	server := httptest.NewServer(http.HandlerFunc(f.ServeHop))
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	now := time.Now()
+	req := &clientRequest{
+		pool: resolver.ServerPool{Service: "keyed", Server: "k", Domain: "d"}, route: "keyonce", keyed: true, key: 5,
+		objective: now.Add(time.Minute), deadline: now.Add(time.Minute), ownerMapVersion: f.View().Owners.Version(),
+	}
+	_, err = io.WriteString(c, "POST /keyonce/x HTTP/1.1\r\nHost: h\r\n"+HeaderHop+": "+req.encodeHop(now)+"\r\nContent-Length: 8\r\n\r\nhalf")
+	is.NoErr(err)
+	await(t, func() bool { return f.hops.Load() == 1 })
+	now = time.Now()
+	f.BeginShutdown(now, now.Add(100*time.Millisecond))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	var got result
+	is.NoErr(got.decode(response.Header.Get(headerOutcome)))
+	is.True(got.declined())
+	is.Equal(backend.requests.Load(), int64(0))
+}
