Let a client receive an answer whose connection is closed as idle

Package drainer took an answer for received when its handler had ended. An answer that is written before SIGTERM does not ask the client to close, so its connection counts as idle while most of the answer is in the send queue; it was closed after 100 ms, a pipelined request reset it, and neither Drain nor FinishAnswers waited for it.

While connections are drained, a connection with bytes in its send queue is now closed like one whose answer is being written: sending side first, and only once the client has all.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -66,7 +66,7 @@
 	closed := c.closed
 	c.closed = true
 	c.mu.Unlock()
-	if !closed && c.answering.Load() {
+	if !closed && c.unreceived() {
 		c.linger()
 	}
 	c.drainer.remove(c)
@@ -81,6 +81,12 @@
 	return nil
 }
 
+// unreceived reports whether the client may not have received the last answer. While the process lives, the system sends the rest of one
+// that has been written, unless the connection is reset.
+func (c *conn) unreceived() bool {
+	return c.answering.Load() || c.drainer.draining.Load() && c.pendingBytes(unix.SIOCOUTQ) > 0
+}
+
 // keepForArrived undoes closeIfIdle if bytes of a request have arrived that were not read in time, and reports whether it did.
 func (c *conn) keepForArrived() bool {
 	c.mu.Lock()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -127,7 +127,7 @@
 	defer d.mu.Unlock()
 	answering := 0
 	for c := range d.conns {
-		if c.answering.Load() {
+		if c.unreceived() {
 			answering++
 		}
 		c.endReading()
