A hop to an instance that has just started goes to another dispatcher

Clients got 503 (front_has_no_configuration) while instances were restarted in turn: the dispatcher of a pool had started again and had no view yet, its peer port was open already, and other instances still took it for the process before. The request was refused although others could have dispatched it, and one with a key was not tried elsewhere at all (found by the review of the incident's fixes).

TestHopToInstanceWithoutViewIsServed: 503 in all four cases before, 200 now.

--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -242,7 +242,7 @@
 		return
 	}
 	if f.view.Load() == nil {
-		writeHopAnswer(w, result{outcome: refused, reason: "front_has_no_configuration", retryAfter: defaultRetryAfter})
+		writeHopAnswer(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
 	readAll := f.endReadingAtExit(w)
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/limiter"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
@@ -511,3 +513,21 @@
 	is.True(!f.busy())
 	is.Equal(w.Code, 200)
 }
+
+// TestHopToInstanceWithoutViewIsServed guards against a request that is refused because its dispatcher has just started again.
+func TestHopToInstanceWithoutViewIsServed(t *testing.T) {
+	tests := map[string]string{
+		"key, idempotent": "/key/x", "key, once": "/keyonce/x", "no key, idempotent": "/idempotent/x", "no key, once": "/once/x",
+	}
+	for name, path := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startScriptedServer(t, answerOK)
+			dispatcher := New(testHeaders, limiter.New(limiter.Settings{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}), meter.New())
+			f := newForwarder(t, server, startMember(t, "dispatcher", "d", dispatcher))
+			setSelf(f, "elsewhere", false)
+			is.Equal(sendRequest(f, "POST", path, "5", "").Code, http.StatusOK)
+			is.Equal(server.requests.Load(), int64(1))
+		})
+	}
+}
