Four dispatchers without a path are asked at most, also without a path of one's own

An instance that has declined a pool itself asked five dispatchers for one request instead of four (found by the review): detour left room for an attempt of its own, and chooseDispatcher, which knew that it had declined, chose one more other instance. Both look at the same now.

TestDetoursAreBoundedWithoutOwnPath: 5 instead of 4 before.

--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -320,19 +320,20 @@
 	if instance == "" {
 		instance = self
 	}
+	f.mu.Lock()
 	if r.declined() {
-		f.mu.Lock()
 		f.declines.record(now, req.pool, instance)
-		f.mu.Unlock()
 	} else if req.keyed {
 		req.failedConnects++
 	}
+	declined := f.declines.of(now, req.pool)
+	f.mu.Unlock()
 	req.triedDispatchers = append(req.triedDispatchers, instance)
 	req.withoutPath = append(req.withoutPath, instance)
 	switch tried := len(req.triedDispatchers); {
 	case req.failedConnects >= maxFailedConnects, tried > maxDetours:
 		return false
-	case tried == maxDetours && slices.Contains(req.triedDispatchers, self):
+	case tried == maxDetours && (slices.Contains(req.triedDispatchers, self) || slices.Contains(declined, self)):
 		return false
 	}
 	f.meter.Count(meter.RequestsDetoured)
--- a/internal/forwarder/paths_test.go
+++ b/internal/forwarder/paths_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -139,3 +140,20 @@
 	is.True(f.ServerLost("dark"))
 	is.True(!f.ServerLost("p"))
 }
+
+// TestDetoursAreBoundedWithoutOwnPath guards against one more hop than maxDetours when this instance has declined the pool itself.
+func TestDetoursAreBoundedWithoutOwnPath(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, startScriptedServer(t, answerOK))
+	now := time.Now()
+	v := f.View()
+	req := &clientRequest{pool: v.Pools("plain", 0)[0]}
+	f.mu.Lock()
+	f.declines.record(now, req.pool, v.Self.Instance)
+	f.mu.Unlock()
+	hops := 1
+	for f.detour(now, req, result{outcome: unreached, reason: reasonNoPath, dispatcher: "other-" + strconv.Itoa(hops)}) {
+		hops++
+	}
+	is.Equal(hops, maxDetours)
+}
