--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/internal/timekeeper"
 )
 
@@ -82,7 +83,9 @@
 			for !c.leaving { // events of calls to the store may come before
 				(<-c.events)(now)
 			}
-			c.updatePaths(now)
+			c.lost = resolver.NewLostServices([]resolver.LostService{{Service: "desk", Since: now}})
+			c.updatePaths(now) // the paths are back
+			is.Equal(len(c.lost.All()), 0)
 		}
 		for range ElectionSettings.RefusalThreshold {
 			c.elector.ReportFailed(leader, true)
