Bound the connections that wait for their clients outside a shutdown

During a shutdown, which is short, there is no bound.

TestLingeringConnectionsAreBounded: 74 of 74 open after 5 s before; 64 at most now.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -31,6 +31,8 @@
 	listener net.Listener
 	draining atomic.Bool // CloseIdle or Drain was called
 	ended    atomic.Bool // FinishAnswers has returned
+	// lingering is the number of connections that wait for their clients to receive an answer.
+	lingering atomic.Int32
 
 	mu    sync.Mutex
 	conns map[*conn]bool
--- a/internal/drainer/linger.go
+++ b/internal/drainer/linger.go
@@ -19,6 +19,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// maxLinger bounds the time for a client that does not read its answer.
 	maxLinger = 10 * time.Second
+	// maxLingering bounds how many connections linger at once before the drain: each holds a descriptor.
+	maxLingering = 64
 )
 
 // linger ends the sending side and waits until the client has received the answer, if it could be lost otherwise: closing a connection
@@ -28,8 +30,12 @@
 		return
 	}
 	mayWrite := !c.bodyRead.Load() || c.pendingBytes(unix.SIOCINQ) > 0
-	if !mayWrite && !c.drainer.draining.Load() || c.CloseWrite() != nil {
-		return // the system sends the rest, or the connection is broken
+	if !mayWrite && !c.drainer.draining.Load() {
+		return // the system sends the rest
+	}
+	defer c.drainer.lingering.Add(-1)
+	if c.drainer.lingering.Add(1) > maxLingering && !c.drainer.draining.Load() || c.CloseWrite() != nil {
+		return
 	}
 	buffer := make([]byte, 4096)
 	for start := time.Now(); !c.drainer.ended.Load() && time.Since(start) < maxLinger; {
