--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,7 +79,7 @@
 	shutdown     atomic.Pointer[admitter.Shutdown] // nil before BeginShutdown
 	lifetime     context.Context                   // ends with errShuttingDown when all requests must have been answered
 	endLifetime  context.CancelCauseFunc
-	inFlight     inFlight
+	inFlight     requestSet    // of clients
 	hops         atomic.Int64  // requests of other instances whose answers have not been sent
 	nextRotation atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout  time.Duration // the constant, except in tests
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -245,9 +245,9 @@
 		writeHopAnswer(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
-	readAll := f.endReadingAtExit(w)
+	stop := f.endReadingAtExit(w)
 	err := req.readFrom(r, maxBodyBytes)
-	readAll()
+	stop()
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && f.lifetime.Err() != nil:
 		writeHopAnswer(w, declinedResult())
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -26,9 +26,9 @@
 	pathProbeLinger = 20 * time.Millisecond
 	// relaxInterval is the time between two calls of Pool.Relax.
 	relaxInterval = 250 * time.Millisecond
-	// declineDuration is how long an instance that has lost its path to a pool is not asked to dispatch for it again.
+	// declineDuration is how long an instance that has declined a pool is not asked to dispatch for it again.
 	declineDuration = time.Second
-	// maxDetours bounds how many instances that have lost their path to a server pool a request meets. If this instance is none of
+	// maxDetours bounds how many instances that decline a server pool or don't reach its server a request meets. If this instance is none of
 	// them, it is tried after them, as that takes no hop.
 	maxDetours = 4
 	// maxDeclines is how many instances may have declined a server pool of late before no other one is asked.
@@ -40,7 +40,8 @@
 
 // The reasons of results that say that an instance has no path to a server. Instances exchange them.
 const (
-	// reasonNoPath says that the dispatcher has lost its path to all servers of the pool.
+	// reasonNoPath says that the dispatcher has lost its path to all servers of the pool. One that stops or has just started says it
+	// too, as instances of earlier versions know no other reason that makes them choose a different dispatcher.
 	reasonNoPath = "no_path"
 	// reasonNoConnection says that a connection to the server could not be opened.
 	reasonNoConnection = "no_connection"
@@ -52,11 +53,10 @@
 	return r.declined() || r.outcome == unreached && strings.HasPrefix(r.reason, reasonNoConnection+":")
 }
 
-// declined reports whether the dispatcher knew before that it has no path to any server of the pool.
+// declined reports whether the dispatcher handed the request back without trying a server.
 func (r result) declined() bool { return r.outcome == unreached && r.reason == reasonNoPath }
 
-// declinedResult returns the result by which a dispatcher makes another instance choose a different one. An instance that shuts down
-// uses it too, as those of earlier versions know no other reason.
+// declinedResult returns the result by which a dispatcher makes another instance choose a different one.
 func declinedResult() result {
 	return result{outcome: unreached, reason: reasonNoPath, retryAfter: defaultRetryAfter}
 }
@@ -284,8 +284,7 @@
 	return f.paths.detector.ReachesMost(now, since, servers)
 }
 
-// declines holds, by server pool and instance, until when an instance is not asked to dispatch for the pool because it has lost
-// its path to the pool's servers.
+// declines holds, by server pool and instance, until when an instance is not asked to dispatch for the pool because it has declined.
 type declines map[resolver.ServerPool]map[string]time.Time
 
 // record records that an instance has declined a pool.
--- a/internal/forwarder/progress.go
+++ b/internal/forwarder/progress.go
@@ -25,50 +25,50 @@
 // String implements fmt.Stringer.
 func (s stage) String() string { return [...]string{"reading", "at_work", "answering"}[s] }
 
-// progress is the progress of one client's request.
-type progress struct {
+// requestProgress is the progress of one client's request.
+type requestProgress struct {
 	id    string
 	start time.Time
 	stage atomic.Int32
 }
 
 // enter records that the request has reached a stage.
-func (p *progress) enter(s stage) { p.stage.Store(int32(s)) }
+func (p *requestProgress) enter(s stage) { p.stage.Store(int32(s)) }
 
-// inFlight holds the clients' requests that have no answer yet. The zero inFlight is empty.
-type inFlight struct {
+// requestSet holds the clients' requests that have no answer yet. The zero requestSet is empty.
+type requestSet struct {
 	mu       sync.Mutex
-	requests map[*progress]struct{}
+	requests map[*requestProgress]struct{}
 }
 
 // begin adds a request that arrived at now.
-func (f *inFlight) begin(now time.Time, id string) *progress {
-	p := &progress{id: id, start: now}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.requests == nil {
-		f.requests = map[*progress]struct{}{}
+func (s *requestSet) begin(now time.Time, id string) *requestProgress {
+	p := &requestProgress{id: id, start: now}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests == nil {
+		s.requests = map[*requestProgress]struct{}{}
 	}
-	f.requests[p] = struct{}{}
+	s.requests[p] = struct{}{}
 	return p
 }
 
 // end removes a request.
-func (f *inFlight) end(p *progress) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.requests, p)
+func (s *requestSet) end(p *requestProgress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.requests, p)
 }
 
 // oldestFirst returns the requests in the order of their arrival.
-func (f *inFlight) oldestFirst() []*progress {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]*progress, 0, len(f.requests))
-	for p := range f.requests {
+func (s *requestSet) oldestFirst() []*requestProgress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*requestProgress, 0, len(s.requests))
+	for p := range s.requests {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *progress) int { return cmp.Or(a.start.Compare(b.start), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(list, func(a, b *requestProgress) int { return cmp.Or(a.start.Compare(b.start), cmp.Compare(a.id, b.id)) })
 	return list
 }
 
--- a/internal/forwarder/progress_test.go
+++ b/internal/forwarder/progress_test.go
@@ -11,7 +11,7 @@
 func TestInFlightKnowsStages(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
-	var f inFlight
+	var f requestSet
 	second := f.begin(start.Add(time.Second), "second")
 	first := f.begin(start, "first")
 	third := f.begin(start.Add(2*time.Second), "third")
@@ -22,7 +22,7 @@
 		got = append(got, p.id+" "+stage(p.stage.Load()).String())
 	}
 	is.Equal(got, []string{"first reading", "second at_work", "third answering"})
-	for _, p := range []*progress{first, second, third} {
+	for _, p := range []*requestProgress{first, second, third} {
 		f.end(p)
 	}
 	is.Equal(len(f.oldestFirst()), 0)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -46,9 +46,9 @@
 		f.refuse(w, r, now, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	readAll := f.endReadingAtExit(w)
+	stop := f.endReadingAtExit(w)
 	req, status, reason := f.newClientRequest(r, now, v, route)
-	readAll()
+	stop()
 	if req == nil {
 		var retryAfter time.Duration
 		if reason == reasonShuttingDown {
@@ -74,9 +74,9 @@
 	f.writeAnswer(w, r, now, req, res)
 }
 
-// endReadingAtExit makes the reading of a client's body fail when this instance is about to exit. readAll must be called once the
-// body has been read.
-func (f *Forwarder) endReadingAtExit(w http.ResponseWriter) (readAll func() bool) {
+// endReadingAtExit makes the reading of a body fail when this instance is about to exit. stop must be called once the body has been
+// read.
+func (f *Forwarder) endReadingAtExit(w http.ResponseWriter) (stop func() bool) {
 	return context.AfterFunc(f.lifetime, func() {
 		if err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)); err != nil {
 			klog.InfoS("reading a body can't be ended", "error", err)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -171,31 +171,32 @@
 	r.forwarder.BeginShutdown(now, plan.LastAnswer())
 	r.controller.AnnounceLeaving()
 	time.Sleep(time.Until(plan.CloseIdle()))
-	exit, cancel := context.WithDeadline(context.Background(), plan.Exit())
+	untilExit, cancel := context.WithDeadline(context.Background(), plan.Exit())
 	defer cancel()
-	unanswered, answered := context.WithDeadline(context.Background(), plan.LastAnswer())
-	defer answered()
-	var finishing sync.WaitGroup
-	finishing.Go(func() {
-		peers.CloseIdle(unanswered)
-		drain(exit, peers, "instances")
+	// Ends at the last answer, or as soon as all clients are answered.
+	peersNeeded, releasePeers := context.WithDeadline(context.Background(), plan.LastAnswer())
+	defer releasePeers()
+	var peersDrained sync.WaitGroup
+	peersDrained.Go(func() {
+		peers.CloseIdle(peersNeeded)
+		drain(untilExit, peers, "instances")
 		finishAnswers(peers, "instances", plan)
 	})
-	accepting, cancel := context.WithDeadline(context.Background(), plan.StopAccepting())
+	whileAccepting, cancel := context.WithDeadline(context.Background(), plan.StopAccepting())
 	defer cancel()
-	clients.CloseIdle(accepting)
-	drain(exit, clients, "clients")
+	clients.CloseIdle(whileAccepting)
+	drain(untilExit, clients, "clients")
 	// Requests that other instances forwarded may still wait in the queues of this instance.
-	r.forwarder.Drain(exit)
-	answered()
+	r.forwarder.Drain(untilExit)
+	releasePeers()
 	finishAnswers(clients, "clients", plan)
-	finishing.Wait()
+	peersDrained.Wait()
 	r.forwarder.LogUnanswered(time.Now())
 }
 
-// drain closes a listener, and its connections once they are idle, until exit ends.
-func drain(exit context.Context, d *drainer.Drainer, callers string) {
-	if err := d.Drain(exit); err != nil {
+// drain closes a listener, and its connections once they are idle, until ctx ends.
+func drain(ctx context.Context, d *drainer.Drainer, callers string) {
+	if err := d.Drain(ctx); err != nil {
 		klog.InfoS("draining connections failed", "callers", callers, "error", err)
 	}
 }
