A leader ends its moves before it exits

Requests for the keys of a server that began to drain shortly before the leader exited were refused for seconds: the leader exited with the release unanswered. Its successor grants the range to the draining server first, and may give it to another one only when the leases of orders that the exited leader may have sent have expired, 4.2 s later.

The instance waits, until the time of its exit, while it leads and a range has not reached its next owner. What remains: a server that begins to drain within 4.2 s of the new leader's election.

--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -99,3 +100,59 @@
 	}
 	is.Equal(takeover(true)-takeover(false), ElectionSettings.LastResortDelay)
 }
+
+// TestDrainWaitsForMoves guards against a leader that exits while a server releases a range, so that nobody serves its keys until the
+// lease has expired, and against one that waits in vain.
+func TestDrainWaitsForMoves(t *testing.T) {
+	tests := map[string]struct{ moves, leads, ends bool }{
+		"range moves":       {moves: true, leads: true},
+		"range has moved":   {moves: true, leads: true, ends: true},
+		"no range moves":    {leads: true, ends: true},
+		"another one leads": {moves: true, ends: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, now := newLeaderOfTwo(t)
+			l := c.leaderState
+			if test.moves {
+				is.True(l.granter.StartMove(now, "desk", partitioner.Range{First: 0, Last: 32767}, "c"))
+			}
+			if !test.leads {
+				c.leaderState = nil
+			}
+			if test.moves && test.leads && test.ends {
+				time.AfterFunc(2*drainPollInterval, func() { c.post(func(time.Time) { completeMove(l.granter, now) }) })
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*drainPollInterval)
+			defer cancel()
+			go func() {
+				for ctx.Err() == nil {
+					select {
+					case event := <-c.events:
+						event(now)
+					case <-ctx.Done():
+					}
+				}
+			}()
+			c.Drain(ctx)
+			is.Equal(ctx.Err() == nil, test.ends)
+		})
+	}
+}
+
+// completeMove answers all orders of a granter until a range that moves has its next owner.
+func completeMove(g *granter.Granter, now time.Time) {
+	for range 4 { // a grant that confirms the lease, the release, the plan and the grant to the next owner
+		sequence, _ := g.UnstoredPlan()
+		g.SetStoredPlans(sequence, sequence)
+		for _, order := range g.Tick(now) {
+			switch o := order.(type) {
+			case granter.Grant:
+				g.CompleteGrant(now, o, granter.Accepted)
+			case granter.Release:
+				g.CompleteRelease(now, o, granter.Accepted, "")
+			}
+		}
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -188,6 +188,7 @@
 	drain(untilExit, clients, "clients")
 	// Requests that other instances forwarded may still wait in the queues of this instance.
 	r.forwarder.Drain(untilExit)
+	r.controller.Drain(untilExit)
 	releasePeers()
 	finishAnswers(clients, "clients", plan)
 	peersDrained.Wait()
