Rolling stops: a request broken off at work counts after a repeat in vain, too

The judge took a 502 as a loss only if a server was at work until 0.1 s before it. An instance that repeats an idempotent request after its dispatcher broke it off, and then gives an answer of its own, passed. Now it is a loss if a server was at work at any time since SIGTERM or SIGHUP and the answer is not the server's; what was broken off before the SIGTERM doesn't count. The allowed cases are unchanged.

--- a/internal/verifier/loss_test.go
+++ b/internal/verifier/loss_test.go
@@ -59,23 +59,21 @@
 		return ""
 	case r.status == 0 && len(executions) == 0 && r.ended.Sub(r.sent) <= lossSlack:
 		return "" // it crossed the close
-	case r.status != 0 && !atWork(r.ended.Add(-clockSlack), r.ended):
-		return ""
 	case !to.stopped.IsZero() && !r.sent.After(to.stopped.Add(lastSentAfterStop)) &&
 		atWork(to.stopped.Add(stopGrace*5/6), to.stopped.Add(stopGrace)):
 		return ""
 	}
-	stopping := !to.stopped.IsZero() && !r.ended.Before(to.stopped) && r.ended.Before(to.stopped.Add(stopGrace+plannedTail))
+	if r.status == 0 {
+		return "closed without an answer"
+	}
+	stopping := !to.stopped.IsZero() && r.ended.Before(to.stopped.Add(stopGrace+plannedTail)) && atWork(to.stopped, r.ended)
 	reloading := slices.ContainsFunc(to.reloaded, func(at time.Time) bool {
-		return !r.sent.After(at.Add(reloadWindow)) && r.ended.After(at)
+		return !r.sent.After(at.Add(reloadWindow)) && atWork(at, r.ended)
 	})
-	switch {
-	case r.status == 0:
-		return "closed without an answer"
-	case stopping, reloading:
+	if stopping || reloading {
 		return "broken off at work"
 	}
-	return "" // another instance stopped; this is not planned work of the one that took the request
+	return "" // no server was at work, or only another instance stopped
 }
 
 // TestLoss guards against a check of planned work that can't fail, and against one that counts what the rules allow.
@@ -99,25 +97,27 @@
 		executions []emulator.Execution
 		want       string
 	}{
-		"closed at work":                {request: request(0, 2, 0), signals: stop, executions: run(0, 2), want: "closed without an answer"},
-		"closed at work, no stop":       {request: request(0, 2, 0), executions: run(0, 2), want: "closed without an answer"},
-		"closed, not executed, late":    {request: request(0, 0.3, 0), signals: stop, want: "closed without an answer"},
-		"crossed a close":               {request: request(2.5, 2.6, 0), signals: stop},
-		"closed at the time limit":      {request: request(-3, 5, 0), signals: stop, executions: run(-3, 5)},
-		"closed in the last sixth":      {request: request(1, 5.5, 0), signals: stop, executions: run(1, 5.5)},
-		"late, closed in the last":      {request: request(3.1, 5.5, 0), signals: stop, executions: run(3.2, 5.5), want: "closed without an answer"},
-		"502 in the last sixth":         {request: request(1, 5.3, http.StatusBadGateway), signals: stop, executions: run(1, 5.3)},
-		"502 before the last sixth":     {request: request(1, 4.8, http.StatusBadGateway), signals: stop, executions: run(1, 4.8), want: "broken off at work"},
-		"504 before the last sixth":     {request: request(1, 4.8, http.StatusGatewayTimeout), signals: stop, executions: run(1, 4.8), want: "broken off at work"},
-		"502, no stop":                  {request: request(1, 4.8, http.StatusBadGateway), executions: run(1, 4.8)},
-		"502 after SIGHUP":              {request: request(1, 4.8, http.StatusBadGateway), signals: signals{reloaded: []time.Time{start}}, executions: run(1, 4.8), want: "broken off at work"},
-		"502, its server not at work":   {request: request(0, 4.8, http.StatusBadGateway), signals: stop},
-		"502 at work, then repeated":    {request: repeated, signals: stop, executions: append(run(0, 3), run(3, 5.5)...)},
-		"answer of the server":          {request: answered, signals: stop, executions: run(0, 5)},
-		"not run, but executed":         {request: request(0, 2, http.StatusServiceUnavailable), signals: stop, executions: run(0, 1), want: "reported as not executed"},
-		"refused":                       {request: request(0, 2, http.StatusServiceUnavailable), signals: stop},
-		"executed twice":                {request: request(0, 2, http.StatusOK), signals: stop, executions: append(run(0, 1), run(1, 2)...), want: "executed 2 times"},
-		"in progress in the last sixth": {request: request(0, 5.3, http.StatusBadGateway), signals: stop, executions: []emulator.Execution{{Start: at(0)}}},
+		"closed at work":                 {request: request(0, 2, 0), signals: stop, executions: run(0, 2), want: "closed without an answer"},
+		"closed at work, no stop":        {request: request(0, 2, 0), executions: run(0, 2), want: "closed without an answer"},
+		"closed, not executed, late":     {request: request(0, 0.3, 0), signals: stop, want: "closed without an answer"},
+		"crossed a close":                {request: request(2.5, 2.6, 0), signals: stop},
+		"closed at the time limit":       {request: request(-3, 5, 0), signals: stop, executions: run(-3, 5)},
+		"closed in the last sixth":       {request: request(1, 5.5, 0), signals: stop, executions: run(1, 5.5)},
+		"late, closed in the last":       {request: request(3.1, 5.5, 0), signals: stop, executions: run(3.2, 5.5), want: "closed without an answer"},
+		"502 in the last sixth":          {request: request(1, 5.3, http.StatusBadGateway), signals: stop, executions: run(1, 5.3)},
+		"502 before the last sixth":      {request: request(1, 4.8, http.StatusBadGateway), signals: stop, executions: run(1, 4.8), want: "broken off at work"},
+		"504 before the last sixth":      {request: request(1, 4.8, http.StatusGatewayTimeout), signals: stop, executions: run(1, 4.8), want: "broken off at work"},
+		"502, no stop":                   {request: request(1, 4.8, http.StatusBadGateway), executions: run(1, 4.8)},
+		"502 after SIGHUP":               {request: request(1, 4.8, http.StatusBadGateway), signals: signals{reloaded: []time.Time{start}}, executions: run(1, 4.8), want: "broken off at work"},
+		"502 after a repeat in vain":     {request: request(0, 4.8, http.StatusBadGateway), signals: stop, executions: run(0, 3), want: "broken off at work"},
+		"502, broken off before SIGTERM": {request: request(-3, 1, http.StatusBadGateway), signals: stop, executions: run(-3, -0.5)},
+		"502, its server not at work":    {request: request(0, 4.8, http.StatusBadGateway), signals: stop},
+		"502 at work, then repeated":     {request: repeated, signals: stop, executions: append(run(0, 3), run(3, 5.5)...)},
+		"answer of the server":           {request: answered, signals: stop, executions: run(0, 5)},
+		"not run, but executed":          {request: request(0, 2, http.StatusServiceUnavailable), signals: stop, executions: run(0, 1), want: "reported as not executed"},
+		"refused":                        {request: request(0, 2, http.StatusServiceUnavailable), signals: stop},
+		"executed twice":                 {request: request(0, 2, http.StatusOK), signals: stop, executions: append(run(0, 1), run(1, 2)...), want: "executed 2 times"},
+		"in progress in the last sixth":  {request: request(0, 5.3, http.StatusBadGateway), signals: stop, executions: []emulator.Execution{{Start: at(0)}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
