A request without time to connect leaves its dispatcher reachable

Requests of other clients went around a sound dispatcher for a second, or were refused, when one request had had too little time left to connect to it, as those have that an instance sends at the end of its grace period: forwardTo took any failure for an unreachable instance. hopFailure makes the distinction already.

TestRequestWithoutTimeLeavesItsDispatcherReachable: "no time" failed before.

--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -170,7 +170,9 @@
 		if ctx.Err() != nil {
 			return result{outcome: abandoned, dispatcher: dispatcher.Instance, reason: f.endReason(ctx)}
 		}
-		f.markUnreachable(now, dispatcher.Instance)
+		if time.Now().Before(req.deadline) { // else the request had too little time to tell
+			f.markUnreachable(now, dispatcher.Instance)
+		}
 		return result{outcome: unreached, dispatcher: dispatcher.Instance, reason: "no_front: " + err.Error()}
 	}
 	f.meter.Count(meter.RequestsForwarded)
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -554,3 +554,26 @@
 		})
 	}
 }
+
+// TestRequestWithoutTimeLeavesItsDispatcherReachable guards against a dispatcher that no request uses for a while, because one had too
+// little time left to connect to it.
+func TestRequestWithoutTimeLeavesItsDispatcherReachable(t *testing.T) {
+	tests := map[string]struct {
+		timeLeft time.Duration
+		want     bool // the dispatcher counts as unreachable
+	}{
+		"no time": {timeLeft: -time.Millisecond},
+		"enough":  {timeLeft: time.Minute, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, startScriptedServer(t, answerOK))
+			now := time.Now()
+			req := &clientRequest{deadline: now.Add(test.timeLeft)}
+			r := f.forwardTo(t.Context(), req, resolver.Member{Instance: "dispatcher", Address: closedAddress(t)})
+			is.Equal(r.outcome, unreached)
+			is.Equal(f.unreachableAt(now)("dispatcher"), test.want)
+		})
+	}
+}
