--- a/internal/admitter/plan.go
+++ b/internal/admitter/plan.go
@@ -12,9 +12,9 @@
 	deregistrationDelay = 3200 * time.Millisecond
 	// acceptingRatio is the part of the time until the last answer in which connections are accepted. The rest is for their requests.
 	acceptingRatio = 0.8
-	// finalSpan is the time between the last answer and the end of the grace period, and maxFinalRatio its greatest part of the grace
-	// period: a server that is still at work in the last sixth is no longer waited for.
-	finalSpan     = 700 * time.Millisecond
+	// maxFinalSpan and maxFinalRatio bound the time between the last answer and the end of the grace period, the latter as a part of
+	// the grace period: a server that is still at work in its last sixth is no longer waited for.
+	maxFinalSpan  = 700 * time.Millisecond
 	maxFinalRatio = 0.15
 	// exitRatio and lastByteRatio are the parts of the final span after which the instance exits: when all answers are written, and
 	// when clients read theirs slowly.
@@ -54,7 +54,9 @@
 func (p Plan) LastByte() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), lastByteRatio)) }
 
 // finalSpan returns the time between the last answer and the end of the grace period.
-func (p Plan) finalSpan() time.Duration { return min(finalSpan, scale(p.gracePeriod, maxFinalRatio)) }
+func (p Plan) finalSpan() time.Duration {
+	return min(maxFinalSpan, scale(p.gracePeriod, maxFinalRatio))
+}
 
 // acceptingSpan returns how long after the shutdown request connections may be accepted at most.
 func (p Plan) acceptingSpan() time.Duration {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -112,29 +112,38 @@
 func (d *Drainer) FinishAnswers(ctx context.Context) error {
 	defer d.ended.Store(true)
 	for {
-		answering := d.endReading()
-		if answering == 0 {
+		unreceived := d.countUnreceived()
+		d.endReading()
+		if unreceived == 0 {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return errors.Errorf("%d answers are incomplete: %v", answering, ctx.Err())
+			return errors.Errorf("%d answers are incomplete: %v", unreceived, ctx.Err())
 		}
 		time.Sleep(sweepInterval)
 	}
 }
 
-// endReading makes all reads fail, and returns how many connections have an answer that the client has not received.
-func (d *Drainer) endReading() int {
+// countUnreceived returns how many connections have an answer that the client may not have received.
+func (d *Drainer) countUnreceived() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	answering := 0
+	count := 0
 	for c := range d.conns {
 		if c.unreceived() {
-			answering++
+			count++
 		}
+	}
+	return count
+}
+
+// endReading makes the reads of all connections fail.
+func (d *Drainer) endReading() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
 		c.endReading()
 	}
-	return answering
 }
 
 // sweep closes the connections that have been idle for long enough at now, and returns how many are open.
--- a/internal/forwarder/progress.go
+++ b/internal/forwarder/progress.go
@@ -18,12 +18,12 @@
 
 const (
 	reading   stage = iota // its body is being read
-	atWork                 // it waits for a server or for the answer
+	pending                // it waits for a server or for the answer
 	answering              // its answer is being written
 )
 
 // String implements fmt.Stringer.
-func (s stage) String() string { return [...]string{"reading", "at_work", "answering"}[s] }
+func (s stage) String() string { return [...]string{"reading", "pending", "answering"}[s] }
 
 // requestProgress is the progress of one client's request.
 type requestProgress struct {
--- a/internal/forwarder/progress_test.go
+++ b/internal/forwarder/progress_test.go
@@ -15,13 +15,13 @@
 	second := f.begin(start.Add(time.Second), "second")
 	first := f.begin(start, "first")
 	third := f.begin(start.Add(2*time.Second), "third")
-	second.enter(atWork)
+	second.enter(pending)
 	third.enter(answering)
 	var got []string
 	for _, p := range f.oldestFirst() {
 		got = append(got, p.id+" "+stage(p.stage.Load()).String())
 	}
-	is.Equal(got, []string{"first reading", "second at_work", "third answering"})
+	is.Equal(got, []string{"first reading", "second pending", "third answering"})
 	for _, p := range []*requestProgress{first, second, third} {
 		f.end(p)
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -58,7 +58,7 @@
 		return
 	}
 	defer func() { f.buffers.release(req.buffered) }()
-	progress.enter(atWork)
+	progress.enter(pending)
 	if req.deadline, ok = f.admit(time.Now(), req.deadline); !ok {
 		f.refuse(w, r, now, http.StatusServiceUnavailable, reasonShuttingDown, minRetryAfter)
 		return
@@ -172,7 +172,7 @@
 	_, err := w.Write(body)
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
-		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "stopping_for", f.stoppingFor(time.Now()), "server", res.server,
+		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "server", res.server,
 		"front", res.dispatcher, "without_path", req.withoutPath, "arrivals", req.sends, "fingerprints", req.fingerprints,
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
 		"took", time.Since(start), "retry_after", res.retryAfter, "write_error", err)
@@ -215,7 +215,7 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	klog.InfoS("request", "id", r.Header.Get(f.headers.RequestID), "host", r.Host, "path", r.URL.Path, "outcome", "refused",
-		"status", status, "reason", reason, "stopping_for", f.stoppingFor(time.Now()), "took", time.Since(start))
+		"status", status, "reason", reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "took", time.Since(start))
 }
 
 // copyAnswerHeader copies the end-to-end headers of a server's answer to w, and sets Content-Length.
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -43,8 +43,8 @@
 // shuttingDown reports whether BeginShutdown was called.
 func (f *Forwarder) shuttingDown() bool { return f.shutdown.Load() != nil }
 
-// stoppingFor returns how long ago the shutdown was requested, or 0 without one.
-func (f *Forwarder) stoppingFor(now time.Time) time.Duration {
+// shuttingDownFor returns how long ago the shutdown was requested, or 0 without one.
+func (f *Forwarder) shuttingDownFor(now time.Time) time.Duration {
 	shutdown := f.shutdown.Load()
 	if shutdown == nil {
 		return 0
