The test of the leader's exit also checks what clients got

TestLeaderExitsAfterMoves sent requests through the other entries and threw their results away. Now each must be answered once, refused and not executed, or not read.

--- a/internal/verifier/leader_stop_test.go
+++ b/internal/verifier/leader_stop_test.go
@@ -35,7 +35,18 @@
 	sent, ended := strings.Count(string(log), `"release sent"`), strings.Count(string(log), `"release ended"`)
 	is.True(sent > 0)
 	is.Equal(sent, ended)
+	var results []stopResult
 	for _, s := range clients {
-		s.end()
+		results = append(results, s.end()...)
+	}
+	is.True(len(results) > 0)
+	runs := map[string]int{}
+	for _, execution := range c.fetchExecutions() {
+		runs[execution.RequestID]++
+	}
+	for _, r := range results {
+		if problem := r.problem(runs[r.id]); problem != "" {
+			t.Errorf("%s: %s", r.id, problem)
+		}
 	}
 }
