--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -348,6 +348,16 @@
 	return list
 }
 
+// countExecutions returns how often each request, by its id, was started so far.
+func (c *cluster) countExecutions() map[string]int {
+	c.t.Helper()
+	counts := map[string]int{}
+	for _, e := range c.fetchExecutions() {
+		counts[e.RequestID]++
+	}
+	return counts
+}
+
 // owner returns the owner of a key according to an entry, and false if the entry does not answer with one.
 func (c *cluster) owner(e *entry, key uint16) (inspector.OwnerAnswer, bool) {
 	answer, err := c.admin.GetOwner(context.Background(), e.ip+":"+adminPort, keyedService, key)
--- a/internal/verifier/config_test.go
+++ b/internal/verifier/config_test.go
@@ -69,10 +69,7 @@
 				results = append(results, s.end()...)
 				is.Equal(s.dials.Load(), int64(signalClientCount))
 			}
-			runs := map[string]int{}
-			for _, execution := range c.fetchExecutions() {
-				runs[execution.RequestID]++
-			}
+			runs := c.countExecutions()
 			statuses := map[int]int{}
 			for _, r := range results {
 				statuses[r.status]++
--- a/internal/verifier/leader_stop_test.go
+++ b/internal/verifier/leader_stop_test.go
@@ -40,10 +40,7 @@
 		results = append(results, s.end()...)
 	}
 	is.True(len(results) > 0)
-	runs := map[string]int{}
-	for _, execution := range c.fetchExecutions() {
-		runs[execution.RequestID]++
-	}
+	runs := c.countExecutions()
 	for _, r := range results {
 		if problem := r.problem(runs[r.id]); problem != "" {
 			t.Errorf("%s: %s", r.id, problem)
--- a/internal/verifier/signal_test.go
+++ b/internal/verifier/signal_test.go
@@ -227,10 +227,7 @@
 			} else {
 				is.Equal(clients.dials.Load(), int64(signalClientCount))
 			}
-			runs := map[string]int{}
-			for _, execution := range c.fetchExecutions() {
-				runs[execution.RequestID]++
-			}
+			runs := c.countExecutions()
 			for _, r := range results {
 				if problem := r.problem(runs[r.id]); problem != "" || !test.stops && r.status != http.StatusOK {
 					t.Errorf("%s: status %d, executed %d times, %v %s", r.id, r.status, runs[r.id], r.err, problem)
--- a/internal/verifier/stop_connections_test.go
+++ b/internal/verifier/stop_connections_test.go
@@ -87,10 +87,7 @@
 		t.Errorf("the entry exited %v after SIGTERM", took)
 	}
 	is.Equal(stopped.process.cmd.ProcessState.ExitCode(), 0)
-	runs := map[string]int{}
-	for _, e := range c.fetchExecutions() {
-		runs[e.RequestID]++
-	}
+	runs := c.countExecutions()
 	for name, id := range map[string]string{
 		"second half of a body": "stop-half", "stalled body": "stop-stalled", "stalled chunks": "stop-chunks", "pipelined": "stop-pipelined",
 	} {
--- a/internal/verifier/stop_test.go
+++ b/internal/verifier/stop_test.go
@@ -81,10 +81,7 @@
 			pending.Wait()
 			<-stopped.process.exited
 			is.Equal(stopped.process.cmd.ProcessState.ExitCode(), 0)
-			runs := map[string]int{}
-			for _, e := range c.fetchExecutions() {
-				runs[e.RequestID]++
-			}
+			runs := c.countExecutions()
 			var answered [2]int // at the stopped entry, at the other one
 			for n, pair := range results {
 				for i, r := range pair {
