--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -3,15 +3,25 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
+// A server that answers 504 with at most timeUpMargin, or the timeUpFraction-th part of the request's time, left has given up for lack of
+// time. An earlier 504 says that the server failed.
+const (
+	timeUpMargin   = 20 * time.Millisecond
+	timeUpFraction = 10
+)
+
 // dispatch queues the request for its pool, which this instance dispatches, and sends it to a server.
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
 	var server string
@@ -168,19 +178,13 @@
 	if q == nil {
 		return
 	}
-	queueOutcome := queuer.Failed
-	switch {
-	case r.lacksPath(): // the detector judges paths
-		queueOutcome = queuer.Inconclusive
-	case r.outcome == answered && r.status < http.StatusInternalServerError:
-		queueOutcome = queuer.Answered
+	given := req.deadline.Sub(start)
+	outcome := queueOutcome(r, took, given)
+	switch outcome {
+	case queuer.Answered:
 		f.loads.countAnswer(server, took)
-	case r.outcome == rejected:
-		queueOutcome = queuer.Rejected
-	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
-		queueOutcome = queuer.Inconclusive
-	case r.outcome == moved:
-		queueOutcome = queuer.Inconclusive
+	case queuer.TimedOut:
+		took = given
 	}
 	if p, ok := f.pauses[server]; ok { // before Done, which may start the next request
 		f.notifyWaiters(q, q.queue.Pause(now, server, p.until))
@@ -188,7 +192,26 @@
 	if req.suspect {
 		q.queue.EndSuspect(server)
 	}
-	f.notifyWaiters(q, q.queue.Done(now, server, req.route, queueOutcome, took))
+	f.notifyWaiters(q, q.queue.Done(now, server, req.route, outcome, took))
+}
+
+// queueOutcome returns what the result of a request that took a time, of the time given to it, says about its server.
+func queueOutcome(r result, took, given time.Duration) queuer.Outcome {
+	switch {
+	case r.lacksPath(): // the detector judges paths
+		return queuer.Inconclusive
+	case r.outcome == answered && r.status < http.StatusInternalServerError:
+		return queuer.Answered
+	case r.outcome == rejected:
+		return queuer.Rejected
+	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
+		return queuer.Inconclusive
+	case r.outcome == moved:
+		return queuer.Inconclusive
+	case r.timedOut, r.status == http.StatusGatewayTimeout && given-took <= max(timeUpMargin, given/timeUpFraction):
+		return queuer.TimedOut
+	}
+	return queuer.Failed
 }
 
 // exchange sends the request to a server and reads the complete answer.
@@ -249,12 +272,13 @@
 
 // exchangeFailure returns the result of an exchange that ended without a complete answer.
 func (f *Forwarder) exchangeFailure(ctx context.Context, req *clientRequest, serverID string, err error) result {
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	r := result{
 		outcome: broken, server: serverID, maybeSent: true, connectionLost: isConnectionLost(err),
-		reason: "no_whole_answer: " + err.Error(),
+		timedOut: timedOut, reason: "no_whole_answer: " + err.Error(),
 	}
 	if exchanger.IsErrNotSent(err) {
-		r = result{outcome: unreached, server: serverID, reason: "not_sent: " + err.Error()}
+		r = result{outcome: unreached, server: serverID, timedOut: timedOut, reason: "not_sent: " + err.Error()}
 	}
 	if reason := f.endReason(ctx); reason != "" {
 		r.reason = reason
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -107,6 +107,7 @@
 	Answered     Outcome = iota // the server executed it and answered
 	Rejected                    // the server answered that it did not execute it
 	Failed                      // no complete answer, or one that says that the server failed
+	TimedOut                    // no complete answer by the deadline, or one that says so
 	Inconclusive                // says nothing about the server, for example because the client left
 )
 
@@ -423,7 +424,7 @@
 	return s.id < other.id
 }
 
-// Done records the outcome of a request that was started, and how long it took.
+// Done records the outcome of a request that was started, and how long it took; if it TimedOut, that is the time that it had.
 func (q *Queue) Done(now time.Time, serverID, className string, outcome Outcome, took time.Duration) Change {
 	s := q.findServer(serverID)
 	if s == nil {
@@ -437,6 +438,10 @@
 		s.failures, s.ejectionTime, s.probing = 0, 0, false
 	case Failed:
 		s.recordFailure(now)
+	case TimedOut:
+		if q.hadEnoughTime(now, className, took) {
+			s.recordFailure(now)
+		}
 	case Rejected: // counts as a failure only if requests can be sent to another server
 		if q.hasOtherServer(s) {
 			s.recordFailure(now)
@@ -447,6 +452,12 @@
 	return q.advance(now)
 }
 
+// hadEnoughTime reports whether a request that had a given time at its server was likely to be answered by a sound one. Without
+// a measurement of its class it is taken to be, so that a server that hangs from the start is found out.
+func (q *Queue) hadEnoughTime(now time.Time, className string, given time.Duration) bool {
+	return q.times == nil || given >= q.times.enough(now, className)
+}
+
 // hasOtherServer reports whether requests can be sent elsewhere than to s.
 func (q *Queue) hasOtherServer(s *server) bool {
 	return slices.ContainsFunc(q.servers, func(other *server) bool { return other != s && !other.removed })
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -177,6 +177,85 @@
 	is.Equal(q.Offer(later, r), Start{Server: "b"}) // one failure ejects it again, for longer
 }
 
+// TestTimeOutsEjectOnlyIfTheTimeWasEnough guards against a sound server that is ejected because requests had little time, and
+// against one that hangs or is slow and is not ejected.
+func TestTimeOutsEjectOnlyIfTheTimeWasEnough(t *testing.T) {
+	const ms = time.Millisecond
+	steady, varying := []time.Duration{700 * ms}, slices.Repeat([]time.Duration{20 * ms, 60 * ms}, 20)
+	// Their mean and deviation suggest 110 ms, but no request of this class has more than 100 ms.
+	bounded := slices.Repeat([]time.Duration{10 * ms, 90 * ms}, 20)
+	outlier := append([]time.Duration{900 * ms}, slices.Repeat([]time.Duration{20 * ms}, 40)...)
+	tests := map[string]struct {
+		measured []time.Duration  // service times of earlier requests of the class, at another server
+		raised   time.Duration    // service time of a later answer of the server itself
+		after    time.Duration    // time between those answers and the first time-out
+		given    [3]time.Duration // times of the requests that time out
+		ejected  bool
+	}{
+		"nothing measured, hangs from the start": {given: [3]time.Duration{ms, ms, ms}, ejected: true},
+		"less time than the class takes":         {measured: steady, given: [3]time.Duration{300 * ms, 699 * ms, 300 * ms}},
+		"less time, after a while":               {measured: steady, after: 9 * time.Second, given: [3]time.Duration{300 * ms, 300 * ms, 300 * ms}},
+		"less time, but the measurement is old":  {measured: steady, after: 21 * time.Second, given: [3]time.Duration{300 * ms, 300 * ms, 300 * ms}, ejected: true},
+		"as much time as the class takes, hangs": {measured: steady, given: [3]time.Duration{700 * ms, 700 * ms, 700 * ms}, ejected: true},
+		"enough time, a while after it hung":     {measured: steady, after: 9 * time.Second, given: [3]time.Duration{700 * ms, 700 * ms, 700 * ms}, ejected: true},
+		"one of three had little time":           {measured: steady, given: [3]time.Duration{time.Second, 300 * ms, time.Second}},
+		"more than the mean, less than is usual": {measured: varying, given: [3]time.Duration{50 * ms, 50 * ms, 50 * ms}},
+		"slower than other servers of the class": {measured: varying, given: [3]time.Duration{100 * ms, 100 * ms, 100 * ms}, ejected: true},
+		"more than usual, one took longer":       {measured: outlier, given: [3]time.Duration{300 * ms, 300 * ms, 300 * ms}, ejected: true},
+		"all the time that requests have, hangs": {measured: bounded, given: [3]time.Duration{100 * ms, 100 * ms, 100 * ms}, ejected: true},
+		"slow, one slow answer was just in time": {measured: varying, raised: 95 * ms, given: [3]time.Duration{100 * ms, 100 * ms, 100 * ms}, ejected: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var times ServiceTimes
+			other, q := New(&times), New(&times)
+			other.SetServers(start, []Server{{ID: "b", Slots: 1}})
+			for _, took := range test.measured {
+				is.Equal(other.Offer(start, request(0, 1000, 1000)), Start{Server: "b"})
+				other.Done(start, "b", "c", Answered, took)
+			}
+			q.SetServers(start, []Server{{ID: "a", Slots: 3}})
+			if test.raised > 0 {
+				is.Equal(q.Offer(start, request(0, 1000, 1000)), Start{Server: "a"})
+				q.Done(start, "a", "c", Answered, test.raised)
+			}
+			now := start.Add(test.after)
+			r := Request{Class: "c", Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+			for range test.given {
+				is.Equal(q.Offer(now, r), Start{Server: "a"})
+			}
+			for _, given := range test.given {
+				q.Done(now, "a", "c", TimedOut, given)
+			}
+			_, started := q.Offer(now, r).(Start)
+			is.Equal(!started, test.ejected)
+		})
+	}
+}
+
+// TestEjectedServerStaysOnProbationAfterShortRequest guards against a server that hangs and gets all requests again after a request
+// that had too little time to find that out.
+func TestEjectedServerStaysOnProbationAfterShortRequest(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{}
+	q.SetServers(start, []Server{{ID: "a", Slots: 3}})
+	is.Equal(q.Offer(start, request(0, 1000, 1000)), Start{Server: "a"})
+	q.Done(start, "a", "c", Answered, 100*time.Millisecond)
+	for range failuresToEject {
+		is.Equal(q.Offer(start, request(0, 1000, 1000)), Start{Server: "a"})
+		q.Done(start, "a", "c", TimedOut, time.Second)
+	}
+	is.Equal(q.Offer(at(500), request(0, 2000, 2000)), Start{Server: "a"})
+	q.Done(at(550), "a", "c", TimedOut, 50*time.Millisecond)
+	is.Equal(q.Offer(at(550), request(0, 2000, 2000)), Start{Server: "a"})
+	_, started := q.Offer(at(550), request(0, 2000, 2000)).(Start)
+	is.True(!started) // one at a time
+	q.Done(at(650), "a", "c", TimedOut, 100*time.Millisecond)
+	_, refused := q.Offer(at(650), request(0, 2000, 2000)).(Refuse)
+	is.True(refused)
+}
+
 // TestRejectingServerIsEjectedOnlyIfThereIsAnother guards against a rejecting server that keeps getting requests which
 // another server could execute, and against the ejection of the only server, such as the owner of keys: that would also
 // refuse the requests that it accepts.
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -143,7 +143,7 @@
 		// The client closes the connection at its deadline.
 		s.scheduleAfter(r.deadline-s.now, func() {
 			r.finish(s, hung)
-			r.scheduler.done(s, r, queuer.Failed)
+			r.scheduler.done(s, r, queuer.TimedOut)
 		})
 	default:
 		r.finish(s, rejected)
