--- /dev/null
+++ b/internal/queuer/server.go
@@ -0,0 +1,126 @@
+package queuer
+
+import (
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/throttler"
+)
+
+const (
+	// failuresToEject is how many consecutive failures eject a server.
+	failuresToEject = 3
+	// minEjectionTime is how long a server is ejected for the first time. Each further ejection is twice as long, up to
+	// maxEjectionTime.
+	minEjectionTime = 500 * time.Millisecond
+	maxEjectionTime = 4 * time.Second
+)
+
+// server is one backend server.
+type server struct {
+	id           string
+	slots        int
+	running      int
+	mean         time.Duration // service time over all classes; 0 before any was measured
+	failures     int           // consecutive
+	ejectedUntil time.Time
+	ejectionTime time.Duration // of the last ejection; 0 once a request was Answered
+	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
+	pausedUntil  time.Time     // until then the server wants no requests
+	limit        throttler.Bucket
+	hasSuspect   bool // whether a suspect runs on it
+	removed      bool // gets no new requests, and is dropped when none runs on it
+}
+
+// capacity returns how many requests the server is likely to run concurrently under load.
+func (s *server) capacity() float64 {
+	slots := float64(s.maxRunning())
+	rate, limited := s.limit.Rate()
+	if !limited {
+		return slots
+	}
+	mean := s.mean
+	if mean == 0 {
+		mean = initialServiceTime
+	}
+	return min(slots, rate*mean.Seconds())
+}
+
+func (s *server) usable(now time.Time) bool { return !s.removed && !now.Before(s.usableFrom()) }
+
+// usableFrom returns when the server may get requests again.
+func (s *server) usableFrom() time.Time {
+	if s.pausedUntil.After(s.ejectedUntil) {
+		return s.pausedUntil
+	}
+	return s.ejectedUntil
+}
+
+// pause keeps requests from the server until a given time. Then it gets one at a time until one is Answered. A pause that
+// has ended, or that ends before the present one, changes nothing.
+func (s *server) pause(now, until time.Time) {
+	if now.Before(until) && until.After(s.pausedUntil) {
+		s.pausedUntil, s.probing = until, true
+	}
+}
+
+// setLimit sets or ends the limit of the server's requests a second.
+func (s *server) setLimit(now time.Time, limited bool, rate float64) {
+	if limited {
+		s.limit.SetRate(now, rate)
+		return
+	}
+	s.limit.Unlimit()
+}
+
+// maxRunning returns how many requests the server may run concurrently.
+func (s *server) maxRunning() int {
+	if s.probing {
+		return 1
+	}
+	return s.slots
+}
+
+// start begins a request at the server.
+func (s *server) start(now time.Time, r Request) {
+	s.running++
+	s.limit.Take(now)
+	s.hasSuspect = s.hasSuspect || r.Suspect
+}
+
+// betterThan reports whether s is a better choice than other for the next request.
+func (s *server) betterThan(other *server, avoid string) bool {
+	if (s.id == avoid) != (other.id == avoid) {
+		return other.id == avoid
+	}
+	if a, b := s.running*other.slots, other.running*s.slots; a != b {
+		return a < b
+	}
+	if s.mean != other.mean {
+		return s.mean < other.mean
+	}
+	return s.id < other.id
+}
+
+func (s *server) recordServiceTime(took time.Duration) {
+	if s.mean == 0 {
+		s.mean = took
+		return
+	}
+	s.mean += time.Duration(ewmaWeight * float64(took-s.mean))
+}
+
+// recordFailure counts a failure, and ejects the server after several consecutive ones.
+func (s *server) recordFailure(now time.Time) {
+	s.failures++
+	if s.failures >= failuresToEject {
+		s.eject(now)
+	}
+}
+
+// eject keeps requests from the server, for twice as long as the last time but at most maxEjectionTime.
+func (s *server) eject(now time.Time) {
+	s.ejectionTime = min(max(minEjectionTime, 2*s.ejectionTime), maxEjectionTime)
+	s.ejectedUntil = now.Add(s.ejectionTime)
+	s.failures = failuresToEject - 1 // the next failure ejects the server again
+	s.probing = true
+}
