Read the contracts and the bounds of optional decisions from the settings

Decisions that not every deployment wants need a switch: the settings name the parts of the operators' rules that are in force, the bounds of cold servers and that of evacuations. queuer.Settings carries the switches to the queues; nothing acts on them yet.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -144,7 +144,7 @@
 func (f *Forwarder) queueFor(now time.Time, serverPool resolver.ServerPool) *poolQueue {
 	q := f.queues[serverPool]
 	if q == nil {
-		q = &poolQueue{queue: queuer.New(&f.serviceTimes), waiters: map[queuer.Ticket]*waiter{}}
+		q = &poolQueue{queue: queuer.New(&f.serviceTimes, f.queueing), waiters: map[queuer.Ticket]*waiter{}}
 		f.queues[serverPool] = q
 		f.updateQueue(now, serverPool, q, f.view.Load())
 		f.queues[serverPool] = q // updateQueue drops an empty queue, but the caller needs it
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,7 +84,8 @@
 	nextRotation atomic.Uint64 // counts clients' requests, to rotate the order of server pools
 	moveTimeout  time.Duration // the constant, except in tests
 	buffers      bufferBudget
-	sourceIP     net.IP // see SetSourceIP
+	queueing     queuer.Settings // see SetQueueing
+	sourceIP     net.IP          // see SetSourceIP
 	paths        paths
 	onLeaving    func(server string, incarnation int64) // see OnLeaving; may be nil
 	onLimit      func(server string)                    // see OnLimit; may be nil
@@ -146,6 +147,9 @@
 // request.
 func (f *Forwarder) SetSourceIP(ip net.IP) { f.sourceIP = ip }
 
+// SetQueueing sets the optional decisions of the queues. It must be called before the first request.
+func (f *Forwarder) SetQueueing(s queuer.Settings) { f.queueing = s }
+
 // SetView replaces the Forwarder's view of the system. Waiting requests whose keys have moved are sent to the new owner.
 func (f *Forwarder) SetView(now time.Time, v *resolver.View) {
 	if previous := f.view.Load(); !v.SharesServers(previous) {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -89,6 +89,7 @@
 // Queue holds the requests for a set of servers. The zero Queue has no servers, and shares no service times with other
 // queues. It is not safe for concurrent use.
 type Queue struct {
+	settings      Settings
 	times         *ServiceTimes
 	servers       []*server
 	waiting       []*waitingRequest
@@ -98,8 +99,18 @@
 	loadDecayedAt time.Time
 }
 
+// Settings are the optional decisions of a queue. The zero Settings has none of them.
+type Settings struct {
+	// Reservation keeps slots of each server for requests of higher priority that are likely to arrive.
+	Reservation bool
+	// AdaptiveLimits bounds the requests that run at a server by what it takes well, as far as its service times show.
+	AdaptiveLimits bool
+}
+
 // New returns a queue without servers that shares times with other queues.
-func New(times *ServiceTimes) Queue { return Queue{times: times} }
+func New(times *ServiceTimes, settings Settings) Queue {
+	return Queue{times: times, settings: settings}
+}
 
 // Server is a backend server and its slots.
 type Server struct {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/wasabibank/wasabibank/internal/limiter"
 	"github.com/wasabibank/wasabibank/internal/logger"
 	"github.com/wasabibank/wasabibank/internal/meter"
+	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/recorder"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/platform"
@@ -84,6 +85,9 @@
 	dataPlane := forwarder.New(names, budget, counters)
 	dataPlane.SetSourceIP(net.ParseIP(s.SourceAddress))
 	dataPlane.LimitBuffers(int64(float64(s.MemoryMB) * (1 << 20) * bufferedRatio))
+	dataPlane.SetQueueing(queuer.Settings{
+		Reservation: s.HasContract(platform.ContractPressure), AdaptiveLimits: s.HasContract(platform.ContractHealth),
+	})
 	self := resolver.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
