Dispatch uploads from the instances with the most capacity

Each body of an upload passes the link of its pool's dispatcher twice. With most dispatchers on links of 10 Mbit/s these were full: uploads of a service time of 0.26 s took 0.7 to 1.2 s at the median, and 352 requests could not reach a dispatcher. A route of type upload (large_bodies in a bundle) now puts the queues of services without keys on the largest instances of the failure domain.

Ruled out: the cube of the capacity for all pools, which gains no more and changes deployments without uploads. TestLargeBodiesAvoidSlowLinks fails without the rule.

--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -16,12 +16,14 @@
 	services map[string]bundler.Service
 	limits   bundler.Limits
 	hosts    map[string][]*bundler.Route // longest prefix first
+	uploads  map[string]bool             // services with a route that has large bodies
 }
 
 // NewTable returns the Table of a bundle.
 func NewTable(b *bundler.Bundle) *Table {
 	t := &Table{
 		version: b.Version(), services: map[string]bundler.Service{}, limits: b.Limits(), hosts: map[string][]*bundler.Route{},
+		uploads: map[string]bool{},
 	}
 	for _, s := range b.Services() {
 		t.services[s.Name] = s
@@ -30,6 +32,11 @@
 	for i := range routes {
 		r := &routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		if r.LargeBodies {
+			for _, part := range r.Services {
+				t.uploads[part.Service] = true
+			}
+		}
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *bundler.Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -55,6 +62,9 @@
 	return s, ok
 }
 
+// TakesLargeBodies reports whether a service has a route whose requests have large bodies. For a nil Table, it has none.
+func (t *Table) TakesLargeBodies(service string) bool { return t != nil && t.uploads[service] }
+
 // KeyedServices returns the sorted names of the services whose requests are routed by key.
 func (t *Table) KeyedServices() []string {
 	var names []string
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -192,6 +192,10 @@
 // are those for which avoid returns true. If the domain has none left, the instances of all domains are considered. Instances
 // that have lost the pool's service are considered after all others. Without any, it returns this instance, whatever avoid
 // returns for it.
+//
+// A pool of a service without keys that takes large bodies is dispatched by an instance of the largest capacity that its domain
+// has, because each body passes the dispatcher's link twice and would fill a slow one. The bodies for a service with keys are
+// spread over one pool for each server.
 func (v *View) Dispatcher(p ServerPool, avoid func(instance string) bool) Member {
 	preferred := v.dispatchers.get(p, func() Member { return v.findDispatcher(p, func(string) bool { return false }) })
 	if !avoid(preferred.Instance) {
@@ -235,12 +239,15 @@
 func (v *View) highestScored(p ServerPool, inDomain, withLost bool, avoid func(instance string) bool) (Member, bool) {
 	var best Member
 	var highest float64
-	found := false
+	found, byCapacity := false, p.Server == "" && v.Table.TakesLargeBodies(p.Service)
 	consider := func(m Member) {
 		if m.Leaving || inDomain && m.Domain != p.Domain || !withLost && m.Lost.Contains(p.Service) || avoid(m.Instance) {
 			return
 		}
-		if s := score(p, m); !found || s > highest {
+		if byCapacity && found && m.Capacity < best.Capacity {
+			return
+		}
+		if s := score(p, m); !found || byCapacity && m.Capacity > best.Capacity || s > highest {
 			best, highest, found = m, s, true
 		}
 	}
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
+	"github.com/wasabibank/wasabibank/internal/matcher"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
 )
 
 func avoidNone(string) bool { return false }
@@ -189,3 +191,36 @@
 		}
 	})
 }
+
+// TestLargeBodiesAvoidSlowLinks guards against dispatchers whose links are filled by the bodies of uploads while instances with
+// faster links are idle, and against pools that move although their bodies are small.
+func TestLargeBodiesAvoidSlowLinks(t *testing.T) {
+	all := members(12, "a", "b")
+	for i := range all {
+		all[i].Capacity = 120
+	}
+	all[2].Capacity, all[6].Capacity = 800, 800 // in domain a
+	table := matcher.NewTable(bundler.New(1, []bundler.Service{{Name: "photos"}, {Name: "keyed", Keyed: true}, {Name: "small"}},
+		[]bundler.Route{
+			{Name: "upload", LargeBodies: true, Services: []bundler.WeightedService{{Service: "photos"}, {Service: "keyed"}}},
+			{Name: "read", Services: []bundler.WeightedService{{Service: "small"}}},
+		}, bundler.Limits{}))
+	v, without := New(all[0], table, nil, nil, all[1:]), New(all[0], nil, nil, nil, all[1:])
+	is := is.New(t)
+	seen := map[string]bool{}
+	for subset := range 40 {
+		p := ServerPool{Service: "photos", Domain: "a", Subset: subset}
+		preferred := v.Dispatcher(p, avoidNone).Instance
+		seen[preferred] = true
+		other := v.Dispatcher(p, func(instance string) bool { return instance == preferred }).Instance
+		is.True(other != preferred && (other == "m2" || other == "m6"))
+		last := v.Dispatcher(p, func(instance string) bool { return instance == "m2" || instance == "m6" })
+		is.Equal(last.Domain, "a") // a small instance of the domain, not one of another domain
+		for _, unchanged := range []ServerPool{
+			{Service: "small", Domain: "a", Subset: subset}, {Service: "keyed", Server: fmt.Sprint(subset), Domain: "a"},
+		} {
+			is.Equal(v.Dispatcher(unchanged, avoidNone), without.Dispatcher(unchanged, avoidNone))
+		}
+	}
+	is.Equal(seen, map[string]bool{"m2": true, "m6": true})
+}
--- a/pkg/bundler/decode_routing.go
+++ b/pkg/bundler/decode_routing.go
@@ -75,7 +75,7 @@
 	names := uniqueSet[string]{code: "doubled_route"}
 	prefixes := uniqueSet[string]{code: "doubled_prefix"}
 	for _, item := range list.Items(1, maxRoutes) {
-		m := item.Mapping("name", "host", "prefix", "idempotent", "priority", "timeout", "objective", "attempts", "services")
+		m := item.Mapping("name", "host", "prefix", "idempotent", "large_bodies", "priority", "timeout", "objective", "attempts", "services")
 		name, prefix := m.Required("name"), m.Required("prefix")
 		r := Route{
 			Name:        name.Match(snakeNamePattern, snakeNameDescription),
@@ -88,6 +88,9 @@
 			MaxAttempts: int(m.Required("attempts").Int(1, maxAttempts)),
 			Services:    b.readWeightedServices(m.Required("services")),
 		}
+		if large := m.Optional("large_bodies"); large.Present() {
+			r.LargeBodies = large.Bool()
+		}
 		if r.Objective > r.Timeout && r.Timeout > 0 {
 			m.Optional("objective").Report("out_of_range", "longer than the timeout", "at most "+r.Timeout.String())
 		}
--- a/pkg/bundler/routing.go
+++ b/pkg/bundler/routing.go
@@ -28,6 +28,7 @@
 	Host        string            // without a port
 	Prefix      string            // of the path; begins and ends with a slash
 	Idempotent  bool              // a request may be executed more than once
+	LargeBodies bool              // requests upload bodies that fill slow links
 	Timeout     time.Duration     // time until the final answer, retries included
 	Objective   time.Duration     // latency objective: an answer after this time is late
 	Priority    int               // 0 is served first
@@ -39,7 +40,7 @@
 func (r Route) equal(other Route) bool {
 	sameServices := slices.Equal(r.Services, other.Services)
 	return sameServices && r.Name == other.Name && r.Host == other.Host && r.Prefix == other.Prefix &&
-		r.Idempotent == other.Idempotent && r.Timeout == other.Timeout && r.Objective == other.Objective &&
+		r.Idempotent == other.Idempotent && r.LargeBodies == other.LargeBodies && r.Timeout == other.Timeout && r.Objective == other.Objective &&
 		r.Priority == other.Priority && r.MaxAttempts == other.MaxAttempts
 }
 
