An instance that is cut off asks several others for the store's records at once

Three are asked at once now, spread over the list, and the first answer counts. A round of readFallback asked up to three one after the other before, so the number of calls stays.

--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -55,8 +55,8 @@
 	// store. With the pauses after failed reads and one call it stays below the 2 s within which a configuration has to be
 	// applied.
 	fallbackInterval = 600 * time.Millisecond
-	// fallbackAttempts is the number of instances asked in such a round, as some may not reach it either.
-	fallbackAttempts = 3
+	// fallbackReads is the number of instances asked at a time, as some may not reach it either, or not be reached themselves.
+	fallbackReads = 3
 )
 
 // watcher is the state of reading one topic.
@@ -68,7 +68,7 @@
 	full             bool              // the next read returns all records, not changes
 	storeUnreachable bool              // neither this instance nor those it asked could reach the store
 	retryDelay       time.Duration
-	otherReads       int // reads through other instances so far; selects the next of them
+	otherReads       int // rounds of reads through other instances so far; selects the next of them
 	// skippedUntil holds the relays that failed to answer, and until when they are skipped, by time.Now.
 	skippedUntil map[string]time.Time
 	// nextPoll is when the store itself is polled next, while the relays can't reach it either; nextFallback is when other
@@ -255,37 +255,7 @@
 	}
 	c.cache.markUnreachable(w.topic, timekeeper.Now())
 	c.markStoreUnreachable(w, err)
-	return c.readFromOther(ctx, w, src, err)
-}
-
-// readFromOther reads through another instance, a different one each time, after the store itself failed with err.
-func (c *Controller) readFromOther(
-	ctx context.Context, w *watcher, src *sources, err error,
-) ([]platform.Record, platform.Position, error) {
-	if len(src.others) == 0 {
-		return nil, w.next, err
-	}
-	w.otherReads++
-	return c.fetchFrom(ctx, src.others[w.otherReads%len(src.others)], &herald.FetchRequest{
-		Topic: w.topic, From: w.next.Offset, Era: w.next.Era, Whole: w.full, Look: true,
-	}, peerCallTimeout)
-}
-
-// readFallback reads through other instances, which may reach the store, while the relays of this domain can't.
-func (c *Controller) readFallback(
-	ctx context.Context, w *watcher, src *sources, now time.Time,
-) (records []platform.Record, next platform.Position, err error) {
-	if now.Before(w.nextFallback) {
-		return nil, w.next, errStoreUnreachable
-	}
-	w.nextFallback = now.Add(fallbackInterval)
-	for range fallbackAttempts {
-		records, next, err = c.readFromOther(ctx, w, src, errStoreUnreachable)
-		if !errors.Is(err, errStoreUnreachable) {
-			break
-		}
-	}
-	return records, next, err
+	return c.readFromOthers(ctx, w, src, err)
 }
 
 // markStoreUnreachable records that the store can't be reached.
