The plan names the incarnation that may have a lease

A leader that had been replaced without noticing could grant a range to a new incarnation of its owner with a lower fence than the next leader used: a new incarnation accepts any fence. The next leader also could not tell of which incarnation the previous leader's leases are, which it has to know before it may conclude anything from the end of a server.

The plan in the store now has the latest incarnation of each range's owner that may have a lease (herald.Plan.incarnations, a new field that earlier builds ignore). A later incarnation gets its first grant once a plan that names it is stored, which a replaced leader can't achieve. A range does not return to an incarnation that no stored plan names. A plan without the field, or by another leader than the latest one, counts as naming none. A leader stores the plan again after its first accepted grant, so that its successor may rely on it.

Ruled out: the time of the latest read of the registrations as evidence, because records of a topic replace one another.

The exception of the fault table for a low fence after a restart, allowsLowFenceAfterRestart, is gone: the check is stricter.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -131,6 +131,7 @@
 	grantSettings   granter.Settings
 	plan            []byte // content of the plan record with the highest term that this instance has read
 	planTerm        uint64 // highest term of the plan records that this instance has read
+	planIsOfLeader  bool   // plan was stored by the leader that leaderTopic names
 	lastStep        time.Time
 	lastReport      time.Time
 	reportPending   bool
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -43,7 +43,7 @@
 func (c *Controller) becomeLeader(now time.Time, election elector.Election) {
 	predecessor := election.Predecessor
 	plan := storedPlan{exists: c.plan != nil}
-	plan.assignments, plan.err = decodePlan(c.plan)
+	plan.assignments, plan.err = c.readPlan()
 	term := c.elector.Term()
 	c.leaderState = &leaderState{
 		leaderTerm: newLeaderTerm(now, c.grantSettings, term, election, plan), since: now,
@@ -208,7 +208,12 @@
 	switch o := order.(type) {
 	case granter.Grant:
 		c.options.Meter.Count(meter.GrantsSent)
-		address := c.serverAddress(o.Server)
+		s, known := c.catalog.LastKnown(o.Server)
+		if known && o.Incarnation != 0 && s.Incarnation > o.Incarnation {
+			l.granter.CompleteGrant(now, o, granter.NotSent) // the plan does not name this incarnation
+			return
+		}
+		address := s.Address
 		go func() {
 			sent := time.Now()
 			outcome, err := c.orders.Grant(c.context, sent, address, o)
--- a/internal/controller/leader_records_test.go
+++ b/internal/controller/leader_records_test.go
@@ -43,6 +43,40 @@
 	}
 }
 
+// TestPlanNamesIncarnationsOnlyOfItsLeader guards against a leader that relies on an incarnation that a later leader, of a build that
+// records none, may have replaced.
+func TestPlanNamesIncarnationsOnlyOfItsLeader(t *testing.T) {
+	assignments := []granter.Assignment{
+		{Service: "desk", Range: partitioner.Range{Last: 99}, Server: "s", Incarnation: 5},
+		{Service: "desk", Range: partitioner.Range{First: 100, Last: partitioner.MaxKey}},
+	}
+	withoutIncarnations := &herald.Plan{Term: 7, Services: []string{"desk"}, Segments: []*herald.Segment{{Last: 65535, Server: "s"}}}
+	tests := map[string]struct {
+		leader uint64
+		plan   []byte
+		want   int64
+	}{
+		"plan of the leader":                   {leader: 7, plan: encodePlan(7, 2, assignments), want: 5},
+		"plan of an earlier leader":            {leader: 9, plan: encodePlan(7, 2, assignments)},
+		"plan of a build that records none":    {leader: 7, plan: marshal(withoutIncarnations)},
+		"plan with fewer incarnations":         {leader: 7, plan: marshal(&herald.Plan{Term: 7, Services: []string{"desk"}, Segments: withoutIncarnations.Segments, Incarnations: []int64{5, 6}})},
+		"the leader's record can't be decoded": {leader: 0, plan: encodePlan(7, 2, assignments)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestController(t, http.NotFound)
+			c.handleLeaderRecords(time.Unix(1000, 0), []platform.Record{
+				{Key: keyLeader, Value: marshal(&herald.Lead{Term: test.leader})}, {Key: keyPlan, Value: test.plan},
+			}, platform.Position{Offset: 3})
+			read, err := c.readPlan()
+			is.NoErr(err)
+			is.Equal(read[0].Server, "s")
+			is.Equal(read[0].Incarnation, test.want)
+		})
+	}
+}
+
 // FuzzLeaderRecords feeds odd records to a reader of leaderTopic, and makes it lead by them.
 func FuzzLeaderRecords(f *testing.F) {
 	lead := marshal(&herald.Lead{Term: 7, Member: &herald.Member{Instance: "a", Incarnation: 3, Address: "10.0.0.9:1"}})
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -205,6 +205,7 @@
 		}
 	}
 	storedPlan := uint64(0)
+	c.planIsOfLeader = plan.GetTerm() != 0 && plan.GetTerm() == leader.GetTerm() && plan.GetTerm() == c.planTerm
 	if plan.GetTerm() == leader.GetTerm() {
 		storedPlan = plan.GetSequence()
 	}
@@ -214,11 +215,27 @@
 // encodePlan returns the stored form of a plan.
 func encodePlan(term, sequence uint64, assignments []granter.Assignment) []byte {
 	var segments []partitioner.Segment
+	var incarnations []int64
 	for _, a := range assignments {
 		segments = append(segments, partitioner.Segment{Service: a.Service, Range: a.Range, Server: a.Server})
+		incarnations = append(incarnations, a.Incarnation)
 	}
 	services, encoded := herald.EncodeSegments(segments)
-	return marshal(&herald.Plan{Term: term, Sequence: sequence, Services: services, Segments: encoded})
+	return marshal(&herald.Plan{
+		Term: term, Sequence: sequence, Services: services, Segments: encoded, Incarnations: incarnations,
+	})
+}
+
+// readPlan returns the assignments of the plan that was read last. It leaves out the incarnations unless the latest leader has stored it:
+// that may be of a build that grants ranges to a new incarnation and does not record it.
+func (c *Controller) readPlan() ([]granter.Assignment, error) {
+	assignments, err := decodePlan(c.plan)
+	if !c.planIsOfLeader {
+		for i := range assignments {
+			assignments[i].Incarnation = 0
+		}
+	}
+	return assignments, err
 }
 
 // decodePlan returns the assignments of a stored plan. The error says that it can't be decoded, or that it does not name one server
@@ -232,9 +249,13 @@
 	if len(segments) != len(plan.GetSegments()) {
 		return nil, errors.Errorf("%d of %d segments of the plan are invalid", len(plan.GetSegments())-len(segments), len(plan.GetSegments()))
 	}
+	incarnations := plan.GetIncarnations()
+	if len(incarnations) != len(segments) {
+		incarnations = make([]int64, len(segments)) // by a build that does not record them
+	}
 	planned := map[string]*[partitioner.MaxKey + 1]bool{}
 	var assignments []granter.Assignment
-	for _, s := range segments {
+	for i, s := range segments {
 		if planned[s.Service] == nil {
 			planned[s.Service] = new([partitioner.MaxKey + 1]bool)
 		}
@@ -244,7 +265,9 @@
 			}
 			planned[s.Service][key] = true
 		}
-		assignments = append(assignments, granter.Assignment{Service: s.Service, Range: s.Range, Server: s.Server})
+		assignments = append(assignments, granter.Assignment{
+			Service: s.Service, Range: s.Range, Server: s.Server, Incarnation: incarnations[i],
+		})
 	}
 	return assignments, nil
 }
--- a/internal/granter/fault_table_test.go
+++ b/internal/granter/fault_table_test.go
@@ -187,7 +187,6 @@
 // simulate runs a step, injects the two faults and returns the simulation at the end of the observation time.
 func (pair faultPair) simulate(runStep func(*simulation), f flaws) *simulation {
 	sim := newSimulation(1, 4, f)
-	sim.allowsLowFenceAfterRestart = true
 	runStep(sim)
 	faults[pair.first](sim)
 	sim.run(pair.gap, 0)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -11,7 +11,7 @@
 //     has not expired.
 //   - A release ends the leases at once only if the server has certainly accepted the newest grant. Otherwise it may still apply an
 //     earlier one afterwards.
-//   - The store records who may own a range before the grant is sent.
+//   - The store records who may own a range before the grant is sent, with the server's incarnation.
 //
 // After the store came back from an older copy, its record may name an earlier owner. DistrustPlan and Freeze then make the
 // leader wait until every leader that may have changed it has stopped.
@@ -60,6 +60,9 @@
 	Service string
 	Range   partitioner.Range
 	Server  string
+	// Incarnation is the latest incarnation of Server that may have a lease of the range, or 0 if it is not known: earlier builds do
+	// not record it.
+	Incarnation int64
 }
 
 // state is the state of a range's ownership.
@@ -83,6 +86,9 @@
 	nextOwner     string        // owner after the release; planOwner chooses one if empty
 	previousOwner previousOwner // server to which a released range may return
 	planSequence  uint64        // sequence number of the plan that must be stored before the grant is sent
+	// incarnationSequence is the sequence number of the plan that must be stored before an order may give Incarnation a lease;
+	// 0 if it is stored.
+	incarnationSequence uint64
 
 	orderInFlight    bool      // an order has been sent and its outcome is not known yet
 	nextOrderAt      time.Time // when the next order is due
@@ -129,6 +135,7 @@
 	planSequence        uint64                      // sequence number of the current plan
 	storedSequence      uint64                      // sequence number of the newest plan known to be stored
 	maybeStoredSequence uint64                      // sequence number of the newest plan that may be in the store, now or later
+	planRenewed         bool                        // the plan of an earlier leader is to be stored again, or has been
 	changed             map[int]bool                // ids of ranges that changed since the last call of ChangedSegments
 }
 
--- a/internal/granter/orders.go
+++ b/internal/granter/orders.go
@@ -11,8 +11,10 @@
 
 // Grant gives a server the lease of a range, or renews it.
 type Grant struct {
-	ID            int // id of the range, for CompleteGrant
-	Server        string
+	ID     int // id of the range, for CompleteGrant
+	Server string
+	// Incarnation is the latest incarnation of Server to which the grant may be sent; 0 stands for any.
+	Incarnation   int64
 	Range         partitioner.Range
 	Fence         uint64 // fencing token: the server refuses fences lower than the highest that it has seen for a key
 	LeaseDuration time.Duration
--- a/internal/granter/servers.go
+++ b/internal/granter/servers.go
@@ -26,7 +26,7 @@
 }
 
 // SetServers replaces the known servers by those of servers that belong to keyedServices. A keyed service without
-// assignments gets them. A server with a new incarnation is granted its ranges anew. A range whose first grant has not been
+// assignments gets them. A server with a new incarnation is granted its ranges anew, once the plan that names it is stored. A range whose first grant has not been
 // answered is released if its server is draining or Gone, or is no longer registered; Tick does so for ranges whose grant
 // has been answered.
 //
@@ -46,7 +46,11 @@
 	}
 	for _, o := range g.sortedRanges() {
 		s, known := g.servers[o.Server]
-		if previous, existed := previousServers[o.Server]; known && existed && s.Incarnation > previous.Incarnation {
+		previous, existed := previousServers[o.Server]
+		if known && o.state != free {
+			g.recordIncarnation(o, s.Incarnation)
+		}
+		if known && existed && s.Incarnation > previous.Incarnation {
 			delete(g.exclusions, o.Server)
 			g.regrantAfterRestart(now, o)
 		}
@@ -68,6 +72,25 @@
 	g.changed[o.id] = true
 }
 
+// recordIncarnation records that a later incarnation of the owner of o, or of its next owner, is known. It gets no lease before the
+// plan that names it is stored: a leader that has been replaced can't store one, and the next leader relies on the plan when an
+// earlier incarnation has ended.
+func (g *Granter) recordIncarnation(o *ownership, incarnation int64) {
+	if o.Incarnation == 0 || o.Incarnation >= incarnation {
+		return // unknown until a grant has been accepted, see CompleteGrant
+	}
+	g.planSequence++
+	o.Incarnation, o.incarnationSequence = incarnation, g.planSequence
+}
+
+// incarnationStored reports whether orders may give the known incarnation of the owner of o a lease.
+func (g *Granter) incarnationStored(o *ownership) bool {
+	if o.incarnationSequence <= g.storedSequence {
+		o.incarnationSequence = 0
+	}
+	return o.incarnationSequence == 0
+}
+
 // assignNewService plans equal ranges for the assignable servers of a service that has no assignments. No server can have a
 // lease of these ranges, unless the plan is distrusted.
 func (g *Granter) assignNewService(now time.Time, service string) {
@@ -83,8 +106,10 @@
 	g.planSequence++
 	for i, r := range partitioner.Divide(len(assignable)) {
 		g.addRange(&ownership{
-			Assignment: Assignment{Service: service, Range: r, Server: assignable[i]}, state: planned,
-			planSequence: g.planSequence, fence: g.nextFence(), leaseExpiry: g.uncertainUntil,
+			Assignment: Assignment{
+				Service: service, Range: r, Server: assignable[i], Incarnation: g.servers[assignable[i]].Incarnation,
+			},
+			state: planned, planSequence: g.planSequence, fence: g.nextFence(), leaseExpiry: g.uncertainUntil,
 		})
 	}
 }
--- a/internal/granter/simulation_test.go
+++ b/internal/granter/simulation_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
@@ -47,6 +46,7 @@
 type fakeLeader struct {
 	granter             *Granter
 	term                uint64
+	lastKnown           map[string]int64 // latest incarnation of each server that it has read
 	leaseExpiry         time.Time
 	replaced            bool   // can no longer append, but still sends orders
 	storedSequence      uint64 // newest plan whose append was acknowledged
@@ -62,24 +62,24 @@
 
 // simulation simulates leaders, servers, the store and time.
 type simulation struct {
-	random                     *rand.Rand
-	confirmationRandom         *rand.Rand // for confirmed grants before releases, so that these leave the other events as they are
-	flaws                      flaws
-	now                        time.Time
-	servers                    []*fakeServer
-	leaders                    []*fakeLeader
-	plan                       []Assignment // in the store
-	storeUnreachableUntil      time.Time    // until then the store is unreachable
-	storeRefusesUntil          time.Time    // until then the store refuses appends
-	storeLosesAnswersUntil     time.Time    // until then appends take effect, but the store's answers are lost
-	allowsLowFenceAfterRestart bool         // see checkFenceOrder
-	registrationsHidden        bool         // the servers' registrations are missing from the store
-	scheduled                  []scheduledEvent
-	term                       uint64
-	violation                  string
-	published                  *partitioner.Map          // owner map that the current leader has published
-	fences                     map[int]map[string]uint64 // highest fence by checked key and server incarnation
-	latestFences               map[int]uint64            // fence of the latest grant by range id, for reusesFences
+	random                 *rand.Rand
+	confirmationRandom     *rand.Rand // for confirmed grants before releases, so that these leave the other events as they are
+	flaws                  flaws
+	now                    time.Time
+	servers                []*fakeServer
+	leaders                []*fakeLeader
+	plan                   []Assignment // in the store
+	storeUnreachableUntil  time.Time    // until then the store is unreachable
+	storeRefusesUntil      time.Time    // until then the store refuses appends
+	storeLosesAnswersUntil time.Time    // until then appends take effect, but the store's answers are lost
+	registrationsHidden    bool         // the servers' registrations are missing from the store
+	incarnationsMove       bool         // each incarnation of a server has an address of its own
+	scheduled              []scheduledEvent
+	term                   uint64
+	violation              string
+	published              *partitioner.Map          // owner map that the current leader has published
+	fences                 map[int]map[string]uint64 // highest fence by checked key and server incarnation
+	latestFences           map[int]uint64            // fence of the latest grant by range id, for reusesFences
 }
 
 // scheduledEvent is an event that is due at a given time.
@@ -136,10 +136,10 @@
 		settings.TransitMargin = -settings.LeaseDuration*3/4 - settings.LeaseDuration*maxClockErrorPercent/100
 	}
 	predecessorExpiry = predecessorExpiry.Add(settings.MaxLeaseLifetime())
-	l := &fakeLeader{term: sim.term, leaseExpiry: sim.now.Add(leaderLease)}
+	l := &fakeLeader{term: sim.term, leaseExpiry: sim.now.Add(leaderLease), lastKnown: map[string]int64{}}
 	l.granter = New(settings, sim.now, sim.term, slices.Clone(sim.plan), predecessorExpiry)
 	sim.leaders = append(sim.leaders, l)
-	l.granter.SetServers(sim.now, []string{service}, sim.registrations())
+	sim.setServers(l)
 	sim.published = (*partitioner.Map)(nil).With(partitioner.Version{}, l.granter.Segments(sim.now))
 	l.granter.ChangedSegments(sim.now)
 }
@@ -244,10 +244,19 @@
 		return
 	}
 	for _, l := range sim.leaders {
-		l.granter.SetServers(sim.now, []string{service}, sim.registrations())
+		sim.setServers(l)
 	}
 }
 
+// setServers passes the registrations to a leader.
+func (sim *simulation) setServers(l *fakeLeader) {
+	registered := sim.registrations()
+	for _, s := range registered {
+		l.lastKnown[s.ID] = max(l.lastKnown[s.ID], s.Incarnation)
+	}
+	l.granter.SetServers(sim.now, []string{service}, registered)
+}
+
 // movable returns the placements whose ranges may be moved.
 func movable(placements []Placement) []Placement {
 	return slices.DeleteFunc(placements, func(p Placement) bool { return !p.Movable })
@@ -365,6 +374,8 @@
 	}
 	sim.latestFences[o.ID] = o.Fence
 	switch {
+	case !sim.sendsTo(l, s) || sim.incarnationsMove && o.Incarnation != 0 && o.Incarnation < l.lastKnown[o.Server]:
+		return NotSent
 	case s.up && s.losesAnswers: // also from a leader that can't reach the server, and always with a comparison of fences
 		s.applyGrant(sim.now, sim.now, o, true)
 		return sim.unansweredOutcome()
@@ -391,10 +402,15 @@
 	if !s.applyGrant(sim.now, sim.now, o, !sim.flaws.ignoresFences) {
 		return Fenced
 	}
-	sim.checkFenceOrder(l, s, o)
+	sim.checkFenceOrder(s, o)
 	return Accepted
 }
 
+// sendsTo reports whether a leader sends orders to the address of a server.
+func (sim *simulation) sendsTo(l *fakeLeader, s *fakeServer) bool {
+	return !sim.incarnationsMove || l.lastKnown[s.registration.ID] == s.registration.Incarnation
+}
+
 // unansweredOutcome returns the outcome that the leader records for an unanswered order.
 func (sim *simulation) unansweredOutcome() Outcome {
 	if sim.flaws.unansweredIsNotSent {
@@ -404,21 +420,13 @@
 }
 
 // checkFenceOrder checks that the fence of an owner is higher than those that all other owners of the key had.
-//
-// One case is not prevented: a replaced leader that has not been fenced yet grants the new incarnation of its owner a lower
-// fence than the current leader granted the previous incarnation, since a new incarnation accepts any fence. The leases of
-// the previous incarnation have ended with it, so that no key has two owners. The fault table contains this case and leaves
-// it out of this check with allowsLowFenceAfterRestart; the seeds of the random faults do not lead to it.
-func (sim *simulation) checkFenceOrder(l *fakeLeader, s *fakeServer, o Grant) {
+func (sim *simulation) checkFenceOrder(s *fakeServer, o Grant) {
 	name := fmt.Sprint(s.registration.ID, "/", s.registration.Incarnation)
 	for i := range checkedKeyCount {
 		if !o.Range.Contains(checkedKey(i)) {
 			continue
 		}
 		for other, fence := range sim.fences[i] {
-			if sim.allowsLowFenceAfterRestart && l.replaced && strings.HasPrefix(other, s.registration.ID+"/") {
-				continue
-			}
 			if other != name && fence >= o.Fence && s.owns(sim.now, checkedKey(i)) {
 				sim.violation = fmt.Sprintf("key %d: fence %d at %s, not above %d at %s",
 					checkedKey(i), o.Fence, name, fence, other)
@@ -434,7 +442,7 @@
 // deliverRelease delivers a release to its server and returns the outcome that the leader sees.
 func (sim *simulation) deliverRelease(l *fakeLeader, o Release, faultPercent int) (Outcome, string) {
 	s := sim.server(o.Server)
-	if !s.up || l.cannotReach(sim.now, o.Server) || sim.chance(faultPercent) {
+	if !sim.sendsTo(l, s) || !s.up || l.cannotReach(sim.now, o.Server) || sim.chance(faultPercent) {
 		return NotSent, ""
 	}
 	if s.losesAnswers || s.appliesGrantsLate || sim.chance(faultPercent*2) {
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -32,9 +32,14 @@
 		}
 		switch o.state {
 		case granting, granted:
-			orders = append(orders, g.grantOrder(now, o))
+			if g.incarnationStored(o) {
+				orders = append(orders, g.grantOrder(now, o))
+			}
 		case releasing:
 			if o.needsConfirmation(now) {
+				if !g.incarnationStored(o) {
+					continue
+				}
 				o.fence = g.nextFence()
 				orders = append(orders, g.grantOrder(now, o))
 				continue
@@ -56,8 +61,11 @@
 	o.orderInFlight = true
 	o.nextOrderAt = now.Add(g.settings.RenewInterval)
 	order := Grant{
-		ID: o.id, Server: o.Server, Range: o.Range, Fence: o.fence, LeaseDuration: g.settings.LeaseDuration,
-		Confirmed: o.state != granted || o.failing,
+		ID: o.id, Server: o.Server, Incarnation: o.Incarnation, Range: o.Range, Fence: o.fence,
+		LeaseDuration: g.settings.LeaseDuration, Confirmed: o.state != granted || o.failing,
+	}
+	if order.Incarnation == 0 {
+		order.Incarnation = g.servers[o.Server].Incarnation
 	}
 	if o.state == granting {
 		order.Handover = o.handover
@@ -138,6 +146,7 @@
 	}
 	g.planSequence++
 	o.Server, o.nextOwner, o.state, o.planSequence = server, "", planned, g.planSequence
+	o.Incarnation, o.incarnationSequence = g.servers[server].Incarnation, 0
 	o.fence = g.nextFence()
 	g.changed[o.id] = true
 }
@@ -158,6 +167,7 @@
 func (g *Granter) returnToPreviousOwner(now time.Time, o *ownership) {
 	g.planSequence++ // a newer plan replaces those with the other owner, none of which was sent
 	o.Server, o.state, o.nextOrderAt = o.previousOwner.server, granting, now
+	o.Incarnation, o.incarnationSequence = o.previousOwner.incarnation, 0
 	o.fence = g.nextFence()
 	g.changed[o.id] = true
 }
@@ -202,7 +212,8 @@
 	})
 	for i := 1; i < len(all); i++ {
 		a, b := all[i-1], all[i]
-		adjacent := a.Service == b.Service && a.Server == b.Server && int(a.Range.Last)+1 == int(b.Range.First)
+		adjacent := a.Service == b.Service && a.Server == b.Server && a.Incarnation == b.Incarnation &&
+			int(a.Range.Last)+1 == int(b.Range.First)
 		if !adjacent || !a.stable() || !b.stable() {
 			continue
 		}
@@ -241,7 +252,16 @@
 		g.extendLease(now, o, outcome)
 	}
 	if outcome == Accepted {
+		recorded := o.Incarnation
 		o.unconfirmed = !order.Confirmed
+		if o.Incarnation == 0 {
+			o.Incarnation = order.Incarnation
+		}
+		if o.inherited && (o.Incarnation != recorded || !g.planRenewed) {
+			// The next leader learns the incarnations from the plan, and relies on them only if this term has stored it.
+			g.planSequence++
+			g.planRenewed = true
+		}
 	}
 	if o.state == releasing {
 		o.confirmFailed = outcome != Accepted
@@ -308,6 +328,9 @@
 	o.nextOrderAt = o.unansweredExpiry.Add(g.settings.MaxLeaseLifetime())
 	if !now.Before(o.unansweredExpiry) {
 		releasedBy := previousOwner{server: o.Server, incarnation: g.servers[o.Server].Incarnation, releasedAt: now}
+		if !g.incarnationStored(o) {
+			releasedBy = previousOwner{} // no plan in the store names the incarnation to which the range would return
+		}
 		g.markFree(o, handover)
 		o.previousOwner = releasedBy
 		g.planOwner(now, o)
