Requests for keys of a lost owner are refused at once, with the time until they can be served

A new leader inherits ranges whose owners ended while no instance led. It grants them to their owners, which fails, and until the leases of the previous leader have ended, up to 24.2 s later, the owner map named an owner that no instance knows.

The segment of a range whose grant has failed, and whose owner is not registered or is gone, now counts as moving and has the time until the leases end. Until a grant has failed, requests wait as before: an owner that lives without a registration accepts the grant and releases the range within milliseconds.

--- a/internal/granter/segments.go
+++ b/internal/granter/segments.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
 )
 
@@ -33,10 +34,23 @@
 // segment returns the segment of a range for the owner map.
 func (g *Granter) segment(now time.Time, o *ownership) partitioner.Segment {
 	s := partitioner.Segment{Service: o.Service, Range: o.Range, Server: o.Server}
-	s.Moving = o.state != granted && !(o.state == granting && o.inherited)
+	lost := g.ownerLost(o)
+	s.Moving = o.state != granted && !(o.state == granting && o.inherited) || lost
 	// Other pauses are short or of unknown length.
-	if (o.state == releasing && (o.failing || o.released)) || o.state == planned {
+	if (o.state == releasing && (o.failing || o.released)) || o.state == planned || lost {
 		s.PauseMS = uint32(max(0, o.latestExpiry().Sub(now).Milliseconds()))
 	}
 	return s
 }
+
+// ownerLost reports whether no instance can send requests for a range to its owner, which is not registered, or gone, and does not
+// accept grants either. Until a grant has failed, the range may be released and served again within milliseconds.
+func (g *Granter) ownerLost(o *ownership) bool {
+	return o.failing && (o.state == granting || o.state == granted) && !g.takesRequests(o.Server)
+}
+
+// takesRequests reports whether instances send requests for keys to a server: it is registered and not gone.
+func (g *Granter) takesRequests(server string) bool {
+	s, known := g.servers[server]
+	return known && s.State != cataloger.Gone
+}
--- a/internal/granter/servers.go
+++ b/internal/granter/servers.go
@@ -19,6 +19,7 @@
 		for _, o := range g.ranges {
 			if o.Service == service && (o.state == granting || o.state == granted) {
 				o.failing, o.nextOrderAt = false, now
+				g.changed[o.id] = true // see ownerLost
 			}
 		}
 	}
@@ -54,6 +55,9 @@
 			delete(g.exclusions, o.Server)
 			g.regrantAfterRestart(now, o)
 		}
+		if o.failing && g.takesRequests(o.Server) != (existed && previous.State != cataloger.Gone) {
+			g.changed[o.id] = true // see ownerLost
+		}
 		if (!known || s.State != cataloger.Ready) && o.state == granting && !o.inherited && !g.frozen {
 			g.startRelease(now, o, "")
 		}
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -263,6 +263,7 @@
 			g.planRenewed = true
 		}
 	}
+	lost := g.ownerLost(o)
 	if o.state == releasing {
 		o.confirmFailed = outcome != Accepted
 		o.nextOrderAt = now
@@ -288,6 +289,9 @@
 		}
 		o.fence = g.nextFence() // the server may be a new incarnation
 	}
+	if g.ownerLost(o) != lost {
+		g.changed[o.id] = true
+	}
 }
 
 // extendLease records until when the lease of a grant with the given outcome may last.
