The granter frees the ranges of a server that has certainly ended

Granter.ServerEnded treats the leases of an incarnation, and of earlier ones, as over, whichever leader granted them. It has no effect on a range of which a later incarnation may have a lease, or of which the plan does not name the incarnation, while the incarnation is registered, and while the granter is frozen or waits for leaders of an earlier era. The range gets a new id, so that the outcome of an order in flight to the server does not delay the next owner.

--- /dev/null
+++ b/internal/granter/ended.go
@@ -0,0 +1,54 @@
+package granter
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// FailingServers returns the sorted ids of the servers whose latest order for one of their ranges failed.
+func (g *Granter) FailingServers() []string {
+	failing := map[string]bool{}
+	for _, o := range g.ranges {
+		if o.failing && o.mayHaveLease() {
+			failing[o.Server] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(failing))
+}
+
+// mayHaveLease reports whether the leases of o, if any, are leases of its present owner. Before, those of earlier owners have
+// expired or were released.
+func (o *ownership) mayHaveLease() bool {
+	return o.state == granting || o.state == granted || o.state == releasing
+}
+
+// ServerEnded records that an incarnation of a server has certainly ended, and all earlier ones with it, and returns the number of
+// ranges that this frees. All leases of these incarnations are over, whichever leader granted them; an order that is on its way
+// reaches nobody who applies it.
+//
+// It has no effect on a range of which a later incarnation of the server may have a lease, or of which the latest one that may have
+// is not known. It has none either while that incarnation is registered, since then the evidence is contradictory, and while the
+// granter is frozen.
+func (g *Granter) ServerEnded(now time.Time, server string, incarnation int64) int {
+	if s, known := g.servers[server]; g.frozen || known && s.Incarnation <= incarnation {
+		return 0
+	}
+	freed := 0
+	for _, o := range slices.Clone(g.sortedRanges()) {
+		if o.Server != server || !o.mayHaveLease() || o.Incarnation == 0 || o.Incarnation > incarnation {
+			continue
+		}
+		// Under a new id, the outcome of an order in flight does not count.
+		g.removeRange(o)
+		next := &ownership{
+			Assignment: o.Assignment, state: free, fence: g.nextFence(), nextOwner: o.nextOwner, leaseExpiry: g.uncertainUntil,
+		}
+		if o.state == releasing && o.released {
+			next.handover = o.handover
+		}
+		g.planOwner(now, g.addRange(next))
+		freed++
+	}
+	return freed
+}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -13,6 +13,8 @@
 //     earlier one afterwards.
 //   - The store records who may own a range before the grant is sent, with the server's incarnation.
 //
+// Leases of an incarnation that has ended are over at once; see ServerEnded.
+//
 // After the store came back from an older copy, its record may name an earlier owner. DistrustPlan and Freeze then make the
 // leader wait until every leader that may have changed it has stopped.
 //
