The leader asks who holds the address of a server that fails, and frees its ranges if another one does

Servers that ended while no instance led kept their ranges for up to 24.2 s, the leader lease of the previous leader and a range lease, although other servers answered at their addresses meanwhile.

While orders to a server fail, the leader sends health checks to its address, each over a new connection and meant for the old server, at most one in 0.5 s for each server, two at a time and eight a second. Package inquirer, which is pure, keeps the questions and answers: the server has ended once two answers in a row name the same other server, which is registered at that very address with a later start, while the old one is not registered there. Registrations alone and silent addresses prove nothing, an accepted order ends the inquiry, and a server whose incarnation was registered with two addresses is left out. Questions that could not lead to a conclusion are not sent.

The path of the health check is that of the service of the server that is registered at the address: a server of another service may not know the path of the old one. The stand-in server answers a health check that is meant for another server with 421 and its id.

Ruled out: questions about servers that are still registered (no conclusion would follow), and answers through other instances (one more message, and the leader has to trust them).

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -50,6 +50,7 @@
 	drainDeadlines    map[string]time.Time   // when a draining server counts as gone
 	leaving           map[string]int64       // incarnation of each server that said that it is leaving
 	unconfirmed       map[string]unconfirmed // registrations of removed servers that are in an older copy of the store
+	moved             map[string]int64       // latest incarnation of each server that was registered with different addresses
 }
 
 // unconfirmed is a registration that a server may have removed or changed since.
@@ -72,6 +73,12 @@
 	if known && s.Incarnation < previous.Incarnation {
 		return false
 	}
+	if last, ok := c.lastKnown[s.ID]; ok && s.Incarnation == last.Incarnation && s.Address != last.Address {
+		if c.moved == nil {
+			c.moved = map[string]int64{}
+		}
+		c.moved[s.ID] = s.Incarnation
+	}
 	delete(c.reappearDeadlines, s.ID)
 	if known && s.Incarnation > previous.Incarnation {
 		delete(c.drainDeadlines, s.ID)
@@ -201,6 +208,14 @@
 	return s, ok
 }
 
+// Moved reports whether the latest incarnation of a server was registered with different addresses, so that it is not certain which
+// of them it has: a server does not change its address, but other writers may replace its registration.
+func (c *Catalog) Moved(id string) bool {
+	s, known := c.lastKnown[id]
+	incarnation, moved := c.moved[id]
+	return known && moved && incarnation == s.Incarnation
+}
+
 // Servers returns the servers sorted by id.
 func (c *Catalog) Servers() []Server {
 	all := make([]Server, 0, len(c.servers))
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -233,3 +233,28 @@
 	is.True(!c.Expire(at(time.Second), drainTimeout))
 	is.Equal(len(c.Servers()), 0)
 }
+
+// TestServerWithTwoAddressesHasMoved guards against conclusions from an address that another writer may have put in place of that of the
+// server, whether the record of either came first.
+func TestServerWithTwoAddressesHasMoved(t *testing.T) {
+	is := is.New(t)
+	elsewhere := func(incarnation int64) Server {
+		s := server("a", Ready, incarnation)
+		s.Address = "b:1"
+		return s
+	}
+	var c Catalog
+	is.True(!c.Moved("a"))
+	c.Put(start, drainTimeout, server("a", Ready, 1))
+	c.Put(start, drainTimeout, server("a", Draining, 1))
+	is.True(!c.Moved("a"))
+	c.Put(start, drainTimeout, elsewhere(2)) // a later incarnation may have another address
+	is.True(!c.Moved("a"))
+	c.Put(start, drainTimeout, server("a", Ready, 2))
+	is.True(c.Moved("a"))
+	c.Put(start, drainTimeout, elsewhere(2))
+	c.Remove(start, start, "a")
+	is.True(c.Moved("a"))
+	c.Put(start, drainTimeout, server("a", Ready, 3))
+	is.True(!c.Moved("a"))
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/wasabibank/wasabibank/internal/forwarder"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/inquirer"
 	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
@@ -174,6 +175,8 @@
 	lastPublish         time.Time
 	unpublished         bool
 	affectedDispatchers map[string]bool   // instances that dispatch for servers of unpublished changes
+	inquirer            inquirer.Inquirer // asks whether failing servers have ended
+	lastHolderCheck     time.Time
 	plans               map[uint64][]byte // encoded plans by sequence number, until a newer one is stored
 	requestedPlan       uint64            // sequence number of the plan whose append was requested last
 	requestedAt         time.Time
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -172,6 +172,7 @@
 		for _, order := range l.granter.Tick(now) {
 			c.sendOrder(now, order)
 		}
+		c.askHolders(now)
 		c.requestPlan(now)
 		// A released range waits until the store has its next owner, so none is moved while the store is slow.
 		if c.elector.StoreHealthy(now, busyCallTime) {
@@ -233,6 +234,9 @@
 				klog.InfoS("release ended", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
 					"outcome", outcome.String(), "handover", handover != "", "error", err)
 				if c.leaderState == l {
+					if outcome == granter.Accepted {
+						l.inquirer.Forget(o.Server)
+					}
 					l.granter.CompleteRelease(now, o, outcome, handover)
 				}
 			})
@@ -265,6 +269,9 @@
 	if outcome == granter.Fenced {
 		c.elector.InvalidateLease(now)
 	}
+	if outcome == granter.Accepted {
+		l.inquirer.Forget(o.Server)
+	}
 	l.granter.CompleteGrant(now, o, outcome)
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -128,19 +128,20 @@
 	writeJSON(w, http.StatusOK, s.counts)
 }
 
-// headerInstance carries the server's id in answers to health checks.
-const headerInstance = "Wasabibank-Instance-Id"
-
 // serveHealth answers a health check: 200 if the server is ready and 503 if it is draining, or the reverse during the
-// fault InvertHealthChecks.
-func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+// fault InvertHealthChecks. The answer to one that is meant for another server is 421. Each has the server's id.
+func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.HeaderServer, s.settings.ID)
+	if target := r.Header.Get(platform.HeaderTarget); target != "" && target != s.settings.ID {
+		s.reject(w, http.StatusMisdirectedRequest, reasonTarget)
+		return
+	}
 	s.mu.Lock()
 	healthy := s.state == cataloger.Ready
 	s.mu.Unlock()
 	if s.faults.get().InvertHealthChecks {
 		healthy = !healthy
 	}
-	w.Header().Set(headerInstance, s.settings.ID)
 	if !healthy {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- a/internal/emulator/server_test.go
+++ b/internal/emulator/server_test.go
@@ -215,3 +215,17 @@
 	is.Equal(w.Code, http.StatusMisdirectedRequest)
 	is.True(w.Header().Get(platform.HeaderRequestID) != "")
 }
+
+// TestHealthCheckNamesTheServer guards against a stand-in that answers a health check for the server that had its address before, and
+// against an answer that does not say whose it is.
+func TestHealthCheckNamesTheServer(t *testing.T) {
+	for target, status := range map[string]int{"": 200, "s": 200, "another": 421} {
+		is := is.New(t)
+		request := httptest.NewRequest(http.MethodGet, "/health", http.NoBody)
+		request.Header.Set(platform.HeaderTarget, target)
+		answer := httptest.NewRecorder()
+		NewServer(ServerSettings{ID: "s", Service: "desk"}, time.Now()).ServeHTTP(answer, request)
+		is.Equal(answer.Code, status)
+		is.Equal(answer.Header().Get(platform.HeaderServer), "s")
+	}
+}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -39,8 +39,13 @@
 	GrantsRefused
 	GrantsFailed
 	ReleasesSent
+	HolderQuestions
+	HoldersAlive
+	HoldersOther
+	HoldersUnknown
+	HoldersEnded
 
-	counterCount = int(ReleasesSent) + 1
+	counterCount = int(HoldersEnded) + 1
 )
 
 // Gauge identifies a gauge of a Meter.
@@ -111,6 +116,11 @@
 	GrantsRefused:       {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
 	GrantsFailed:        {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
 	ReleasesSent:        {"releases_sent", "Releases sent to backend servers."},
+	HolderQuestions:     {"holder_questions", "Health checks that asked who holds the address of a backend server that fails."},
+	HoldersAlive:        {"holders_alive", "Answers to such health checks by the failing backend server itself."},
+	HoldersOther:        {"holders_other", "Answers to such health checks by another backend server that is registered there."},
+	HoldersUnknown:      {"holders_unknown", "Such health checks without an answer, or answered in the name of no known backend server."},
+	HoldersEnded:        {"holders_ended", "Backend servers whose keys were freed because another one holds their address."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
