The stand-in server refuses orders that are meant for another server

A stand-in that got the address of another one applied the orders of the leader to that one, as it did not compare the target. It now answers 421 with its id, as to health checks.

--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -89,8 +89,8 @@
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc("/admin/faults", s.faults.serveAdmin).Methods(http.MethodGet, http.MethodPost)
 	router.HandleFunc("/admin/counts", s.serveCounts).Methods(http.MethodGet)
-	router.HandleFunc("/health", s.serveHealth).Methods(http.MethodGet)
-	router.PathPrefix("/-/").Handler(s.withLateOrders(orders))
+	router.Handle("/health", s.withTarget(http.HandlerFunc(s.serveHealth))).Methods(http.MethodGet)
+	router.PathPrefix("/-/").Handler(s.withTarget(s.withLateOrders(orders)))
 	router.PathPrefix("/").HandlerFunc(s.serveRequest)
 	s.handler = router
 	return s
@@ -128,14 +128,22 @@
 	writeJSON(w, http.StatusOK, s.counts)
 }
 
+// withTarget wraps the handler of orders and health checks: those that are meant for another server get 421.
+func (s *Server) withTarget(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if target := r.Header.Get(platform.HeaderTarget); target != "" && target != s.settings.ID {
+			w.Header().Set(platform.HeaderServer, s.settings.ID)
+			s.reject(w, http.StatusMisdirectedRequest, reasonTarget)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // serveHealth answers a health check: 200 if the server is ready and 503 if it is draining, or the reverse during the
-// fault InvertHealthChecks. The answer to one that is meant for another server is 421. Each has the server's id.
-func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
+// fault InvertHealthChecks. The answer has the server's id.
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(platform.HeaderServer, s.settings.ID)
-	if target := r.Header.Get(platform.HeaderTarget); target != "" && target != s.settings.ID {
-		s.reject(w, http.StatusMisdirectedRequest, reasonTarget)
-		return
-	}
 	s.mu.Lock()
 	healthy := s.state == cataloger.Ready
 	s.mu.Unlock()
--- a/internal/emulator/server_test.go
+++ b/internal/emulator/server_test.go
@@ -216,16 +216,22 @@
 	is.True(w.Header().Get(platform.HeaderRequestID) != "")
 }
 
-// TestHealthCheckNamesTheServer guards against a stand-in that answers a health check for the server that had its address before, and
-// against an answer that does not say whose it is.
-func TestHealthCheckNamesTheServer(t *testing.T) {
+// TestServerAnswersOnlyForItself guards against a stand-in that answers a health check or applies an order for the server that had its
+// address before, and against health checks whose answer does not say whose it is.
+func TestServerAnswersOnlyForItself(t *testing.T) {
 	for target, status := range map[string]int{"": 200, "s": 200, "another": 421} {
 		is := is.New(t)
-		request := httptest.NewRequest(http.MethodGet, "/health", http.NoBody)
-		request.Header.Set(platform.HeaderTarget, target)
-		answer := httptest.NewRecorder()
-		NewServer(ServerSettings{ID: "s", Service: "desk"}, time.Now()).ServeHTTP(answer, request)
-		is.Equal(answer.Code, status)
-		is.Equal(answer.Header().Get(platform.HeaderServer), "s")
+		server := NewServer(ServerSettings{ID: "s", Service: "desk"}, time.Now())
+		for _, request := range []*http.Request{
+			httptest.NewRequest(http.MethodGet, "/health", http.NoBody),
+			httptest.NewRequest(http.MethodPost, "/-/grant", strings.NewReader(`{"from":1,"target":2,"fence":3,"hold_ms":4000}`)),
+		} {
+			request.Header.Set(platform.HeaderTarget, target)
+			answer := httptest.NewRecorder()
+			server.ServeHTTP(answer, request)
+			is.Equal(answer.Code, status)
+			is.Equal(answer.Header().Get(platform.HeaderServer) == "s", request.URL.Path == "/health" || status == 421)
+		}
+		is.Equal(len(server.leases.list), map[int]int{200: 1}[status])
 	}
 }
