No questions about a server whose end would free no range

If the plan names no incarnation, because an instance of an earlier build led before, or a later one than this instance has read, the leader asked who holds the address each 0.5 s until the leases ended, to no effect: 50 questions in a trial with mixed builds. The granter now names the incarnation whose end would free a range.

Result: TestHolderOfTheAddressEndsAServer has both cases; go test -race of granter and controller passes.

--- a/internal/controller/ended.go
+++ b/internal/controller/ended.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// updateSubjects passes the failing servers and the registrations to the inquirer. A server whose address is not certain is left out.
+// updateSubjects passes the failing servers and the registrations to the inquirer. A server is left out if its address is not certain, or
+// if this instance has not read the registration of the incarnation that may have leases.
 func (c *Controller) updateSubjects(now time.Time) {
 	l := c.leaderState
 	failing := l.granter.FailingServers()
@@ -42,8 +43,8 @@
 		return
 	}
 	var subjects []inquirer.Subject
-	for _, id := range failing {
-		if s, known := c.catalog.LastKnown(id); known && !c.catalog.Moved(id) {
+	for id, incarnation := range failing {
+		if s, known := c.catalog.LastKnown(id); known && s.Incarnation >= incarnation && !c.catalog.Moved(id) {
 			subjects = append(subjects, inquirer.Subject{Server: id, Incarnation: s.Incarnation, Address: s.Address})
 		}
 	}
--- a/internal/controller/ended_test.go
+++ b/internal/controller/ended_test.go
@@ -22,19 +22,22 @@
 	tests := map[string]struct {
 		answersAs  string // empty: no answer
 		status     int
-		registered bool // the holder
-		twoPlaces  bool // another writer has put an entry with another address under the id of the server
-		questions  int  // that are sent in three rounds
+		registered bool  // the holder
+		twoPlaces  bool  // another writer has put an entry with another address under the id of the server
+		planned    int64 // incarnation that the plan names; the server's is 5
+		questions  int   // that are sent in three rounds
 		ended      bool
 	}{
-		"another server holds the address":     {answersAs: "b", status: 421, registered: true, questions: 2, ended: true},
-		"it answers as if it were meant":       {answersAs: "b", status: 200, registered: true, questions: 2, ended: true},
-		"the server itself answers":            {answersAs: "a", status: 200, registered: true, questions: 3},
-		"nobody answers":                       {registered: true, questions: 3},
-		"a server answers that is not known":   {answersAs: "c", status: 421, registered: true, questions: 3},
-		"an answer that is no health check's":  {answersAs: "b", status: 400, registered: true, questions: 3},
-		"nobody is registered at the address":  {answersAs: "b", status: 421},
-		"the address of the server is unclear": {answersAs: "b", status: 421, registered: true, twoPlaces: true},
+		"another server holds the address":     {planned: 5, answersAs: "b", status: 421, registered: true, questions: 2, ended: true},
+		"it answers as if it were meant":       {planned: 5, answersAs: "b", status: 200, registered: true, questions: 2, ended: true},
+		"the server itself answers":            {planned: 5, answersAs: "a", status: 200, registered: true, questions: 3},
+		"nobody answers":                       {planned: 5, registered: true, questions: 3},
+		"a server answers that is not known":   {planned: 5, answersAs: "c", status: 421, registered: true, questions: 3},
+		"an answer that is no health check's":  {planned: 5, answersAs: "b", status: 400, registered: true, questions: 3},
+		"nobody is registered at the address":  {planned: 5, answersAs: "b", status: 421},
+		"a later incarnation may have leases":  {answersAs: "b", status: 421, registered: true, planned: 6},
+		"the plan names no incarnation":        {answersAs: "b", status: 421, registered: true},
+		"the address of the server is unclear": {planned: 5, answersAs: "b", status: 421, registered: true, twoPlaces: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -55,7 +58,7 @@
 			c.catalogRead = true
 			now := time.Unix(1000, 0)
 			g := granter.New(GrantSettings, now, 2, []granter.Assignment{
-				{Service: "desk", Range: partitioner.Range{Last: partitioner.MaxKey}, Server: "a", Incarnation: 5},
+				{Service: "desk", Range: partitioner.Range{Last: partitioner.MaxKey}, Server: "a", Incarnation: test.planned},
 			}, now.Add(24*time.Second))
 			l := &leaderState{leaderTerm: leaderTerm{granter: g}}
 			c.leaderState = l
--- a/internal/granter/ended.go
+++ b/internal/granter/ended.go
@@ -1,20 +1,23 @@
 package granter
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
 
-// FailingServers returns the sorted ids of the servers whose latest order for one of their ranges failed.
-func (g *Granter) FailingServers() []string {
-	failing := map[string]bool{}
+// FailingServers returns the servers whose latest order for one of their ranges failed, and for each the earliest incarnation whose end
+// would free such a range. Servers whose end would free none are left out; see ServerEnded.
+func (g *Granter) FailingServers() map[string]int64 {
+	failing := map[string]int64{}
 	for _, o := range g.ranges {
-		if o.failing && o.mayHaveLease() {
-			failing[o.Server] = true
+		if g.frozen || !o.failing || !o.mayHaveLease() || o.Incarnation == 0 {
+			continue
+		}
+		if earliest, found := failing[o.Server]; !found || o.Incarnation < earliest {
+			failing[o.Server] = o.Incarnation
 		}
 	}
-	return slices.Sorted(maps.Keys(failing))
+	return failing
 }
 
 // mayHaveLease reports whether the leases of o, if any, are leases of its present owner. Before, those of earlier owners have
