--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/wasabibank/wasabibank/internal/forwarder"
 	"github.com/wasabibank/wasabibank/internal/granter"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/inquirer"
 	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
@@ -131,6 +132,7 @@
 	grantSettings   granter.Settings
 	plan            []byte // content of the plan record with the highest term that this instance has read
 	planTerm        uint64 // highest term of the plan records that this instance has read
+	planIsOfLeader  bool   // plan was stored by the leader that leaderTopic names
 	lastStep        time.Time
 	lastReport      time.Time
 	reportPending   bool
@@ -173,6 +175,8 @@
 	lastPublish         time.Time
 	unpublished         bool
 	affectedDispatchers map[string]bool   // instances that dispatch for servers of unpublished changes
+	inquirer            inquirer.Inquirer // asks whether failing servers have ended
+	lastHolderCheck     time.Time
 	plans               map[uint64][]byte // encoded plans by sequence number, until a newer one is stored
 	requestedPlan       uint64            // sequence number of the plan whose append was requested last
 	requestedAt         time.Time
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -43,7 +43,7 @@
 func (c *Controller) becomeLeader(now time.Time, election elector.Election) {
 	predecessor := election.Predecessor
 	plan := storedPlan{exists: c.plan != nil}
-	plan.assignments, plan.err = decodePlan(c.plan)
+	plan.assignments, plan.err = c.readPlan()
 	term := c.elector.Term()
 	c.leaderState = &leaderState{
 		leaderTerm: newLeaderTerm(now, c.grantSettings, term, election, plan), since: now,
@@ -172,6 +172,7 @@
 		for _, order := range l.granter.Tick(now) {
 			c.sendOrder(now, order)
 		}
+		c.askHolders(now)
 		c.requestPlan(now)
 		// A released range waits until the store has its next owner, so none is moved while the store is slow.
 		if c.elector.StoreHealthy(now, busyCallTime) {
@@ -208,7 +209,12 @@
 	switch o := order.(type) {
 	case granter.Grant:
 		c.options.Meter.Count(meter.GrantsSent)
-		address := c.serverAddress(o.Server)
+		s, known := c.catalog.LastKnown(o.Server)
+		if known && o.Incarnation != 0 && s.Incarnation > o.Incarnation {
+			l.granter.CompleteGrant(now, o, granter.NotSent) // the plan does not name this incarnation
+			return
+		}
+		address := s.Address
 		go func() {
 			sent := time.Now()
 			outcome, err := c.orders.Grant(c.context, sent, address, o)
@@ -228,6 +234,9 @@
 				klog.InfoS("release ended", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
 					"outcome", outcome.String(), "handover", handover != "", "error", err)
 				if c.leaderState == l {
+					if outcome == granter.Accepted {
+						l.forgetInquiry(o.Server)
+					}
 					l.granter.CompleteRelease(now, o, outcome, handover)
 				}
 			})
@@ -260,6 +269,9 @@
 	if outcome == granter.Fenced {
 		c.elector.InvalidateLease(now)
 	}
+	if outcome == granter.Accepted {
+		l.forgetInquiry(o.Server)
+	}
 	l.granter.CompleteGrant(now, o, outcome)
 }
 
