--- a/internal/inquirer/inquirer.go
+++ b/internal/inquirer/inquirer.go
@@ -23,13 +23,14 @@
 
 const (
 	// AskInterval is the least time between two questions about a server.
-	AskInterval = 500 * time.Millisecond
+	AskInterval = 300 * time.Millisecond
 	// maxInFlight is the number of questions that may be unanswered at the same time, and maxPerSecond how many are sent in
-	// any second.
-	maxInFlight  = 2
-	maxPerSecond = 8
+	// any second. With 40 servers replaced at once, eight a second took 10 s for two answers from each; no question is asked at an
+	// address where no other server is registered.
+	maxInFlight  = 16
+	maxPerSecond = 64
 	// maxAnswerAge is how old the first of the two answers may be. It is above the time in which a question about each of
-	// 20 servers is answered twice.
+	// 200 servers is answered twice.
 	maxAnswerAge = 10 * time.Second
 )
 
