Tests of crowds of clients that take memory, descriptors or answers

Cause: nothing bounds the bodies, headers and connections of all clients together, and a hop reads 8 MiB at most.

Crowd sizes and bounds (the machine's memory and descriptors) are fixed here. They check VmHWM, the entries of /proc/PID/fd, that the process lives, and that an ordinary request is answered while the crowd stays connected.

--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -42,6 +42,9 @@
 	seeded bool
 	// grace is the grace period of the entries; 0 leaves that of the example.
 	grace time.Duration
+	// memoryMB is the memory of the entries, whose settings then also bound descriptors to crowdDescriptors; 0 leaves those of the
+	// example.
+	memoryMB int
 }
 
 // defaultSize is the size of the clusters of all tests but the soak.
@@ -96,6 +99,7 @@
 	number    int
 	seeded    bool // the settings name seeds
 	grace     time.Duration
+	memoryMB  int // see clusterSize
 	store     *process
 	collector *process
 	servers   []*server // first those with keys
@@ -110,7 +114,7 @@
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
 // owner. keyedServerFlags are added to the command line of the keyed servers.
 func newCluster(t *testing.T, size clusterSize, keyedServerFlags ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, admin: inspector.NewClient(adminTimeout)}
+	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, memoryMB: size.memoryMB, admin: inspector.NewClient(adminTimeout)}
 	t.Cleanup(c.admin.Close)
 	c.store = startStandin(t, "store", "standin", "store")
 	c.collector = startStandin(t, "collector", "standin", "collector")
@@ -167,6 +171,9 @@
 	if c.grace > 0 {
 		text = strings.Replace(text, "grace_period_s=8", fmt.Sprintf("grace_period_s=%.0f", c.grace.Seconds()), 1)
 	}
+	if c.memoryMB > 0 {
+		text = strings.Replace(text, "memory_mb=256", fmt.Sprintf("memory_mb=%d\nself.limits.max_fds=%d", c.memoryMB, crowdDescriptors), 1)
+	}
 	e.settingsPath = filepath.Join(c.dir, e.name+".conf")
 	must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
 	c.entries = append(c.entries, e)
