The connections of a server, and the headers being read on them, can be bounded

Cause: 2,000 connections that are left open take 2,020 descriptors of an instance that may have 1,200, and unfinished headers 177 MiB. Change: drainer.SetLimits. At the limit of connections the one idle for the longest time is closed, by the same means as in a shutdown, so that a request that has arrived is still answered; without an idle one the new connection is closed. Bytes of unfinished headers are counted over all connections; beyond the bound a connection with more than 4 KiB of header is closed without an answer. Ruled out: refusing every new connection at the limit, since idle clients would keep all others away; a bound on each header below 64 KiB, since configurations may allow that much.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -21,9 +21,10 @@
 // without a connection to answer on.
 type conn struct {
 	net.Conn
-	drainer   *Drainer
-	answering atomic.Bool // a request is in progress, or the client may not have received its answer
-	bodyRead  atomic.Bool // the body of the last request was read completely
+	drainer     *Drainer
+	answering   atomic.Bool  // a request is in progress, or the client may not have received its answer
+	bodyRead    atomic.Bool  // the body of the last request was read completely
+	headerBytes atomic.Int64 // of the header that is being read
 
 	mu             sync.Mutex
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
@@ -46,6 +47,9 @@
 	if deadlineErr := c.markBusy(); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
+	if limitErr := c.countHeader(n); limitErr != nil {
+		return 0, limitErr
+	}
 	return n, err
 }
 
@@ -69,6 +73,7 @@
 	if !closed && c.unreceived() {
 		c.linger()
 	}
+	c.endHeader()
 	c.drainer.remove(c)
 	return c.Conn.Close()
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -32,7 +32,9 @@
 	draining atomic.Bool // CloseIdle or Drain was called
 	ended    atomic.Bool // FinishAnswers has returned
 	// lingering is the number of connections that wait for their clients to receive an answer.
-	lingering atomic.Int32
+	lingering   atomic.Int32
+	limits      Limits
+	headerBytes atomic.Int64 // of all headers that are being read
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -57,15 +59,19 @@
 
 // Accept implements net.Listener.
 func (d *Drainer) Accept() (net.Conn, error) {
-	inner, err := d.listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := d.listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		c := &conn{Conn: inner, drainer: d, idleSince: now, minIdle: firstRequestTimeout}
+		if d.admit(now, c) {
+			return c, nil
+		}
+		d.refused()
+		_ = inner.Close() // nothing was read from it or written to it
 	}
-	c := &conn{Conn: inner, drainer: d, idleSince: time.Now(), minIdle: firstRequestTimeout}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.conns[c] = true
-	return c, nil
 }
 
 // Close implements net.Listener. Accepted connections stay open.
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 )
 
-// startServer starts a server with handler and returns the Drainer of its connections.
-func startServer(t *testing.T, handler http.HandlerFunc) *Drainer {
+// startServer starts a server with handler, and limits if there are any, and returns the Drainer of its connections.
+func startServer(t *testing.T, handler http.HandlerFunc, limits ...Limits) *Drainer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -21,6 +21,9 @@
 	}
 	server := &http.Server{Handler: handler}
 	d := New(listener, server)
+	for _, l := range limits {
+		d.SetLimits(l)
+	}
 	go func() { _ = server.Serve(d) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return d
--- a/internal/drainer/handler.go
+++ b/internal/drainer/handler.go
@@ -34,6 +34,7 @@
 	}
 	_ = c.markBusy() // fails only on a closed connection
 	c.answering.Store(true)
+	c.endHeader()
 	c.bodyRead.Store(r.Body == nil || r.Body == http.NoBody)
 	tracked := *r // the server recognises its own type of body
 	if !c.bodyRead.Load() {
--- /dev/null
+++ b/internal/drainer/limits.go
@@ -0,0 +1,97 @@
+package drainer
+
+import (
+	"net"
+	"os"
+	"time"
+)
+
+const (
+	// headerAllowance is how many bytes of a header a connection may always read; most headers have fewer.
+	headerAllowance = 4 << 10
+	// closingConnections is how many connections may be open beyond the limit while idle ones are closed for them.
+	closingConnections = 32
+)
+
+// Limits bound what the connections of one server take. The zero Limits bound nothing.
+type Limits struct {
+	Connections int   // open at the same time
+	HeaderBytes int64 // of all headers that are being read
+	// OnRefuse is called for each connection that is closed to stay within the limits.
+	OnRefuse func()
+}
+
+// SetLimits sets the limits. It must be called before Serve.
+func (d *Drainer) SetLimits(l Limits) { d.limits = l }
+
+// admit adds a connection that was accepted at now, and reports whether it may stay open. At the limit it closes the connection that has
+// been idle for the longest time; without an idle one, the new connection has to go.
+func (d *Drainer) admit(now time.Time, c *conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if limit := d.limits.Connections; limit > 0 && len(d.conns) >= limit {
+		if len(d.conns) >= limit+closingConnections || !d.closeLongestIdle(now) {
+			return false
+		}
+	}
+	d.conns[c] = true
+	return true
+}
+
+// closeLongestIdle closes the connection that has been idle for the longest time, and reports whether there is one. The caller holds mu.
+func (d *Drainer) closeLongestIdle(now time.Time) bool {
+	var longest *conn
+	var since time.Time
+	for c := range d.conns {
+		if idle := c.idleFrom(); !idle.IsZero() && now.Sub(idle) >= minIdleTime && (longest == nil || idle.Before(since)) {
+			longest, since = c, idle
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	longest.closeIdle()
+	d.refused()
+	return true
+}
+
+func (d *Drainer) refused() {
+	if d.limits.OnRefuse != nil {
+		d.limits.OnRefuse()
+	}
+}
+
+// idleFrom returns when the connection became idle, or the zero time if it is not idle or is closing.
+func (c *conn) idleFrom() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return time.Time{}
+	}
+	return c.idleSince
+}
+
+// closeIdle makes the server close the connection, unless a request arrives before.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
+
+// countHeader counts n bytes of a header that were read. The error, after which the server closes the connection without an answer, says
+// that the headers of all connections take too much and this one is long.
+func (c *conn) countHeader(n int) error {
+	if c.answering.Load() || c.drainer.limits.HeaderBytes <= 0 {
+		return nil
+	}
+	own, all := c.headerBytes.Add(int64(n)), c.drainer.headerBytes.Add(int64(n))
+	if own <= headerAllowance || all <= c.drainer.limits.HeaderBytes {
+		return nil
+	}
+	c.drainer.refused()
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
+}
+
+// endHeader ends the counting of the bytes of a header, because it is complete or the connection is closed.
+func (c *conn) endHeader() { c.drainer.headerBytes.Add(-c.headerBytes.Swap(0)) }
--- /dev/null
+++ b/internal/drainer/limits_test.go
@@ -0,0 +1,70 @@
+package drainer
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestIdleConnectionsMakeRoom guards against clients that keep others away with open connections, and against descriptors beyond the
+// limit.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	const limit = 4
+	var refused atomic.Int32
+	release := make(chan struct{})
+	d := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			<-release
+		}
+	}, Limits{Connections: limit, OnRefuse: func() { refused.Add(1) }})
+	defer close(release)
+	var idle []*client
+	for range limit {
+		c := dial(t, d)
+		c.sendRequest()
+		is.Equal(c.readStatus(), 200)
+		idle = append(idle, c)
+	}
+	time.Sleep(2 * minIdleTime)
+	later := dial(t, d)
+	later.sendRequest()
+	is.Equal(later.readStatus(), 200)
+	is.Equal(idle[0].readStatus(), 0) // it was idle for the longest time
+	is.Equal(refused.Load(), int32(1))
+	for range limit { // takes the place of all that are idle
+		_, err := io.WriteString(dial(t, d).conn, "GET /busy HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		time.Sleep(2 * minIdleTime)
+	}
+	extra := dial(t, d)
+	is.NoErr(extra.conn.SetDeadline(time.Now().Add(20 * time.Second)))
+	_, err := extra.in.ReadByte()
+	is.Equal(err, io.EOF) // none is idle
+}
+
+// TestHeadersAreLimitedTogether guards against memory that unfinished headers of many connections take, and against the end of a
+// connection with a short header.
+func TestHeadersAreLimitedTogether(t *testing.T) {
+	is := is.New(t)
+	d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderBytes: 20 << 10})
+	for range 4 {
+		c := dial(t, d)
+		_, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nX-Long: "+strings.Repeat("x", 10<<10))
+		is.NoErr(err)
+	}
+	for open := 4; open > 2; time.Sleep(time.Millisecond) { // two of them are ended
+		d.mu.Lock()
+		open = len(d.conns)
+		d.mu.Unlock()
+	}
+	c := dial(t, d)
+	c.sendRequest()
+	is.Equal(c.readStatus(), 200)
+	is.True(d.headerBytes.Load() <= 20<<10)
+}
