Bodies of all requests and answers of an instance have one budget

Cause: readFrom read each body whole with io.ReadAll, without a bound over all requests; a hop read 8 MiB at most; messages on the peer port were read without a bound over all; answers that clients don't read held their buffers for ever. Change: package allocator decides who gets memory, waits, is refused or dropped; internal/forwarder/memory.go and body.go read and write. Bodies are kept in pieces. 413 as announced, 503 with Retry-After without room, 408 for a body that stopped. Bodies up to the configured limit pass between instances. Ruled out: streaming to the server (a stalled client holds a slot; the fingerprint is known only after the body), a bound per connection (five bodies of 64 MiB end a machine of 284 MB), files (no disk). Changes to tests: endless_answer_test.go and shutdown_test.go use the new names of the same functions; the checks are the same.

--- /dev/null
+++ b/internal/allocator/allocator_test.go
@@ -0,0 +1,146 @@
+package allocator
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+
+// TestDecisions guards against a body that fits and is refused, one that takes what is kept for small bodies and answers, and one that
+// waits although it can never fit.
+func TestDecisions(t *testing.T) {
+	const limit = 80 << 20
+	tests := map[string]struct {
+		held  []int64 // by other requests
+		bytes int64
+		want  Decision
+	}{
+		"no body":                          {bytes: 0, want: Grant{}},
+		"large, calm":                      {bytes: 70 << 20, want: Grant{}},
+		"larger than what bodies may take": {bytes: 70<<20 + 1, want: Refuse{Ticket: 1, TooLarge: true}},
+		"large, beside a large one":        {held: []int64{60 << 20}, bytes: 20 << 20, want: Wait{}},
+		"small, beside a large one":        {held: []int64{70 << 20}, bytes: SmallBytes, want: Grant{}},
+		"no body, everything taken":        {held: []int64{70 << 20}, bytes: 0, want: Grant{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(limit)
+			for _, bytes := range test.held {
+				_, d := a.Open(start, bytes, start.Add(time.Minute))
+				is.Equal(d, Grant{})
+			}
+			_, got := a.Open(start, test.bytes, start.Add(time.Minute))
+			is.Equal(got, test.want)
+			is.Equal(a.Pressure(start), test.want == Wait{})
+		})
+	}
+}
+
+// TestStalledBodiesAreDroppedFirst guards against a stalled body that keeps others waiting, and against the drop of one that makes
+// progress, whose server is at work, or that nobody waits for.
+func TestStalledBodiesAreDroppedFirst(t *testing.T) {
+	is := is.New(t)
+	a := New(80 << 20)
+	open := func(bytes int64) Ticket {
+		ticket, d := a.Open(start, bytes, start.Add(time.Minute))
+		is.Equal(d, Grant{})
+		return ticket
+	}
+	working, stalled, trickling, steady := open(20<<20), open(20<<20), open(20<<20), open(10<<20)
+	a.Enter(start, working, Working)
+	now := start.Add(stallTimeout)
+	a.Progress(now, steady, progressBytes)
+	a.Progress(now, trickling, 1)
+	is.Equal(len(a.Advance(now).Dropped), 0) // nobody waits
+	waiter, d := a.Open(now, 30<<20, now.Add(time.Minute))
+	is.Equal(d, Wait{})
+	is.Equal(a.Advance(now).Dropped, []Ticket{stalled, trickling})
+	is.Equal(len(a.Advance(now).Dropped), 0) // they are being closed
+	is.Equal(len(a.Close(now, stalled).Granted), 0)
+	is.Equal(a.Close(now, trickling).Granted, []Ticket{waiter})
+	_, d = a.Open(now, 30<<20, now.Add(time.Minute))
+	is.Equal(d, Wait{})
+	refused := a.Advance(now.Add(maxWait)).Refused
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].RetryAfter, maxRetryAfter) // no hold has a known end but for its deadline
+}
+
+// TestRandomBodies guards against memory beyond the limit or lost from the accounts, waits without an end, and small bodies that are not
+// served beside a crowd of large, mostly stalled ones.
+func TestRandomBodies(t *testing.T) {
+	const limit, step = 40 << 20, 50 * time.Millisecond
+	for seed := range uint64(50) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 1))
+		a := New(limit)
+		waitSince := map[Ticket]time.Time{}
+		var open []Ticket
+		opened := func(now time.Time, ticket Ticket, d Decision) {
+			switch d.(type) {
+			case Grant:
+				open = append(open, ticket)
+			case Wait:
+				waitSince[ticket] = now
+			}
+		}
+		var apply func(now time.Time, c Change)
+		apply = func(now time.Time, c Change) {
+			for _, ticket := range c.Granted {
+				delete(waitSince, ticket)
+				open = append(open, ticket)
+			}
+			for _, refusal := range c.Refused {
+				delete(waitSince, refusal.Ticket)
+				is.True(!refusal.TooLarge && refusal.RetryAfter >= minRetryAfter)
+				apply(now, a.Close(now, refusal.Ticket))
+			}
+			for _, ticket := range c.Dropped {
+				for i, other := range open {
+					if other == ticket {
+						open = append(open[:i], open[i+1:]...)
+						break
+					}
+				}
+				apply(now, a.Close(now, ticket))
+			}
+		}
+		smallRefused := 0
+		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
+			for range random.IntN(4) { // the crowd
+				ticket, d := a.Open(now, random.Int64N(30<<20), now.Add(4*time.Second))
+				opened(now, ticket, d)
+			}
+			ticket, d := a.Open(now, random.Int64N(SmallBytes), now.Add(time.Second))
+			if _, granted := d.(Grant); !granted {
+				smallRefused++
+				opened(now, ticket, d)
+			} else {
+				apply(now, a.Close(now, ticket))
+			}
+			apply(now, a.Advance(now))
+			is.True(a.Held() <= limit)
+			for _, since := range waitSince {
+				is.True(now.Sub(since) <= maxWait)
+			}
+		}
+		is.Equal(smallRefused, 0)
+		end := start.Add(time.Minute)
+		for range 2 {
+			for _, ticket := range open {
+				open = open[1:]
+				apply(end, a.Close(end, ticket))
+			}
+			apply(end, a.Advance(end))
+		}
+		for _, ticket := range open {
+			a.Close(end, ticket)
+		}
+		is.Equal(a.Held(), int64(0))
+		is.True(!a.Pressure(end.Add(time.Minute)))
+	}
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -289,7 +289,7 @@
 // interpretAnswer returns the result for a complete answer. sameRequest is false if the answer has the id of another
 // request.
 func (f *Forwarder) interpretAnswer(
-	req *clientRequest, status int, header http.Header, body []byte, sameRequest bool,
+	req *clientRequest, status int, header http.Header, body payload, sameRequest bool,
 ) result {
 	r := result{
 		outcome: answered, status: status, header: header, body: body, toHead: req.method == http.MethodHead, maybeSent: true,
--- a/internal/forwarder/endless_answer_test.go
+++ b/internal/forwarder/endless_answer_test.go
@@ -104,7 +104,7 @@
 				<-s.closed // the connection is not kept
 			}
 			is.True(s.sent.Load() <= test.maxBytes+socketBytes)
-			is.Equal(f.buffers.used.Load(), int64(0))
+			is.Equal(f.memory.held(), int64(0))
 		})
 	}
 }
@@ -118,5 +118,5 @@
 	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 200)
 	f.LimitBuffers(50000)
 	is.Equal(sendRequest(f, "POST", "/once/x", "", "").Code, 502)
-	is.Equal(f.buffers.used.Load(), int64(0))
+	is.Equal(f.memory.held(), int64(0))
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,11 +79,11 @@
 	shutdown     atomic.Pointer[admitter.Shutdown] // nil before BeginShutdown
 	lifetime     context.Context                   // ends with errShuttingDown when all requests must have been answered
 	endLifetime  context.CancelCauseFunc
-	inFlight     requestSet    // of clients
-	hops         atomic.Int64  // requests of other instances whose answers have not been sent
-	nextRotation atomic.Uint64 // counts clients' requests, to rotate the order of server pools
-	moveTimeout  time.Duration // the constant, except in tests
-	buffers      bufferBudget
+	inFlight     requestSet      // of clients
+	hops         atomic.Int64    // requests of other instances whose answers have not been sent
+	nextRotation atomic.Uint64   // counts clients' requests, to rotate the order of server pools
+	moveTimeout  time.Duration   // the constant, except in tests
+	memory       *memory         // see LimitBuffers
 	queueing     queuer.Settings // see SetQueueing
 	sourceIP     net.IP          // see SetSourceIP
 	paths        paths
@@ -136,7 +136,7 @@
 		unreachableUntil: map[string]time.Time{}, pauses: map[string]pause{}, limitShare: 1,
 		endedServers: map[quarantiner.Crash]time.Time{}, loads: newLoads(), declines: declines{},
 	}
-	f.buffers.limit = defaultBufferBytes
+	f.LimitBuffers(defaultMemoryBytes)
 	f.lifetime, f.endLifetime = context.WithCancelCause(context.Background())
 	viewChanged := make(chan struct{})
 	f.viewChanged.Store(&viewChanged)
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -4,13 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
+	"github.com/wasabibank/wasabibank/internal/allocator"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
@@ -182,12 +183,16 @@
 	httpReq.Header.Set(HeaderHop, hop.encodeHop(now))
 	httpReq.Header.Set(headerFingerprints, req.fingerprints.String())
 	f.attachCrashes(now, req, httpReq.Header)
+	if req.body.size > allocator.SmallBytes {
+		// The dispatcher may refuse it before it has read it all.
+		httpReq.Body = exchanger.NewStreamedBody(req.body.reader(), nil)
+	}
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = f.lifetime
 	}
 	response, err := connection.Do(sendCtx, httpReq, req.deadline, nil)
-	var body []byte
+	var body payload
 	if err == nil {
 		body, err = f.readAnswer(req, response.Body)
 		response.Close(time.Now(), err == nil)
@@ -244,21 +249,16 @@
 		return
 	}
 	if f.view.Load() == nil {
-		writeHopAnswer(w, declinedResult()) // it has just started; the other instance may use one that has not
+		writeHopResult(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
-	stop := f.endReadingAtExit(w)
-	err := req.readFrom(r, maxBodyBytes)
-	stop()
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && f.lifetime.Err() != nil:
-		writeHopAnswer(w, declinedResult())
-		return
-	case err != nil:
-		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
+	req.setParts(r)
+	if err := f.readBody(w, r, req, f.hopBodyLimit()); err != nil {
+		limitUnread(w, r, newRefusal(err).reason)
+		f.refuseHop(w, err)
 		return
 	}
-	defer func() { f.buffers.release(req.buffered) }()
+	defer req.memory.close()
 	ctx, release := f.untilExit(r.Context())
 	defer release()
 	req.id = r.Header.Get(f.headers.RequestID)
@@ -276,18 +276,46 @@
 		res.reason = reasonFrontShuttingDown
 	}
 	f.attachCrashes(time.Now(), req, w.Header())
-	writeHopAnswer(w, res)
+	f.writeHopAnswer(w, req, res)
+}
+
+// hopBodyLimit returns the limit on the body of a request from another instance.
+func (f *Forwarder) hopBodyLimit() int64 {
+	if v := f.view.Load(); v.Table != nil {
+		return max(v.Table.Limits().BodyBytes, minHopBodyBytes)
+	}
+	return minHopBodyBytes
+}
+
+// refuseHop answers a request of another instance whose body could not be read. It was sent to no server.
+func (f *Forwarder) refuseHop(w http.ResponseWriter, err error) {
+	switch r := newRefusal(err); {
+	case errors.Is(err, errShuttingDown):
+		writeHopResult(w, declinedResult())
+	case r.status == http.StatusServiceUnavailable, r.status == http.StatusRequestTimeout:
+		f.meter.CountRefusal(r.reason)
+		writeHopResult(w, result{outcome: refused, reason: r.reason, retryAfter: r.retryAfter})
+	default:
+		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
+	}
 }
 
 // writeHopAnswer writes the answer to a hop, with the result in headerOutcome.
-func writeHopAnswer(w http.ResponseWriter, r result) {
-	if r.outcome == answered {
-		copyAnswerHeader(w, r)
-		w.Header().Set(headerOutcome, r.encode())
-		w.WriteHeader(r.status)
-		_, _ = w.Write(r.body) // after an error the other instance reads a short body, and treats the answer as broken
+func (f *Forwarder) writeHopAnswer(w http.ResponseWriter, req *clientRequest, r result) {
+	if r.outcome != answered {
+		writeHopResult(w, r)
 		return
 	}
+	copyAnswerHeader(w, r)
+	w.Header().Set(headerOutcome, r.encode())
+	w.WriteHeader(r.status)
+	if err := f.writeBody(w, req, r.body); err != nil { // the other instance reads a short body, and treats the answer as broken
+		klog.InfoS("answer to another instance is incomplete", "id", req.id, "error", err)
+	}
+}
+
+// writeHopResult writes the answer to a hop that has no answer of a server.
+func writeHopResult(w http.ResponseWriter, r result) {
 	w.Header().Set(headerOutcome, r.encode())
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/url"
@@ -9,8 +8,6 @@
 	"time"
 	"unicode"
 
-	"github.com/pkg/errors"
-
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
@@ -24,7 +21,8 @@
 	uri    string // as the client sent it
 	host   string
 	header http.Header // end-to-end headers
-	body   []byte
+	body   payload
+	memory *hold // of the body and of its answers; must be closed
 
 	fingerprints quarantiner.Fingerprints // the same when the request comes again
 	suspect      bool                     // a server may have crashed because of the request; set for the current attempt
@@ -49,7 +47,6 @@
 	sends            int                 // how often it may have reached a server
 	moveWaitStart    time.Time           // when it first waited for a moving key; zero if it never did
 	rotation         uint64              // spreads requests over the server pools of a service without keys
-	buffered         int64               // bytes of its answers that were taken from the buffer budget
 }
 
 // maxRequestNameBytes bounds the name of a request.
@@ -63,29 +60,18 @@
 	return strings.ToValidUTF8(name[:min(len(name), maxRequestNameBytes)], string(unicode.ReplacementChar))
 }
 
-// readFrom sets the parts of a client's request that are forwarded. It returns errBodyTooLarge if the body has more than
-// maxBodyBytes.
-func (req *clientRequest) readFrom(r *http.Request, maxBodyBytes int64) error {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil {
-		return err
-	}
-	if int64(len(body)) > maxBodyBytes {
-		return errBodyTooLarge
-	}
-	req.method, req.uri, req.host, req.header, req.body = r.Method, r.RequestURI, r.Host, r.Header.Clone(), body
+// setParts sets the parts of a client's request that are forwarded, without the body.
+func (req *clientRequest) setParts(r *http.Request) {
+	req.method, req.uri, req.host, req.header = r.Method, r.RequestURI, r.Host, r.Header.Clone()
 	exchanger.RemoveHopByHop(req.header)
 	delete(req.header, "Content-Length")
-	return nil
 }
 
-var errBodyTooLarge = errors.New("body is too large")
-
 // newHTTPRequest returns the HTTP request to address, with the method, URI, headers and body that the client sent.
 func (req *clientRequest) newHTTPRequest(address string) *http.Request {
 	httpReq := &http.Request{
 		Method: req.method, Host: req.host, URL: &url.URL{Scheme: "http", Host: address, Opaque: req.uri},
-		Header: req.header.Clone(), ContentLength: int64(len(req.body)),
+		Header: req.header.Clone(), ContentLength: req.body.size,
 	}
 	if strings.HasPrefix(req.uri, "//") { // net/url would put the scheme before such an Opaque
 		if parsed, err := url.ParseRequestURI(req.uri); err == nil {
@@ -95,8 +81,8 @@
 	if _, ok := httpReq.Header["User-Agent"]; !ok {
 		httpReq.Header["User-Agent"] = []string{""} // or net/http sends its own
 	}
-	if len(req.body) > 0 {
-		httpReq.Body = io.NopCloser(bytes.NewReader(req.body))
+	if req.body.size > 0 {
+		httpReq.Body = io.NopCloser(req.body.reader())
 	}
 	return httpReq
 }
@@ -134,6 +120,8 @@
 	reasonFrontShuttingDown = "front_shutting_down"
 	// reasonCrashesServers says that the request is barred, because servers that executed it have crashed.
 	reasonCrashesServers = "crashes_servers"
+	// reasonBodyStalled says that the body of a request did not arrive in time.
+	reasonBodyStalled = "body_stalled"
 	// reasonServerEnded says that the server has ended while it executed the request.
 	reasonServerEnded = "server_ended"
 )
@@ -143,7 +131,7 @@
 	outcome         outcome
 	status          int
 	header          http.Header
-	body            []byte
+	body            payload
 	toHead          bool                // answer to a HEAD request, which has no body
 	connectionLost  bool                // the server's side ended the connection before the answer was complete
 	timedOut        bool                // the answer was not complete at the deadline
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"context"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -46,18 +44,12 @@
 		f.refuse(w, r, now, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	stop := f.endReadingAtExit(w)
-	req, status, reason := f.newClientRequest(r, now, v, route)
-	stop()
+	req, refused := f.newClientRequest(w, r, now, v, route)
 	if req == nil {
-		var retryAfter time.Duration
-		if reason == reasonShuttingDown {
-			retryAfter = minRetryAfter
-		}
-		f.refuse(w, r, now, status, reason, retryAfter)
+		f.refuse(w, r, now, refused.status, refused.reason, refused.retryAfter)
 		return
 	}
-	defer func() { f.buffers.release(req.buffered) }()
+	defer req.memory.close()
 	progress.enter(pending)
 	if req.deadline, ok = f.admit(time.Now(), req.deadline); !ok {
 		f.refuse(w, r, now, http.StatusServiceUnavailable, reasonShuttingDown, minRetryAfter)
@@ -74,20 +66,17 @@
 	f.writeAnswer(w, r, now, req, res)
 }
 
-// endReadingAtExit makes the reading of a body fail when this instance is about to exit. stop must be called once the body has been
-// read.
-func (f *Forwarder) endReadingAtExit(w http.ResponseWriter) (stop func() bool) {
-	return context.AfterFunc(f.lifetime, func() {
-		if err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)); err != nil {
-			klog.InfoS("reading a body can't be ended", "error", err)
-		}
-	})
+// refusal is how a request is refused that can't be read.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
 }
 
-// newClientRequest reads a client's request. For an invalid one it returns nil, and the status and reason of the refusal.
+// newClientRequest reads a client's request. If it is refused, it returns nil and the refusal.
 func (f *Forwarder) newClientRequest(
-	r *http.Request, now time.Time, v *resolver.View, route *bundler.Route,
-) (*clientRequest, int, string) {
+	w http.ResponseWriter, r *http.Request, now time.Time, v *resolver.View, route *bundler.Route,
+) (*clientRequest, refusal) {
 	req := &clientRequest{
 		id: r.Header.Get(f.headers.RequestID), route: route.Name, priority: route.Priority, idempotent: route.Idempotent,
 		objective: now.Add(route.Objective), deadline: now.Add(route.Timeout), rotation: f.nextRotation.Add(1),
@@ -95,39 +84,53 @@
 	if text := r.Header.Get(f.headers.TimeLeft); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(ms >= 0 && ms <= maxTimeLeftMS) { // the negation also holds for NaN
-			return nil, http.StatusBadRequest, "bad_time_left"
+			return nil, refusal{status: http.StatusBadRequest, reason: "bad_time_left"}
 		}
 		if clientDeadline := now.Add(time.Duration(ms * float64(time.Millisecond))); clientDeadline.Before(req.deadline) {
 			req.deadline = clientDeadline
 		}
 	}
 	if headerBytes(r) > v.Table.Limits().HeaderBytes {
-		return nil, http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+		return nil, refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
 	}
 	req.deadline = req.deadline.Add(-answerMargin)
 	req.service = f.splitter.Pick(route)
 	service, ok := v.Table.Service(req.service)
 	if !ok {
-		return nil, http.StatusServiceUnavailable, "no_service"
+		return nil, refusal{status: http.StatusServiceUnavailable, reason: "no_service"}
 	}
 	if service.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get(f.headers.ShardKey), 10, 16)
 		if err != nil {
-			return nil, http.StatusBadRequest, "bad_key"
+			return nil, refusal{status: http.StatusBadRequest, reason: "bad_key"}
 		}
 		req.keyed, req.key = true, uint16(key)
 		f.countKey(req.service, req.key)
 	}
-	if err := req.readFrom(r, v.Table.Limits().BodyBytes); errors.Is(err, errBodyTooLarge) {
-		return nil, http.StatusRequestEntityTooLarge, "body_too_large"
-	} else if errors.Is(err, os.ErrDeadlineExceeded) && f.lifetime.Err() != nil {
-		return nil, http.StatusServiceUnavailable, reasonShuttingDown
-	} else if err != nil {
-		return nil, http.StatusBadRequest, "bad_body"
+	req.setParts(r)
+	if err := f.readBody(w, r, req, v.Table.Limits().BodyBytes); err != nil {
+		return nil, newRefusal(err)
 	}
 	credentials := strings.Join(slices.Concat(r.Header["Authorization"], r.Header["Cookie"]), "\n")
-	req.fingerprints = quarantiner.NewFingerprints(req.method, req.host, req.uri, credentials, req.body)
-	return req, 0, ""
+	req.fingerprints = quarantiner.NewFingerprints(req.method, req.host, req.uri, credentials, req.body.pieces...)
+	return req, refusal{}
+}
+
+// newRefusal returns the refusal of a request whose body could not be read.
+func newRefusal(err error) refusal {
+	var noMemory noMemoryError
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	case errors.Is(err, errBodyStalled):
+		return refusal{status: http.StatusRequestTimeout, reason: reasonBodyStalled}
+	case errors.Is(err, errShuttingDown):
+		return refusal{status: http.StatusServiceUnavailable, reason: reasonShuttingDown, retryAfter: minRetryAfter}
+	case errors.As(err, &noMemory):
+		// Another instance may have the memory that this one lacks.
+		return refusal{status: http.StatusServiceUnavailable, reason: noMemory.reason(), retryAfter: max(noMemory.RetryAfter, minRetryAfter)}
+	}
+	return refusal{status: http.StatusBadRequest, reason: "bad_body"}
 }
 
 // headerBytes returns the size in bytes of the request line and the header fields of a request.
@@ -164,12 +167,12 @@
 	}
 	body := res.body
 	if res.outcome != answered {
-		body = nil
+		body = payload{}
 		w.Header().Set("Content-Length", "0")
 	}
 	f.countResult(time.Since(start), status, res)
 	w.WriteHeader(status)
-	_, err := w.Write(body)
+	err := f.writeBody(w, req, body)
 	v := f.view.Load()
 	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
 		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "server", res.server,
@@ -213,6 +216,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set("Content-Length", "0")
+	limitUnread(w, r, reason)
 	w.WriteHeader(status)
 	klog.InfoS("request", "id", r.Header.Get(f.headers.RequestID), "host", r.Host, "path", r.URL.Path, "outcome", "refused",
 		"status", status, "reason", reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "took", time.Since(start))
@@ -230,5 +234,5 @@
 		w.Header().Set("Content-Length", r.header.Get("Content-Length")) // that of the answer to a GET
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	w.Header().Set("Content-Length", strconv.FormatInt(r.body.size, 10))
 }
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -134,7 +134,7 @@
 				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if hops.Add(1) == 1 {
 						<-resumed
-						writeHopAnswer(w, declinedResult())
+						writeHopResult(w, declinedResult())
 						return
 					}
 					dispatcher.ServeHop(w, r)
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -21,11 +21,13 @@
 	ServersEnded
 	RequestsDetoured
 	PathProbes
+	BodiesDropped
+	ConnectionsRefused
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + PathProbes + 1
+	Appends Counter = iota + ConnectionsRefused + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -57,8 +59,10 @@
 	BarredRequests
 	LostServers
 	LostServices
+	BodyBytes
+	BodiesWaiting
 
-	gaugeCount = int(LostServices) + 1
+	gaugeCount = int(BodiesWaiting) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -97,6 +101,8 @@
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
+	BodiesDropped:       {"bodies_dropped", "Bodies and answers that were dropped because they made no progress while others needed their memory."},
+	ConnectionsRefused:  {"connections_refused", "Connections closed to stay within the bounds of connections and of header bytes."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
@@ -122,6 +128,8 @@
 	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
 	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
 	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
+	BodyBytes:       {"body_bytes", "Bytes of memory held for the bodies of requests and answers."},
+	BodiesWaiting:   {"bodies_waiting", "Bodies of requests, and answers, that wait for memory."},
 	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -54,14 +54,16 @@
 }
 
 // NewFingerprints returns the fingerprints of a request, from what servers execute. credentials (cookies and the like) are those
-// of the client. Its address, which servers don't get, and the request's id, which each repetition has anew, are left out.
-func NewFingerprints(method, host, uri, credentials string, body []byte) Fingerprints {
+// of the client, and body may be in pieces. Its address, which servers don't get, and the request's id, which each repetition has anew, are left out.
+func NewFingerprints(method, host, uri, credentials string, body ...[]byte) Fingerprints {
 	h := xxhash.New()
 	for _, part := range []string{method, host, uri} {
 		_, _ = h.WriteString(part) // never fails
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(body)
+	for _, piece := range body {
+		_, _ = h.Write(piece)
+	}
 	f := Fingerprints{Content: Fingerprint(max(1, h.Sum64()))}
 	f.Client = f.Content
 	if credentials != "" {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -38,8 +38,7 @@
 	// call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to 1.25 s. The delay is longer
 	// while the relay of a domain reaches neither the store nor most other instances.
 	drainMargin = 1300 * time.Millisecond
-	// headerTimeout bounds the time to read the header of a client's request; the platform's clients send it within 3 s. The
-	// servers for other instances, readiness checks and the admin API have no such bound.
+	// headerTimeout bounds the time to read the header of a request; the platform's clients send it within 3 s.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long idle connections are kept. Clients reuse theirs for a shorter time, so that no request is lost
 	// on a connection that this instance closes.
@@ -52,8 +51,20 @@
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of the memory that the instance may use. Near
 	// the soft limit, garbage is collected more often.
 	memoryLimitRatio = 0.7
-	// bufferedRatio is the part of the memory that the bodies of answers may take together.
-	bufferedRatio = 0.25
+	// bufferedRatio is the part of the memory that the bodies of requests and answers may take together. Seven eighths of it hold a body of
+	// 64 MiB on a machine of 184 MB. With 35 MB for the rest it stays under memoryLimitRatio on machines of 120 MB or more, so that the
+	// garbage collector can keep the process there.
+	bufferedRatio = 0.4
+	// connectionBytes is about what an open connection takes: its buffers, its goroutine and its socket.
+	connectionBytes = 20 << 10
+	// clientMemoryRatio is the part of the memory that clients' connections may take, and as much again their headers; those of other
+	// instances may take half as much.
+	clientMemoryRatio = 0.125
+	// clientDescriptorRatio is the part of the descriptors that clients' connections may take; those of other instances may take half as
+	// many. The rest is for connections to servers and instances.
+	clientDescriptorRatio = 0.5
+	// messageTimeout bounds the time for the body of a message from another instance.
+	messageTimeout = 10 * time.Second
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
 	millicoresPerMbps = 16
 )
@@ -133,9 +144,11 @@
 	clients := &http.Server{
 		Handler: r.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	peers := &http.Server{Handler: r.peerHandler(), IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes}
-	ready := &http.Server{Handler: r.readyHandler(), IdleTimeout: idleTimeout}
-	admin := &http.Server{Handler: r.adminHandler(), IdleTimeout: idleTimeout}
+	peers := &http.Server{
+		Handler: r.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+	}
+	ready := &http.Server{Handler: r.readyHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	admin := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	peerAddress := net.JoinHostPort(r.settings.Address, fmt.Sprint(r.settings.PeerPort))
 	drainers := map[*http.Server]*drainer.Drainer{}
 	// The addresses must differ: of servers with the same address only one would be started.
@@ -149,6 +162,7 @@
 		}
 		if server == clients || server == peers {
 			drainers[server] = drainer.New(listener, server)
+			drainers[server].SetLimits(r.connectionLimits(server == peers))
 			listener = drainers[server]
 		}
 		go func() { serveErrors <- server.Serve(listener) }()
@@ -164,6 +178,23 @@
 	return nil
 }
 
+// connectionLimits returns the limits on the connections of clients, or of other instances.
+func (r *Runner) connectionLimits(ofInstances bool) drainer.Limits {
+	share := 1.0
+	if ofInstances {
+		share = 0.5
+	}
+	memory := share * clientMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
+	connections := memory / connectionBytes
+	if descriptors := r.settings.MaxDescriptors; descriptors > 0 {
+		connections = min(connections, share*clientDescriptorRatio*float64(descriptors))
+	}
+	return drainer.Limits{
+		Connections: max(1, int(connections)), HeaderBytes: int64(memory),
+		OnRefuse: func() { r.meter.Count(meter.ConnectionsRefused) },
+	}
+}
+
 // shutDown announces that this instance is leaving, waits until it gets no new connections, and then for its requests in
 // flight, all within the grace period of the platform. Those that are not answered by then are refused or fail before the exit.
 // Other instances may send requests and messages until all clients are answered.
@@ -273,7 +304,14 @@
 		case request.Header.Get(forwarder.HeaderHop) != "":
 			r.forwarder.ServeHop(w, request)
 		case strings.HasPrefix(request.URL.Path, messages.PathPrefix()):
-			request.Body = http.MaxBytesReader(w, request.Body, controller.MaxPeerMessageBytes)
+			release, err := r.forwarder.HoldMessage(w, request, controller.MaxPeerMessageBytes, messageTimeout)
+			if err != nil {
+				klog.InfoS("message from an instance refused", "length", request.ContentLength, "error", err)
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			defer release()
 			messages.ServeHTTP(w, request)
 		default:
 			http.NotFound(w, request)
