Small bodies are measured by the machine, and receive buffers are bounded

Cause: bodies above 64 KiB counted as large on every machine, and a new large body waited behind a larger one although it fits. Receive buffers that the system has grown while a body was read stay full while it waits: up to 32 MiB each here (tcp_rmem). Change: up to a 128th of the budget is small (0.9 MiB on 284 MB); who fits gets memory; receive buffers are a 1,024th of the memory.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// SmallBytes is the size up to which a body counts as small.
+	// SmallBytes is the size up to which a body counts as small on any machine.
 	SmallBytes = 64 << 10
+	// smallFraction is the part of the memory, as one in so many, up to which a body counts as small on larger machines.
+	smallFraction = 128
 	// reservedFraction is the part of the memory, as one in so many, that only small bodies and answers may use.
 	reservedFraction = 8
 	// maxWait bounds how long a body waits for memory. While it waits, its client's bytes stay in the system's buffers.
@@ -143,8 +145,7 @@
 	if acc.held+bytes > a.bound(acc, bytes, urgent) {
 		return Refuse{Ticket: acc.ticket, TooLarge: true}
 	}
-	queued := acc.held == 0 && acc.held+bytes > SmallBytes && slices.ContainsFunc(a.waiting, func(w *account) bool { return !w.urgent })
-	if !queued && a.used+bytes <= a.bound(acc, bytes, urgent) {
+	if a.used+bytes <= a.bound(acc, bytes, urgent) {
 		a.give(acc, bytes)
 		return Grant{}
 	}
@@ -159,7 +160,7 @@
 
 // bound returns how many bytes may be in use after an account got more bytes.
 func (a *Allocator) bound(acc *account, bytes int64, urgent bool) int64 {
-	if urgent || acc.held+bytes <= SmallBytes {
+	if urgent || acc.held+bytes <= max(SmallBytes, a.limit/smallFraction) {
 		return a.limit
 	}
 	return a.limit - a.limit/reservedFraction
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -67,6 +67,7 @@
 		now := time.Now()
 		c := &conn{Conn: inner, drainer: d, idleSince: now, minIdle: firstRequestTimeout}
 		if d.admit(now, c) {
+			d.limitReceiveBuffer(inner)
 			return c, nil
 		}
 		d.refused()
--- a/internal/drainer/limits.go
+++ b/internal/drainer/limits.go
@@ -4,6 +4,8 @@
 	"net"
 	"os"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -17,6 +19,8 @@
 type Limits struct {
 	Connections int   // open at the same time
 	HeaderBytes int64 // of all headers that are being read
+	// ReceiveBuffer is the size in bytes of each connection's receive buffer; with 0 the system lets it grow.
+	ReceiveBuffer int
 	// OnRefuse is called for each connection that is closed to stay within the limits.
 	OnRefuse func()
 }
@@ -38,6 +42,18 @@
 	return true
 }
 
+// limitReceiveBuffer sets the size of a connection's receive buffer. A buffer that the system has grown while a body was read would keep
+// megabytes of its rest when the reading has to wait.
+func (d *Drainer) limitReceiveBuffer(inner net.Conn) {
+	buffered, ok := inner.(interface{ SetReadBuffer(bytes int) error })
+	if !ok || d.limits.ReceiveBuffer <= 0 {
+		return
+	}
+	if err := buffered.SetReadBuffer(d.limits.ReceiveBuffer); err != nil {
+		klog.InfoS("receive buffer can't be set", "error", err)
+	}
+}
+
 // closeLongestIdle closes the connection that has been idle for the longest time, and reports whether there is one. The caller holds mu.
 func (d *Drainer) closeLongestIdle(now time.Time) bool {
 	var longest *conn
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -45,8 +45,8 @@
 	return t.version
 }
 
-// Limits returns the limits on what a client may send. Only BodyBytes is enforced; package runner has fixed values in place
-// of the others.
+// Limits returns the limits on what a client may send. IdleTimeout holds within a body; package runner has a fixed value for idle
+// connections, and one in place of HeaderTimeout.
 func (t *Table) Limits() bundler.Limits { return t.limits }
 
 // Service returns the service with a name.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -63,6 +63,9 @@
 	// clientDescriptorRatio is the part of the descriptors that clients' connections may take; those of other instances may take half as
 	// many. The rest is for connections to servers and instances.
 	clientDescriptorRatio = 0.5
+	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take. 64 bodies that wait for
+	// memory then leave 64 twice as large buffers full, as the system counts them: an eighth of the memory.
+	receiveFraction = 1024
 	// messageTimeout bounds the time for the body of a message from another instance.
 	messageTimeout = 10 * time.Second
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
@@ -190,7 +193,7 @@
 		connections = min(connections, share*clientDescriptorRatio*float64(descriptors))
 	}
 	return drainer.Limits{
-		Connections: max(1, int(connections)), HeaderBytes: int64(memory),
+		Connections: max(1, int(connections)), HeaderBytes: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
 		OnRefuse: func() { r.meter.Count(meter.ConnectionsRefused) },
 	}
 }
