Other instances may have as many connections as memory allows, and a hop's refusal counts once

Cause: half of the clients' bound is 460 connections on a machine of 144 MB; a new one beyond it is closed, and an at-most-once request that was written to it counts as unknown. A dispatcher counted a refusal that the instance of the client counts too. Change: the memory bound of the clients, and a quarter of the descriptors (921 and 768 of 3,075 on that machine).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -19,7 +19,8 @@
 	smallFraction = 128
 	// reservedFraction is the part of the memory, as one in so many, that only small bodies and answers may use.
 	reservedFraction = 8
-	// maxWait bounds how long a body waits for memory. While it waits, its client's bytes stay in the system's buffers.
+	// maxWait bounds how long a body waits for memory. While it waits, its client's bytes stay in the system's buffers. It is below the time
+	// after which an instance gives up a connection on which another one takes no bytes (1.2 s).
 	maxWait = time.Second
 	// maxWaiting bounds how many bodies wait, as each may have a full receive buffer.
 	maxWaiting = 64
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -293,7 +293,6 @@
 	case errors.Is(err, errShuttingDown):
 		writeHopResult(w, declinedResult())
 	case r.status == http.StatusServiceUnavailable, r.status == http.StatusRequestTimeout:
-		f.meter.CountRefusal(r.reason)
 		writeHopResult(w, result{outcome: refused, reason: r.reason, retryAfter: r.retryAfter})
 	default:
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,12 +57,13 @@
 	bufferedRatio = 0.4
 	// connectionBytes is about what an open connection takes: its buffers, its goroutine and its socket.
 	connectionBytes = 20 << 10
-	// clientMemoryRatio is the part of the memory that clients' connections may take, and as much again their headers; those of other
-	// instances may take half as much.
-	clientMemoryRatio = 0.125
-	// clientDescriptorRatio is the part of the descriptors that clients' connections may take; those of other instances may take half as
-	// many. The rest is for connections to servers and instances.
+	// connectionMemoryRatio is the part of the memory that clients' connections may take, as much again their headers, and the same for
+	// other instances.
+	connectionMemoryRatio = 0.125
+	// The parts of the descriptors that the connections of clients and of other instances may take. The rest is for connections to servers
+	// and instances.
 	clientDescriptorRatio = 0.5
+	peerDescriptorRatio   = 0.25
 	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take. 64 bodies that wait for
 	// memory then leave 64 twice as large buffers full, as the system counts them: an eighth of the memory.
 	receiveFraction = 1024
@@ -164,8 +165,12 @@
 			return errors.Wrap(err, "listen")
 		}
 		if server == clients || server == peers {
+			descriptorRatio := clientDescriptorRatio
+			if server == peers {
+				descriptorRatio = peerDescriptorRatio
+			}
 			drainers[server] = drainer.New(listener, server)
-			drainers[server].SetLimits(r.connectionLimits(server == peers))
+			drainers[server].SetLimits(r.connectionLimits(descriptorRatio))
 			listener = drainers[server]
 		}
 		go func() { serveErrors <- server.Serve(listener) }()
@@ -181,16 +186,12 @@
 	return nil
 }
 
-// connectionLimits returns the limits on the connections of clients, or of other instances.
-func (r *Runner) connectionLimits(ofInstances bool) drainer.Limits {
-	share := 1.0
-	if ofInstances {
-		share = 0.5
-	}
-	memory := share * clientMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
+// connectionLimits returns the limits on the connections of clients, or of other instances, which may take a part of the descriptors.
+func (r *Runner) connectionLimits(descriptorRatio float64) drainer.Limits {
+	memory := connectionMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
 	connections := memory / connectionBytes
 	if descriptors := r.settings.MaxDescriptors; descriptors > 0 {
-		connections = min(connections, share*clientDescriptorRatio*float64(descriptors))
+		connections = min(connections, descriptorRatio*float64(descriptors))
 	}
 	return drainer.Limits{
 		Connections: max(1, int(connections)), HeaderBytes: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
