Connections for readiness checks and for the admin API are bounded too

Cause: 2,000 connections left open on either port took 2,018 descriptors. Change: 64 connections each; the one idle for the longest time makes room. Measured: the new cases of TestCrowdsStayWithinTheMachine failed before (2,018 descriptors) and pass now (83 and 84); go test -race of runner and cmd passes.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -64,6 +64,8 @@
 	// and instances.
 	clientDescriptorRatio = 0.5
 	peerDescriptorRatio   = 0.25
+	// maxOtherConnections bounds the connections for readiness checks, and those for the admin API.
+	maxOtherConnections = 64
 	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take. 64 bodies that wait for
 	// memory then leave 64 twice as large buffers full, as the system counts them: an eighth of the memory.
 	receiveFraction = 1024
@@ -164,16 +166,16 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if server == clients || server == peers {
-			descriptorRatio := clientDescriptorRatio
-			if server == peers {
-				descriptorRatio = peerDescriptorRatio
-			}
-			drainers[server] = drainer.New(listener, server)
-			drainers[server].SetLimits(r.connectionLimits(descriptorRatio))
-			listener = drainers[server]
+		drainers[server] = drainer.New(listener, server)
+		switch server {
+		case clients:
+			drainers[server].SetLimits(r.connectionLimits(clientDescriptorRatio))
+		case peers:
+			drainers[server].SetLimits(r.connectionLimits(peerDescriptorRatio))
+		default:
+			drainers[server].SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.countRefusedConnection})
 		}
-		go func() { serveErrors <- server.Serve(listener) }()
+		go func() { serveErrors <- server.Serve(drainers[server]) }()
 	}
 	go r.controller.Run(ctx)
 	select {
@@ -195,10 +197,12 @@
 	}
 	return drainer.Limits{
 		Connections: max(1, int(connections)), HeaderBytes: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
-		OnRefuse: func() { r.meter.Count(meter.ConnectionsRefused) },
+		OnRefuse: r.countRefusedConnection,
 	}
 }
 
+func (r *Runner) countRefusedConnection() { r.meter.Count(meter.ConnectionsRefused) }
+
 // shutDown announces that this instance is leaving, waits until it gets no new connections, and then for its requests in
 // flight, all within the grace period of the platform. Those that are not answered by then are refused or fail before the exit.
 // Other instances may send requests and messages until all clients are answered.
--- a/internal/verifier/crowd_test.go
+++ b/internal/verifier/crowd_test.go
@@ -136,19 +136,21 @@
 	clients int
 	act     crowdClient
 }{
-	"whole":                {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes)},
-	"short of the end":     {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd)},
-	"large chunks":         {clientPort, crowdBodies, chunked(1<<20, crowdBodyBytes-shortOfEnd)},
-	"tiny chunks":          {clientPort, crowdBodies, chunked(16, crowdBodyBytes-shortOfEnd)},
-	"over, announced":      {clientPort, crowdBodies, announced(1<<30, 2*crowdBodyBytes)},
-	"over, not announced":  {clientPort, crowdBodies, chunked(1<<16, 2*crowdBodyBytes)},
-	"trickled headers":     {clientPort, crowdConnections, trickledHeader},
-	"left open":            {clientPort, crowdConnections, leftOpen("")},
-	"left open, used":      {clientPort, crowdConnections, leftOpen(otherRequest)},
-	"peer port, bodies":    {peerPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd, hopLine)},
-	"peer port, messages":  {peerPort, crowdBodies, message},
-	"peer port, left open": {peerPort, crowdConnections, leftOpen(otherRequest)},
-	"slow readers":         {clientPort, crowdBodies, slowReader},
+	"whole":                 {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes)},
+	"short of the end":      {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd)},
+	"large chunks":          {clientPort, crowdBodies, chunked(1<<20, crowdBodyBytes-shortOfEnd)},
+	"tiny chunks":           {clientPort, crowdBodies, chunked(16, crowdBodyBytes-shortOfEnd)},
+	"over, announced":       {clientPort, crowdBodies, announced(1<<30, 2*crowdBodyBytes)},
+	"over, not announced":   {clientPort, crowdBodies, chunked(1<<16, 2*crowdBodyBytes)},
+	"trickled headers":      {clientPort, crowdConnections, trickledHeader},
+	"left open":             {clientPort, crowdConnections, leftOpen("")},
+	"left open, used":       {clientPort, crowdConnections, leftOpen(otherRequest)},
+	"peer port, bodies":     {peerPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd, hopLine)},
+	"peer port, messages":   {peerPort, crowdBodies, message},
+	"peer port, left open":  {peerPort, crowdConnections, leftOpen(otherRequest)},
+	"admin port, left open": {adminPort, crowdConnections, leftOpen(otherRequest)},
+	"ready port, left open": {readyPort, crowdConnections, leftOpen(otherRequest)},
+	"slow readers":          {clientPort, crowdBodies, slowReader},
 	"slow readers, one byte": {clientPort, crowdBodies, func(conn net.Conn) error {
 		if err := slowReader(conn); err != nil {
 			return err
