Keep slots free for requests of higher priority that are likely to arrive

Short urgent requests were late or refused while long requests that could wait filled the servers: priority ordered the queue but kept no slot free.

With Settings.Reservation, a request takes a slot only if requests of higher priority still find one in time: at each end of a running request, the slots free by then must suffice, with a probability of 0.8, for those likely to have arrived and to have waited as long as their objective allows. Rates, times left and service times are measured by class at the queue. A request is estimated to start when a slot becomes free, with the work of higher priorities that arrives before it; only the load of its own and higher priorities decides whether a late answer is worth a wait. Refused arrivals count as load only up to the taken ones. Retry-After is the estimated start of the request's priority, times the load above 1, up to 5 s.

No priority starves: each gets a slot of each server if fewer of its requests run than there are servers, and a request that has waited for half of its time goes first, ahead of waiting higher priorities at most once in half of that time per server.

--- a/internal/queuer/load.go
+++ b/internal/queuer/load.go
@@ -13,7 +13,7 @@
 
 // class holds the measurements of a request class.
 type class struct {
-	mean time.Duration // service time
+	mean, deviation time.Duration // service time, and its mean absolute deviation
 }
 
 // capacity returns how many requests the usable servers are likely to run concurrently under load: as many as they have
@@ -71,5 +71,7 @@
 		q.classes[className] = &class{mean: took}
 		return
 	}
-	c.mean += time.Duration(ewmaWeight * float64(took-c.mean))
+	difference := took - c.mean
+	c.mean += time.Duration(ewmaWeight * float64(difference))
+	c.deviation += time.Duration(ewmaWeight * float64(difference.Abs()-c.deviation))
 }
--- a/internal/queuer/order.go
+++ b/internal/queuer/order.go
@@ -11,7 +11,8 @@
 }
 
 // sort sorts the waiting requests in the order in which they are started: those that can meet their objective before late
-// ones, then by priority, then by objective, or by deadline among late ones.
+// ones, then by priority, then by objective, or by deadline among late ones. With reservation, those that are entitled to a
+// slot come first.
 func (q *Queue) sort(now time.Time) {
 	slices.SortFunc(q.waiting, func(a, b *waitingRequest) int {
 		lateA, lateB := q.missesObjective(now, a), q.missesObjective(now, b)
@@ -27,6 +28,18 @@
 		}
 		return thenByTicket(a, b, a.Objective.Compare(b.Objective))
 	})
+	if q.settings.Reservation {
+		q.entitle(now)
+		slices.SortStableFunc(q.waiting, func(a, b *waitingRequest) int {
+			switch {
+			case a.entitled == b.entitled:
+				return 0
+			case a.entitled:
+				return -1
+			}
+			return 1
+		})
+	}
 }
 
 // thenByTicket returns order, or the order of the tickets if it is 0.
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -7,6 +7,7 @@
 package queuer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -82,8 +83,9 @@
 
 type waitingRequest struct {
 	Request
-	ticket Ticket
-	since  time.Time
+	ticket   Ticket
+	since    time.Time
+	entitled bool // see entitle
 }
 
 // Queue holds the requests for a set of servers. The zero Queue has no servers, and shares no service times with other
@@ -97,6 +99,10 @@
 	lastTicket    Ticket
 	load          float64 // requested service time per second and usable slot, averaged over loadWindow
 	loadDecayedAt time.Time
+	// With Settings.Reservation:
+	demands    map[string]*demand // by class
+	runs       []run
+	lastStarts map[int]time.Time // by priority
 }
 
 // Settings are the optional decisions of a queue. The zero Settings has none of them.
@@ -194,21 +200,38 @@
 // Offer adds a new request to the load, and starts it, lets it wait or refuses it.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.addLoad(now, r)
+	decision := q.decide(now, r)
+	if q.settings.Reservation {
+		q.recordArrival(now, r, decision)
+	}
+	return decision
+}
+
+// decide starts a new request, lets it wait or refuses it.
+func (q *Queue) decide(now time.Time, r Request) Decision {
 	if !q.canAnswer(now, r) { // the request counts in the load all the same
 		return Refuse{RetryAfter: minRetryAfter}
 	}
-	if len(q.waiting) == 0 {
+	if len(q.waiting) == 0 && q.leavesRoom(now, r) {
 		if s := q.pickServer(now, r); s != nil {
-			s.start(now, r)
+			q.start(now, s, r)
 			return Start{Server: s.id}
 		}
 	}
 	q.lastTicket++
 	w := &waitingRequest{Request: r, ticket: q.lastTicket, since: now}
 	q.waiting = append(q.waiting, w)
+	q.sort(now)
+	if q.settings.Reservation && len(q.waiting) > 1 {
+		if s := q.startNew(now, w); s != nil {
+			q.Cancel(w.ticket)
+			q.start(now, s, r)
+			return Start{Server: s.id}
+		}
+	}
 	if !q.feasible(now, w) {
 		q.Cancel(w.ticket)
-		return Refuse{RetryAfter: q.retryAfter(now)}
+		return Refuse{RetryAfter: q.retryAfter(now, r.Priority)}
 	}
 	return Wait{Ticket: w.ticket}
 }
@@ -242,6 +265,7 @@
 		return Change{}
 	}
 	s.running--
+	q.endRun(now, s, className, took)
 	switch outcome {
 	case Answered:
 		q.recordServiceTime(now, className, took)
@@ -302,11 +326,12 @@
 		return change
 	}
 	q.sort(now)
+	held := math.MaxInt
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		// With a free slot, a request is started whatever its expected service time, unless no answer can be in time.
-		if s := q.pickServer(now, w.Request); s != nil && q.canAnswer(now, w.Request) {
-			s.start(now, w.Request)
+		if s := q.serverFor(now, w, &held); s != nil && q.canAnswer(now, w.Request) {
+			q.start(now, s, w.Request)
 			change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
 			continue
 		}
--- a/internal/queuer/wait.go
+++ b/internal/queuer/wait.go
@@ -1,6 +1,9 @@
 package queuer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// overloadThreshold is the load from which requests whose answers would be late are refused. At a load of 1 the requests
@@ -57,22 +60,26 @@
 
 // refuseInfeasible removes and returns the waiting requests for which mayWait is false. q.waiting must be sorted.
 func (q *Queue) refuseInfeasible(now time.Time) []Refused {
-	var refused []Refused
-	ahead := q.runningWork()
+	var infeasible []*waitingRequest
+	ahead := q.aheadOfWaiting(now)
 	capacity := q.capacity(now)
-	retryAfter := q.retryAfter(now) // before the loop compacts q.waiting
-	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		need := q.serviceTime(w.Request)
-		if q.mayWait(now, w, waitAhead{work: ahead, requests: len(kept)}, capacity, need) {
-			ahead += need
-			kept = append(kept, w)
+		if q.mayWait(now, w, ahead, capacity, need) {
+			ahead.add(need)
 			continue
 		}
-		refused = append(refused, Refused{Ticket: w.ticket, RetryAfter: retryAfter})
+		infeasible = append(infeasible, w)
+	}
+	if len(infeasible) == 0 {
+		return nil
+	}
+	retryAfter := q.retryAfters(now) // with the refused requests, which may come back
+	refused := make([]Refused, 0, len(infeasible))
+	for _, w := range infeasible {
+		refused = append(refused, Refused{Ticket: w.ticket, RetryAfter: retryAfter(w.Priority)})
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *waitingRequest) bool { return slices.Contains(infeasible, w) })
 	return refused
 }
 
@@ -95,11 +102,38 @@
 type waitAhead struct {
 	work     time.Duration // total service time, also of the requests that run
 	requests int           // of those that wait
+	// With reservation:
+	slots     schedule        // when slots become free
+	available map[int]float64 // by priority, see Queue.available; filled when needed
+}
+
+// aheadOfWaiting returns what is executed before the first waiting request.
+func (q *Queue) aheadOfWaiting(now time.Time) waitAhead {
+	ahead := waitAhead{work: q.runningWork()}
+	if q.settings.Reservation {
+		ahead.slots, ahead.available = q.schedule(now), map[int]float64{}
+	}
+	return ahead
+}
+
+// add puts a waiting request with the service time need before the others.
+func (a *waitAhead) add(need time.Duration) {
+	a.work += need
+	a.requests++
+	a.slots.add(need)
 }
 
-// delay returns how long it takes until a request behind ahead can begin, with a capacity of the servers or, without any, 1.
-func (q *Queue) delay(now time.Time, ahead waitAhead, capacity float64) time.Duration {
-	return max(time.Duration(float64(ahead.work)/capacity), q.limitDelay(now, ahead.requests))
+// delay returns how long it takes until a request of a priority behind ahead can begin, with a capacity of the servers or,
+// without any, 1. With reservation it counts the requests of higher priority that are likely to arrive and to be started before.
+func (q *Queue) delay(now time.Time, ahead waitAhead, capacity float64, priority int) time.Duration {
+	start := time.Duration(float64(ahead.work) / capacity)
+	if q.settings.Reservation {
+		if _, known := ahead.available[priority]; !known {
+			ahead.available[priority] = q.available(now, priority)
+		}
+		start = time.Duration(float64(ahead.slots.next()) * capacity / ahead.available[priority])
+	}
+	return max(start, q.limitDelay(now, ahead.requests))
 }
 
 // mayWait reports whether a request with the service time need may wait: whether it would be answered before its deadline if
@@ -118,12 +152,13 @@
 	if w.Substitute && limitDelay > 0 && now.Add(limitDelay).After(w.since.Add(maxSubstituteWait)) {
 		return false
 	}
-	start := q.delay(now, ahead, capacity)
+	start := q.delay(now, ahead, capacity, w.Priority)
 	if q.missesObjective(now, w) {
-		if q.load >= overloadThreshold {
+		load := q.loadUpTo(now, w.Priority)
+		if load >= overloadThreshold {
 			return false
 		}
-		start = time.Duration(float64(start) / (1 - q.load))
+		start = time.Duration(float64(start) / (1 - load))
 	}
 	return !now.Add(start + need).After(w.Deadline)
 }
@@ -140,28 +175,31 @@
 }
 
 // feasible reports whether the request that was just added would be answered before its deadline and, under overload, before
-// its objective.
+// its objective. q.waiting must be sorted.
 func (q *Queue) feasible(now time.Time, added *waitingRequest) bool {
-	q.sort(now)
-	ahead := waitAhead{work: q.runningWork()}
+	ahead := q.aheadOfWaiting(now)
 	for _, w := range q.waiting {
 		need := q.serviceTime(w.Request)
 		if w == added {
-			if q.load >= overloadThreshold && now.Add(q.delay(now, ahead, q.divisor(now))+need).After(w.Objective) {
+			overload := q.loadUpTo(now, w.Priority) >= overloadThreshold
+			if overload && now.Add(q.delay(now, ahead, q.divisor(now), w.Priority)+need+q.margin(w.Class)).After(w.Objective) {
 				return false // its late answer would make those behind it late as well
 			}
 			return q.mayWait(now, w, ahead, q.capacity(now), need)
 		}
-		ahead.work += need
-		ahead.requests++
+		ahead.add(need)
 	}
 	return false
 }
 
 // retryAfter estimates how long it takes until all running and waiting requests are executed and the limits of the servers let
 // another one begin, within the bounds of the delay after which a client is asked to retry. Without a usable server, it is the
-// time until one may be used again.
-func (q *Queue) retryAfter(now time.Time) time.Duration {
+// time until one may be used again. With reservation it is the time until a request of the priority is likely to be started
+// behind the waiting ones that are started before it, times the load if that exceeds 1.
+func (q *Queue) retryAfter(now time.Time, priority int) time.Duration {
+	if q.settings.Reservation && q.capacity(now) > 0 {
+		return q.retryAfterFor(now, priority)
+	}
 	total := q.runningWork()
 	for _, w := range q.waiting {
 		total += q.serviceTime(w.Request)
@@ -173,3 +211,30 @@
 	work := min(time.Duration(float64(total)/capacity), maxRetryAfter)
 	return max(minRetryAfter, work, min(q.limitDelay(now, len(q.waiting)), maxLimitRetryAfter))
 }
+
+// retryAfters returns a function that returns retryAfter of a priority for the requests that wait now.
+func (q *Queue) retryAfters(now time.Time) func(priority int) time.Duration {
+	if !q.settings.Reservation {
+		delay := q.retryAfter(now, 0)
+		return func(int) time.Duration { return delay }
+	}
+	delays := map[int]time.Duration{}
+	for _, w := range q.waiting {
+		if _, known := delays[w.Priority]; !known {
+			delays[w.Priority] = q.retryAfter(now, w.Priority)
+		}
+	}
+	return func(priority int) time.Duration { return delays[priority] }
+}
+
+// retryAfterFor implements retryAfter with reservation and a usable server.
+func (q *Queue) retryAfterFor(now time.Time, priority int) time.Duration {
+	ahead := q.aheadOfWaiting(now)
+	for _, w := range q.waiting {
+		if w.Priority <= priority {
+			ahead.add(q.serviceTime(w.Request))
+		}
+	}
+	delay := float64(q.delay(now, ahead, q.capacity(now), priority)) * max(1, q.loadUpTo(now, priority))
+	return max(minRetryAfter, min(time.Duration(delay), maxLimitRetryAfter))
+}
