Count requests that wait for a slot that is kept free

Operators could not see that slots are kept free for higher priorities. The queue tells so in its decision (Wait.Held), and requests_held counts it.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -99,6 +100,9 @@
 		f.mu.Unlock()
 		return "", result{outcome: refused, retryAfter: d.RetryAfter, reason: refusalReason(d.Reason, "queue_full")}, false
 	case queuer.Wait:
+		if d.Held {
+			f.meter.Count(meter.RequestsHeld)
+		}
 		w := &waiter{req: req, done: make(chan waitResult, 1)}
 		q.waiters[d.Ticket] = w
 		f.scheduleAdvance(req.pool, q)
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -21,11 +21,12 @@
 	ServersEnded
 	RequestsDetoured
 	PathProbes
+	RequestsHeld
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + PathProbes + 1
+	Appends Counter = iota + RequestsHeld + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -97,6 +98,7 @@
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
+	RequestsHeld:        {"requests_held", "Requests that waited although a slot was free, because it was kept for requests of higher priority."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -40,7 +40,10 @@
 type Start struct{ Server string }
 
 // Wait says that the request waits.
-type Wait struct{ Ticket Ticket }
+type Wait struct {
+	Ticket Ticket
+	Held   bool // whether a slot is free that is kept for requests of higher priority
+}
 
 // Refuse says that the request can't be answered before its deadline or, under overload, before its objective. Its client
 // may retry after RetryAfter.
@@ -224,7 +227,7 @@
 // decide starts a new request, lets it wait or refuses it.
 func (q *Queue) decide(now time.Time, r Request) Decision {
 	if !q.canAnswer(now, r, arrivalShare) { // the request counts in the load all the same
-		return Refuse{RetryAfter: minRetryAfter, Reason: TooLittleTime}
+		return Refuse{RetryAfter: q.retryAfterTooLittleTime(now, r), Reason: TooLittleTime}
 	}
 	if len(q.waiting) == 0 && q.leavesRoom(now, r) {
 		if s := q.pickServer(now, r); s != nil {
@@ -247,7 +250,7 @@
 		q.Cancel(w.ticket)
 		return Refuse{RetryAfter: q.retryAfter(now, r.Priority)}
 	}
-	return Wait{Ticket: w.ticket}
+	return Wait{Ticket: w.ticket, Held: !q.leavesRoom(now, r) && q.pickServer(now, r) != nil}
 }
 
 // EndSuspect records that a suspect has ended at a server. Done must be called as well, after it.
--- a/internal/queuer/wait.go
+++ b/internal/queuer/wait.go
@@ -232,6 +232,15 @@
 	return func(priority int) time.Duration { return delays[priority] }
 }
 
+// retryAfterTooLittleTime returns the delay after which the client of a request that has too little time on arrival is asked to
+// retry. Without reservation that is the least delay, because slots may be free.
+func (q *Queue) retryAfterTooLittleTime(now time.Time, r Request) time.Duration {
+	if !q.settings.Reservation {
+		return minRetryAfter
+	}
+	return q.retryAfter(now, r.Priority)
+}
+
 // retryAfterFor implements retryAfter with reservation and a usable server.
 func (q *Queue) retryAfterFor(now time.Time, priority int) time.Duration {
 	ahead := q.aheadOfWaiting(now)
