--- a/internal/queuer/reservation_test.go
+++ b/internal/queuer/reservation_test.go
@@ -150,3 +150,48 @@
 	_, lowest := retryAfter(200)
 	is.Equal(lowest, maxLimitRetryAfter)
 }
+
+// TestSlotIsHeldForHigherPriority guards against a slot that is given away shortly before an urgent request needs it, against one
+// that stays free without such requests, and against an urgent request that waits behind those for which it is kept free.
+func TestSlotIsHeldForHigherPriority(t *testing.T) {
+	urgent := func(ms int) Request {
+		return Request{Class: "urgent", Objective: at(ms + 200), Deadline: at(ms + 2000)}
+	}
+	long := func(ms int) Request {
+		return Request{Class: "long", Priority: 2, Objective: at(ms + 9000), Deadline: at(ms + 9000)}
+	}
+	tests := map[string]struct {
+		settings   Settings
+		urgentTo   int // requests of the urgent class arrive every 100 ms until then
+		thirdHeld  bool
+		urgentFree bool // whether an urgent request is started at once after three long ones
+	}{
+		"without reservation":        {urgentTo: 3000},
+		"urgent requests arrive":     {settings: Settings{Reservation: true}, urgentTo: 3000, thirdHeld: true, urgentFree: true},
+		"none":                       {settings: Settings{Reservation: true}},
+		"none since long ago (25 s)": {settings: Settings{Reservation: true}, urgentTo: -22_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(&ServiceTimes{}, test.settings)
+			q.SetServers(at(-25_000), []Server{{ID: "a", Slots: 3}})
+			_, started := q.Offer(at(-25_000), long(-25_000)).(Start)
+			is.True(started)
+			q.Done(at(-24_000), "a", "long", Answered, time.Second)
+			for ms := -24_000; ms < test.urgentTo; ms += 100 {
+				_, started := q.Offer(at(ms), urgent(ms)).(Start)
+				is.True(started)
+				q.Done(at(ms+90), "a", "urgent", Answered, 90*time.Millisecond)
+			}
+			for range 2 {
+				q.Offer(at(3000), long(3000))
+			}
+			third, waits := q.Offer(at(3000), long(3000)).(Wait)
+			is.Equal(waits && third.Held, test.thirdHeld)
+			_, started = q.Offer(at(3000), urgent(3000)).(Start)
+			is.Equal(started, test.urgentFree)
+			is.True(q.Running() >= 2) // at least one slot is open to the long ones
+		})
+	}
+}
