--- a/internal/queuer/reservation.go
+++ b/internal/queuer/reservation.go
@@ -7,7 +7,8 @@
 )
 
 // reservedCertainty is the probability with which the slots kept free suffice for the requests of higher priority that arrive
-// until enough other slots become free.
+// until enough other slots become free. With 0.5 more urgent requests are late; 0.95 refuses many more requests of low priority where
+// urgent ones need half of the slots.
 const reservedCertainty = 0.8
 
 // run is a request that runs at a server.
