--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -97,8 +98,11 @@
 		return d.Server, result{}, true
 	case queuer.Refuse:
 		f.mu.Unlock()
-		return "", result{outcome: refused, retryAfter: d.RetryAfter, reason: "queue_full"}, false
+		return "", result{outcome: refused, retryAfter: d.RetryAfter, reason: refusalReason(d.Reason, "queue_full")}, false
 	case queuer.Wait:
+		if d.Held {
+			f.meter.Count(meter.RequestsHeld)
+		}
 		w := &waiter{req: req, done: make(chan waitResult, 1)}
 		q.waiters[d.Ticket] = w
 		f.scheduleAdvance(req.pool, q)
@@ -108,6 +112,14 @@
 	panic("unknown queue decision")
 }
 
+// refusalReason returns the reason that is logged for a refusal by a queue; noTurn is the one for queuer.NoTurn.
+func refusalReason(r queuer.Reason, noTurn string) string {
+	if r == queuer.TooLittleTime {
+		return "too_little_time"
+	}
+	return noTurn
+}
+
 // waitForSlot waits until w gets a slot or is refused, the deadline passes, or the client leaves.
 func (f *Forwarder) waitForSlot(
 	ctx context.Context, req *clientRequest, q *poolQueue, ticket queuer.Ticket, w *waiter,
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -23,11 +23,12 @@
 	PathProbes
 	BodiesDropped
 	ConnectionsRefused
+	RequestsHeld
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + ConnectionsRefused + 1
+	Appends Counter = iota + RequestsHeld + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -108,6 +109,7 @@
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
 	BodiesDropped:       {"bodies_dropped", "Bodies and answers that were dropped because they made no progress while others needed their memory."},
 	ConnectionsRefused:  {"connections_refused", "Connections closed to stay within the bounds of connections and of header bytes."},
+	RequestsHeld:        {"requests_held", "Requests that waited although a slot was free, because it was kept for requests of higher priority."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -7,6 +7,7 @@
 package queuer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -39,11 +40,26 @@
 type Start struct{ Server string }
 
 // Wait says that the request waits.
-type Wait struct{ Ticket Ticket }
+type Wait struct {
+	Ticket Ticket
+	Held   bool // whether a slot is free that is kept for requests of higher priority
+}
 
 // Refuse says that the request can't be answered before its deadline or, under overload, before its objective. Its client
 // may retry after RetryAfter.
-type Refuse struct{ RetryAfter time.Duration }
+type Refuse struct {
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// Reason says why a request is refused.
+type Reason int
+
+// The reasons of refusals.
+const (
+	NoTurn        Reason = iota // others use the slots until it is too late
+	TooLittleTime               // whatever slots are free, the time left does not suffice for the request's class
+)
 
 func (Start) decision()  {}
 func (Wait) decision()   {}
@@ -60,6 +76,7 @@
 type Refused struct {
 	Ticket     Ticket
 	RetryAfter time.Duration
+	Reason     Reason
 }
 
 // Change lists the waiting requests that were started or refused.
@@ -82,8 +99,10 @@
 
 type waitingRequest struct {
 	Request
-	ticket Ticket
-	since  time.Time
+	ticket   Ticket
+	since    time.Time
+	entitled bool   // see entitle
+	refusal  Reason // if it is refused
 }
 
 // Queue holds the requests for a set of servers. The zero Queue has no servers, and shares no service times with other
@@ -97,6 +116,10 @@
 	lastTicket    Ticket
 	load          float64 // requested service time per second and usable slot, averaged over loadWindow
 	loadDecayedAt time.Time
+	// With Settings.Reservation:
+	demands    map[string]*demand // by class
+	runs       []run
+	lastStarts map[int]time.Time // by priority
 }
 
 // Settings are the optional decisions of a queue. The zero Settings has none of them.
@@ -194,23 +217,40 @@
 // Offer adds a new request to the load, and starts it, lets it wait or refuses it.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.addLoad(now, r)
-	if !q.canAnswer(now, r) { // the request counts in the load all the same
-		return Refuse{RetryAfter: minRetryAfter}
+	decision := q.decide(now, r)
+	if q.settings.Reservation {
+		q.recordArrival(now, r, decision)
 	}
-	if len(q.waiting) == 0 {
+	return decision
+}
+
+// decide starts a new request, lets it wait or refuses it.
+func (q *Queue) decide(now time.Time, r Request) Decision {
+	if !q.canAnswer(now, r, arrivalShare) { // the request counts in the load all the same
+		return Refuse{RetryAfter: q.retryAfterTooLittleTime(now, r), Reason: TooLittleTime}
+	}
+	if len(q.waiting) == 0 && q.leavesRoom(now, r) {
 		if s := q.pickServer(now, r); s != nil {
-			s.start(now, r)
+			q.start(now, s, r)
 			return Start{Server: s.id}
 		}
 	}
 	q.lastTicket++
 	w := &waitingRequest{Request: r, ticket: q.lastTicket, since: now}
 	q.waiting = append(q.waiting, w)
+	q.sort(now)
+	if q.settings.Reservation && len(q.waiting) > 1 {
+		if s := q.startNew(now, w); s != nil {
+			q.Cancel(w.ticket)
+			q.start(now, s, r)
+			return Start{Server: s.id}
+		}
+	}
 	if !q.feasible(now, w) {
 		q.Cancel(w.ticket)
-		return Refuse{RetryAfter: q.retryAfter(now)}
+		return Refuse{RetryAfter: q.retryAfter(now, r.Priority)}
 	}
-	return Wait{Ticket: w.ticket}
+	return Wait{Ticket: w.ticket, Held: !q.leavesRoom(now, r) && q.pickServer(now, r) != nil}
 }
 
 // EndSuspect records that a suspect has ended at a server. Done must be called as well, after it.
@@ -242,6 +282,7 @@
 		return Change{}
 	}
 	s.running--
+	q.endRun(now, s, className, took)
 	switch outcome {
 	case Answered:
 		q.recordServiceTime(now, className, took)
@@ -302,13 +343,17 @@
 		return change
 	}
 	q.sort(now)
+	held := math.MaxInt
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		// With a free slot, a request is started whatever its expected service time, unless no answer can be in time.
-		if s := q.pickServer(now, w.Request); s != nil && q.canAnswer(now, w.Request) {
-			s.start(now, w.Request)
-			change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
-			continue
+		if s := q.serverFor(now, w, &held); s != nil {
+			if q.canAnswer(now, w.Request, waitingShare) {
+				q.start(now, s, w.Request)
+				change.Started = append(change.Started, Started{Ticket: w.ticket, Server: s.id})
+				continue
+			}
+			w.refusal = TooLittleTime
 		}
 		kept = append(kept, w)
 	}
