Configuration and registrations say how long and how much servers are cold

Both are optional, and services without them are as before. The catalog records from which registration the remaining time counts; each one of a cold server is a change.

Ruled out: WarmupReadAt in the catalog's servers, because the control loop's clock is not that of the forwarder.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -39,7 +39,11 @@
 	Slots       int    // number of requests that it runs concurrently
 	State       State
 	Incarnation int64         // Unix time of its start in milliseconds; higher after a restart under the same id
-	WarmupLeft  time.Duration // remaining warm-up time after its start when it wrote the registration
+	WarmupLeft  time.Duration // remaining warm-up time when it wrote the registration
+	// WarmupUnknown says that the registration names no remaining warm-up time, or an invalid one.
+	WarmupUnknown bool
+	// WarmupReadAt is when WarmupLeft was read, on the clock of those who use it; the Catalog leaves it unset.
+	WarmupReadAt time.Time
 }
 
 // Catalog is the set of known servers. The zero Catalog is empty. A Catalog is not safe for concurrent use.
@@ -49,6 +53,7 @@
 	lastKnown         map[string]Server      // latest registration of each server, also after its removal
 	drainDeadlines    map[string]time.Time   // when a draining server counts as gone
 	leaving           map[string]int64       // incarnation of each server that said that it is leaving
+	warmupReadAt      map[string]time.Time   // when the registration that a server last changed was recorded
 	unconfirmed       map[string]unconfirmed // registrations of removed servers that are in an older copy of the store
 }
 
@@ -60,12 +65,13 @@
 
 // Put records a registration and reports whether that changes the catalog's registration of the server. A registration of
 // an older incarnation than the present one is ignored. A draining server counts as gone once drainTimeout has passed
-// since this incarnation began to drain.
+// since this incarnation began to drain. Each registration of a server that is warming up is a change.
 func (c *Catalog) Put(now time.Time, drainTimeout time.Duration, s Server) bool {
 	if c.servers == nil {
 		c.servers = map[string]Server{}
 		c.lastKnown = map[string]Server{}
 		c.drainDeadlines = map[string]time.Time{}
+		c.warmupReadAt = map[string]time.Time{}
 	}
 	delete(c.unconfirmed, s.ID)
 	previous, known := c.servers[s.ID]
@@ -90,7 +96,11 @@
 	}
 	c.servers[s.ID] = s
 	c.lastKnown[s.ID] = s
-	return !known || previous != s
+	changed := !known || previous != s || s.WarmupLeft > 0 // the time left of a cold server counts from each registration
+	if changed {
+		c.warmupReadAt[s.ID] = now
+	}
+	return changed
 }
 
 // PutRestored records a registration that was read after the store came back from an older copy, as Put does for a current
@@ -155,6 +165,7 @@
 	delete(c.servers, id)
 	delete(c.reappearDeadlines, id)
 	delete(c.drainDeadlines, id)
+	delete(c.warmupReadAt, id)
 }
 
 // Retain removes all servers whose ids are not in present, the ids found by a full read of the store. Before
@@ -201,6 +212,9 @@
 	return s, ok
 }
 
+// WarmupReadAt returns when the registration was recorded from which the remaining warm-up time of a server counts.
+func (c *Catalog) WarmupReadAt(id string) time.Time { return c.warmupReadAt[id] }
+
 // Servers returns the servers sorted by id.
 func (c *Catalog) Servers() []Server {
 	all := make([]Server, 0, len(c.servers))
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -233,3 +233,30 @@
 	is.True(!c.Expire(at(time.Second), drainTimeout))
 	is.Equal(len(c.Servers()), 0)
 }
+
+// TestWarmupCountsFromItsArrival guards against the time left of a cold server that counts from an earlier registration, and against
+// heartbeats of warm servers that count as changes.
+func TestWarmupCountsFromItsArrival(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, second Server
+		changed       bool
+		readAt        time.Time
+	}{
+		"warm":       {changed: false, readAt: start},
+		"cold":       {first: Server{WarmupLeft: 2}, second: Server{WarmupLeft: 1}, changed: true, readAt: start.Add(time.Second)},
+		"still cold": {first: Server{WarmupLeft: 2}, second: Server{WarmupLeft: 2}, changed: true, readAt: start.Add(time.Second)},
+		"turns warm": {first: Server{WarmupLeft: 2}, changed: true, readAt: start.Add(time.Second)},
+		"turns cold": {second: Server{WarmupLeft: 2}, changed: true, readAt: start.Add(time.Second)},
+		"restarted":  {second: Server{Incarnation: 1}, changed: true, readAt: start.Add(time.Second)},
+		"unknown":    {second: Server{WarmupUnknown: true}, changed: true, readAt: start.Add(time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c Catalog
+			test.first.ID, test.second.ID = "s", "s"
+			is.True(c.Put(start, time.Minute, test.first))
+			is.Equal(c.Put(start.Add(time.Second), time.Minute, test.second), test.changed)
+			is.Equal(c.WarmupReadAt("s"), test.readAt)
+		})
+	}
+}
--- a/pkg/bundler/decode_routing.go
+++ b/pkg/bundler/decode_routing.go
@@ -31,6 +31,8 @@
 	maxWeight        = 1_000_000
 	maxConnections   = 100_000
 	maxKeyWarmup     = 10 * time.Minute
+	maxWarmupTime    = 10 * time.Minute
+	maxWarmupRate    = 1_000_000
 	maxPriority      = 9
 	maxAttempts      = 8
 	minTimeout       = time.Millisecond
@@ -52,14 +54,20 @@
 func (b *Bundle) readServices(list parser.Value) {
 	names := uniqueSet[string]{code: "doubled_service"}
 	for _, item := range list.Items(1, maxServices) {
-		m := item.Mapping("name", "keyed", "health_path", "connections", "cold_keys")
+		m := item.Mapping("name", "keyed", "health_path", "connections", "cold_keys", "warmup", "warmup_rate")
 		name, keyed, keyWarmup := m.Required("name"), m.Required("keyed"), m.Optional("cold_keys")
+		warmup, warmupRate := m.Optional("warmup"), m.Optional("warmup_rate")
 		s := Service{
 			Name:           name.Match(snakeNamePattern, snakeNameDescription),
 			Keyed:          keyed.Bool(),
 			HealthPath:     m.Required("health_path").Match(pathPattern, pathDescription),
 			MaxConnections: int(m.Required("connections").Int(1, maxConnections)),
 			KeyWarmup:      keyWarmup.Duration(0, maxKeyWarmup),
+			WarmupTime:     warmup.Duration(0, maxWarmupTime),
+			WarmupRate:     warmupRate.Float(0, maxWarmupRate),
+		}
+		if warmupRate.Present() && !warmup.Present() {
+			warmupRate.Report("no_warmup", `"warmup_rate" is set without "warmup"`, "warmup, the time for which a server is cold")
 		}
 		if keyed.Is("false") {
 			keyWarmup.Report("not_keyed", `"cold_keys" is set for a service that is not keyed`, "no cold_keys, or keyed: true")
--- a/pkg/bundler/routing.go
+++ b/pkg/bundler/routing.go
@@ -13,6 +13,8 @@
 	MaxConnections int           // connections that one server accepts, from all instances together
 	Keyed          bool          // each key is owned by one server; otherwise any server may answer
 	KeyWarmup      time.Duration // how long requests for a key are slow at a server that got it without a handover
+	WarmupTime     time.Duration // how long a server is cold after its start during traffic, at most
+	WarmupRate     float64       // requests a second that a cold server tolerates from all instances together; 0 means any number
 }
 
 // WeightedService is one of the services that share a route.
