Cold servers get what they tolerate, summed over all instances

Cause: warmup_remaining_ms was read and not used, so that a cold server got as many requests as a warm one, 17 in a second where 15.6 are allowed.

Package throttler decides which servers are cold (Warmups), what one instance may send to them (ColdRule), whether it may rely on being the dispatcher (Contact), and spaces the requests once more when they are sent (Window). The queue has a second bucket for each server, without tokens at first. A server that may have started again is asked by a health check; requests wait for the answer for 250 ms at most. A new incarnation ends the ejection of the previous one, since it would stay idle for up to 4 s.

Ruled out: the bucket of limits (0.25 s of tokens, half of the limit without a leader), which lets three instances exceed the rule; counting cold as soon as a request follows 0.5 s of silence, which refuses bursts to warm servers.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -376,6 +376,10 @@
 		return
 	}
 	servers := c.catalog.Servers()
+	now, wall := timekeeper.Now(), time.Now() // the forwarder's times are of time.Now, not of timekeeper
+	for i, s := range servers {
+		servers[i].WarmupReadAt = wall.Add(c.catalog.WarmupReadAt(s.ID).Sub(now))
+	}
 	view := resolver.New(c.self(), c.table, servers, c.owners, c.members)
 	c.view = view
 	if c.leaderState != nil {
@@ -384,7 +388,7 @@
 	c.updateSources(view)
 	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
 	c.options.Meter.Set(meter.Members, int64(len(c.members)+1))
-	c.options.Forwarder.SetView(time.Now(), view) // the forwarder's times are of time.Now, not of timekeeper
+	c.options.Forwarder.SetView(wall, view)
 	inUse := map[string]bool{}
 	for _, s := range servers {
 		inUse[s.Address] = true
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -53,7 +53,7 @@
 	id         string // of the request; empty if it is unknown
 }
 
-// Connection is a connection that was taken out of a Pool for one request. Do must be called exactly once.
+// Connection is a connection that was taken out of a Pool for one request. Do or Release must be called, and only once.
 type Connection struct {
 	pool *Pool
 	conn *conn
@@ -89,6 +89,9 @@
 // Reused reports whether the connection was used for an earlier request.
 func (c Connection) Reused() bool { return c.conn.used }
 
+// Release returns the connection to the pool unused.
+func (c Connection) Release(now time.Time) { c.pool.put(c.conn, now) }
+
 // Do sends req and reads the header of the answer. The whole exchange, including the body of the answer, is aborted at
 // deadline or when ctx ends. The error is an ErrNotSent or an ErrMaybeSent; if its cause is an ErrBody, reading the body
 // of req failed. onInformational may be nil.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -73,6 +73,7 @@
 	}
 	f.limitDeadline(req)
 	_, req.suspect = f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
+	f.resumeContact(now)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
 		f.mu.Unlock()
@@ -238,6 +239,10 @@
 		}
 		return result{outcome: unreached, server: serverID, reason: reason + ": " + err.Error(), retryAfter: defaultRetryAfter}
 	}
+	if !f.awaitColdTurn(ctx, req, server) {
+		connection.Release(time.Now())
+		return result{outcome: unreached, server: serverID, reason: "cold_server", retryAfter: minRetryAfter}
+	}
 	// A request that is not idempotent is not cancelled when its client leaves, so that the server can complete it.
 	sendCtx := ctx
 	if !req.idempotent {
@@ -247,6 +252,9 @@
 	response, err := connection.Do(sendCtx, f.serverRequest(req, now, serverID, server.Address), req.deadline, nil)
 	if err != nil {
 		f.observeContact(time.Now(), serverID, classifyError(err, reused))
+		if isConnectionLost(err) { // the server may have ended, and start again
+			f.suspectCold(time.Now(), serverID)
+		}
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
 	f.observeContact(time.Now(), serverID, contactMade)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	Leaving, LeavingValue string
 	// Limit names how many requests a second a server takes from all instances together.
 	Limit string
+	// Instance names the server that gives an answer to a health check, and Warmup for how many milliseconds it stays cold.
+	Instance, Warmup string
 }
 
 // Forwarder forwards the requests that clients send to an instance, and those of the server pools that the instance
@@ -102,6 +104,7 @@
 	quarantine       quarantiner.Quarantine
 	limits           throttler.Limits
 	limitShare       float64 // part of the limits that this instance uses
+	cold             coldServers
 	loads            loads
 	declines         declines
 	lastRelax        time.Time // when relaxConnections ran last
@@ -161,6 +164,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.limits.Retain(func(server string) bool { _, ok := v.Server(server); return ok })
+	f.registerWarmups(now, v)
 	f.countLimitedServers()
 	for serverPool, q := range f.queues {
 		f.updateQueue(now, serverPool, q, v)
@@ -170,7 +174,7 @@
 // updateQueue applies a view to the queue of a server pool: it ends the wait of requests that another dispatcher must queue,
 // sets the queue's servers, and drops the queue if it is empty then. The caller holds mu.
 func (f *Forwarder) updateQueue(now time.Time, serverPool resolver.ServerPool, q *poolQueue, v *resolver.View) {
-	handOver := f.handsOver(serverPool, q.view, v)
+	handOver := f.handsOver(now, serverPool, q.view, v)
 	lost := f.poolLost(v, serverPool)
 	for ticket, w := range q.waiters {
 		var r result
@@ -194,13 +198,14 @@
 		if f.paths.lost(s.ID) {
 			continue
 		}
-		server := queuer.Server{ID: s.ID, Slots: s.Slots}
+		server := queuer.Server{ID: s.ID, Slots: s.Slots, Incarnation: s.Incarnation}
 		if p, ok := f.pauses[s.ID]; ok && p.incarnation == s.Incarnation {
 			server.PausedUntil = p.until
 		}
 		if limit, ok := f.limits.Get(s.ID, s.Incarnation); ok {
 			server.Limited, server.Rate = true, f.limitShare*limit.Rate
 		}
+		server.ColdUntil, server.ColdRate = f.coldness(now, v, serverPool, s)
 		servers = append(servers, server)
 	}
 	f.notifyWaiters(q, q.queue.SetServers(now, servers))
@@ -209,13 +214,13 @@
 	}
 }
 
-// handsOver reports whether this instance ceases to be the dispatcher of a pool with a server that names a limit. Its waiting
-// requests and those of the new dispatcher would together exceed the limit. Without a limit the requests finish here, as they
+// handsOver reports whether this instance ceases to be the dispatcher of a pool with a server that names a limit or is cold. Its
+// waiting requests and those of the new dispatcher would together exceed the limit. Without a limit the requests finish here, as they
 // have waited already. The caller holds mu.
-func (f *Forwarder) handsOver(serverPool resolver.ServerPool, before, v *resolver.View) bool {
+func (f *Forwarder) handsOver(now time.Time, serverPool resolver.ServerPool, before, v *resolver.View) bool {
 	limited := slices.ContainsFunc(v.Servers(serverPool), func(s cataloger.Server) bool {
 		_, ok := f.limits.Get(s.ID, s.Incarnation)
-		return ok
+		return ok || now.Before(f.cold.warmups.ColdUntil(s.ID, s.Incarnation))
 	})
 	return limited && before != nil && dispatchesItself(before, serverPool) && !dispatchesItself(v, serverPool)
 }
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -154,6 +154,10 @@
 	}
 	losses := f.paths.detector.Losses()
 	f.paths.mu.Unlock()
+	// A server that was lost may have started again, or turned cold with its failure domain.
+	if c == contactFailed || c == contactClosed || c == contactMade && changed {
+		f.suspectCold(now, server)
+	}
 	if !changed {
 		return
 	}
@@ -198,6 +202,7 @@
 // every 100 ms.
 func (f *Forwarder) ProbePaths(now time.Time) {
 	f.relaxConnections(now)
+	f.tickCold(now)
 	f.paths.mu.Lock()
 	servers := f.paths.detector.Tick(now)
 	addresses := make([]string, len(servers))
--- a/internal/forwarder/server_signals.go
+++ b/internal/forwarder/server_signals.go
@@ -181,6 +181,7 @@
 	share := throttler.Share(silence)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stepContact(now, silence)
 	if share == f.limitShare {
 		return
 	}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -21,11 +21,15 @@
 	ServersEnded
 	RequestsDetoured
 	PathProbes
+	InvalidWarmups
+	WarmupChecks
+	ColdServersMet
+	ColdRequestsHeld
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + PathProbes + 1
+	Appends Counter = iota + ColdRequestsHeld + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -57,8 +61,9 @@
 	BarredRequests
 	LostServers
 	LostServices
+	ColdServers
 
-	gaugeCount = int(LostServices) + 1
+	gaugeCount = int(ColdServers) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -97,6 +102,10 @@
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
+	InvalidWarmups:      {"invalid_warmups", "Remaining warm-up times named by a backend server that are missing, not a time, or too long."},
+	WarmupChecks:        {"warmup_checks", "Health checks sent to ask a backend server whether it is cold."},
+	ColdServersMet:      {"cold_servers_met", "Times that a backend server turned cold, as far as this instance knows."},
+	ColdRequestsHeld:    {"cold_requests_held", "Requests that waited again right before they were sent, because their server was cold."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
@@ -122,6 +131,7 @@
 	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
 	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
 	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
+	ColdServers:     {"cold_servers", "Backend servers that, as far as this instance knows, are cold."},
 	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
--- a/internal/queuer/load.go
+++ b/internal/queuer/load.go
@@ -22,7 +22,7 @@
 	total := 0.0
 	for _, s := range q.servers {
 		if s.usable(now) {
-			total += s.capacity()
+			total += s.capacity(now)
 		}
 	}
 	return total
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -119,6 +119,9 @@
 	PausedUntil time.Time // until then it wants no requests; the zero Time if it has not asked for a pause
 	Limited     bool      // whether it names a limit
 	Rate        float64   // the limit in requests a second
+	Incarnation int64     // higher after a restart
+	ColdUntil   time.Time // until then it is cold; the zero Time if it is not
+	ColdRate    float64   // requests a second that this instance may send while it is cold; 0 means none
 }
 
 // SetServers replaces the servers, and starts or refuses waiting requests accordingly. Requests that run on a removed
@@ -137,6 +140,8 @@
 		known.pausedUntil = time.Time{} // a new incarnation of the server has not asked for the pause
 		known.pause(now, s.PausedUntil)
 		known.setLimit(now, s.Limited, s.Rate)
+		known.setIncarnation(s.Incarnation)
+		known.setCold(now, s.ColdUntil, s.ColdRate)
 	}
 	q.dropRemoved()
 	return q.advance(now)
@@ -225,7 +230,7 @@
 func (q *Queue) pickServer(now time.Time, r Request) *server {
 	var best *server
 	for _, s := range q.servers {
-		if !s.usable(now) || s.running >= s.maxRunning() || !s.limit.Allows(now) || r.Suspect && s.hasSuspect {
+		if !s.usable(now) || s.running >= s.maxRunning() || !s.allows(now) || r.Suspect && s.hasSuspect {
 			continue
 		}
 		if best == nil || s.betterThan(best, r.AvoidServer) {
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -27,14 +27,16 @@
 	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
 	pausedUntil  time.Time     // until then the server wants no requests
 	limit        throttler.Bucket
+	incarnation  int64
+	cold         cold
 	hasSuspect   bool // whether a suspect runs on it
 	removed      bool // gets no new requests, and is dropped when none runs on it
 }
 
 // capacity returns how many requests the server is likely to run concurrently under load.
-func (s *server) capacity() float64 {
+func (s *server) capacity(now time.Time) float64 {
 	slots := float64(s.maxRunning())
-	rate, limited := s.limit.Rate()
+	rate, limited := s.rateLimit(now)
 	if !limited {
 		return slots
 	}
@@ -49,10 +51,13 @@
 
 // usableFrom returns when the server may get requests again.
 func (s *server) usableFrom() time.Time {
-	if s.pausedUntil.After(s.ejectedUntil) {
-		return s.pausedUntil
+	from := s.cold.blockedUntil()
+	for _, t := range []time.Time{s.pausedUntil, s.ejectedUntil} {
+		if t.After(from) {
+			from = t
+		}
 	}
-	return s.ejectedUntil
+	return from
 }
 
 // pause keeps requests from the server until a given time. Then it gets one at a time until one is Answered. A pause that
@@ -84,6 +89,7 @@
 func (s *server) start(now time.Time, r Request) {
 	s.running++
 	s.limit.Take(now)
+	s.cold.bucket.Take(now)
 	s.hasSuspect = s.hasSuspect || r.Suspect
 }
 
--- a/internal/queuer/wait.go
+++ b/internal/queuer/wait.go
@@ -27,12 +27,12 @@
 		if !s.usable(now) {
 			continue
 		}
-		rate, limited := s.limit.Rate()
+		rate, limited := s.rateLimit(now)
 		if !limited {
 			return 0
 		}
 		rates += rate
-		if delay := s.limit.Delay(now); first < 0 || delay < first {
+		if delay := s.limitDelay(now); first < 0 || delay < first {
 			first = delay
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -29,6 +29,7 @@
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/recorder"
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/internal/throttler"
 	"github.com/wasabibank/wasabibank/platform"
 )
 
@@ -77,6 +78,7 @@
 		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
 		Signature: platform.HeaderSignature, NotExecuted: platform.HeaderNotExecuted, ShardKey: platform.HeaderKey,
 		Leaving: platform.HeaderLeaving, LeavingValue: platform.LeavingValue, Limit: platform.HeaderLimit,
+		Instance: platform.HeaderInstance, Warmup: platform.HeaderWarmup,
 	}
 	budget := limiter.New(limiter.Settings{
 		Ratio: s.Bounds.RetryBudgetRatio, Extra: s.Bounds.RetryBudgetExtra, Window: s.Bounds.RetryBudgetWindow,
@@ -88,6 +90,7 @@
 	dataPlane.SetQueueing(queuer.Settings{
 		Reservation: s.HasContract(platform.ContractPressure), AdaptiveLimits: s.HasContract(platform.ContractHealth),
 	})
+	dataPlane.SetColdRule(throttler.ColdRule{Overage: s.Bounds.WarmupOverage, Tolerance: s.Bounds.WarmupTolerance})
 	self := resolver.Member{
 		Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Address: net.JoinHostPort(s.Address, fmt.Sprint(s.PeerPort)), Domain: s.Domain,
--- a/internal/throttler/bucket.go
+++ b/internal/throttler/bucket.go
@@ -18,8 +18,12 @@
 	rate       float64 // tokens a second
 	tokens     float64
 	refilledAt time.Time
+	window     time.Duration // for which unused tokens are kept; 0 means burstWindow
 }
 
+// NewBucket returns a Bucket without a limit that keeps unused tokens for window.
+func NewBucket(window time.Duration) Bucket { return Bucket{window: window} }
+
 // SetRate sets a limit in requests a second. A bucket that had none starts without tokens, since other instances may just have
 // sent requests.
 func (b *Bucket) SetRate(now time.Time, rate float64) {
@@ -32,7 +36,7 @@
 }
 
 // Unlimit ends the limit.
-func (b *Bucket) Unlimit() { *b = Bucket{} }
+func (b *Bucket) Unlimit() { *b = Bucket{window: b.window} }
 
 // Rate returns the rate that is kept, in requests a second, and false if there is no limit.
 func (b *Bucket) Rate() (float64, bool) { return b.rate, b.limited }
@@ -63,7 +67,13 @@
 }
 
 // burst returns how many tokens the bucket holds at most.
-func (b *Bucket) burst() float64 { return 1 + b.rate*burstWindow.Seconds() }
+func (b *Bucket) burst() float64 {
+	window := burstWindow
+	if b.window > 0 {
+		window = b.window
+	}
+	return 1 + b.rate*window.Seconds()
+}
 
 func (b *Bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt); b.limited && elapsed > 0 {
--- a/internal/throttler/simulation_test.go
+++ b/internal/throttler/simulation_test.go
@@ -18,7 +18,7 @@
 
 // This file simulates instances that dispatch requests to servers with limits, over a virtual clock. Instances are killed,
 // suspended and cut off from the others, leaders fail, and limits change. The instances run the deciders of the traffic:
-// resolver, queuer and throttler.
+// resolver, queuer and throttler. File cold_simulation_test.go adds servers that are cold.
 
 const (
 	simStep     = 10 * time.Millisecond
@@ -59,6 +59,7 @@
 	limits   []simLimit // in the order of their start
 	offered  int        // requests of clients in the last simCalmCheck
 	arrivals []simArrival
+	cold     simColdServer
 }
 
 // simLimit is the limit that a server names from a time on; a negative rate means none.
@@ -99,6 +100,7 @@
 	downUntil    time.Time
 	frozenUntil  time.Time
 	cutUntil     time.Time // from the other instances, not from servers and clients
+	cold         simColdInstance
 }
 
 type simQueue struct {
@@ -130,7 +132,8 @@
 	statements  map[string]throttler.Statement
 	leaderless  time.Time // until then no instance leads
 	events      []simEvent
-	refusedLate int // requests that were refused or given up only at their deadline
+	cold        *simCold // nil if no server turns cold
+	refusedLate int      // requests that were refused or given up only at their deadline
 }
 
 func newSimulation(seed uint64, instances int, flaws simFlaws) *simulation {
@@ -190,12 +193,15 @@
 			}
 			e.run(now)
 		}
-		if now.Before(simStart.Add(simCalmAfter)) {
+		if now.Before(simStart.Add(simCalmAfter)) && (s.cold == nil || !s.cold.faultless) {
 			s.drawFault(now)
 		}
+		if s.cold != nil {
+			s.stepCold(now)
+		}
 		s.lead(now)
 		for i := range s.servers {
-			if s.random.Float64() < simDemand*simStep.Seconds() {
+			if s.random.Float64() < s.demand()*simStep.Seconds() {
 				e := s.instances[s.random.IntN(len(s.instances))]
 				if e.works(now) {
 					if !now.Before(simStart.Add(simDuration - simCalmCheck)) {
@@ -262,6 +268,13 @@
 	}
 }
 
+func (s *simulation) demand() float64 {
+	if s.cold != nil {
+		return simColdDemand
+	}
+	return simDemand
+}
+
 func (s *simulation) indexOf(e *simInstance) int {
 	for i, other := range s.instances {
 		if other == e {
@@ -336,7 +349,7 @@
 			continue
 		}
 		_, limited := e.limits.Get(server.ID, 0)
-		if limited && dispatcherOf(before, server).Instance == e.member.Instance &&
+		if (limited || s.isColdAt(now, e, server)) && dispatcherOf(before, server).Instance == e.member.Instance &&
 			dispatcherOf(e.view, server).Instance != e.member.Instance {
 			for ticket, r := range q.waiting {
 				q.queue.Cancel(ticket)
@@ -438,9 +451,12 @@
 		limited = false
 	}
 	id := s.servers[server].ID
-	e.queues[id].queue.SetServers(now, []queuer.Server{
-		{ID: id, Slots: s.servers[server].Slots, Limited: limited, Rate: e.share * limit.Rate},
-	})
+	until, coldRate := s.coldness(now, e, s.servers[server])
+	q := e.queues[id]
+	s.apply(now, e, q, q.queue.SetServers(now, []queuer.Server{{
+		ID: id, Slots: s.servers[server].Slots, Limited: limited, Rate: e.share * limit.Rate, ColdUntil: until, ColdRate: coldRate,
+		Incarnation: e.knownIncarnation(s.servers[server]),
+	}}))
 }
 
 func (s *simulation) limitChanged(now time.Time, e *simInstance, server string) {
@@ -482,6 +498,10 @@
 // send sends a request to its server, which answers after its service time.
 func (s *simulation) send(now time.Time, e *simInstance, r simRequest) {
 	server := s.servers[r.server]
+	if s.cold != nil {
+		s.sendCold(now, e, r)
+		return
+	}
 	told, knows := e.told[server.ID]
 	server.arrivals = append(server.arrivals, simArrival{
 		at:      now,
