Failure domains can be evacuated

The record evacuate/DOMAIN in the operators' topic asks that nothing more is sent to the servers of a failure domain until it is removed. A record from a read of all records may be old, so the servers are gone at once then. If a service has only such servers, its requests are refused at once with the reason evacuated. After an evacuation the servers are not known to be warm. With a time for evacuations in the settings, an instance sends requests and orders only once it has read the operators' topic, also if the leader has sent it the configuration.

Ruled out: ending an evacuation because the store came back from an older copy without the record; a state of its own for evacuated servers, which each package would have to know.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -42,6 +42,8 @@
 	WarmupLeft  time.Duration // remaining warm-up time when it wrote the registration
 	// WarmupUnknown says that the registration names no remaining warm-up time, or an invalid one.
 	WarmupUnknown bool
+	// Evacuated says that its failure domain is evacuated; see Evacuations.Apply.
+	Evacuated bool
 	// WarmupReadAt is when WarmupLeft was read, on the clock of those who use it; the Catalog leaves it unset.
 	WarmupReadAt time.Time
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,6 +97,8 @@
 	SourceIP net.IP
 	// HeartbeatInterval is how often backend servers write their registrations to the store.
 	HeartbeatInterval time.Duration
+	// EvacuateTimeout is the time within which an evacuated failure domain must get no more requests; 0 if there is none.
+	EvacuateTimeout time.Duration
 }
 
 // Controller is the control plane of an instance. Use New and Run.
@@ -111,6 +113,8 @@
 	configEra      uint64 // era of the store in which it was read
 	catalog        cataloger.Catalog
 	catalogRead    bool // whether the catalog was read at least once
+	evacuations    cataloger.Evacuations
+	operatorsRead  bool // whether the operators' records were read at least once
 	owners         *partitioner.Map
 	members        []resolver.Member     // without Self
 	membersVersion membersVersion        // of members
@@ -338,8 +342,8 @@
 		c.elector.InvalidateLease(now)
 	}
 	c.lastStep = now
-	c.elector.SetEligible(c.table != nil && c.catalogRead)
-	if c.catalog.Expire(now, c.options.DrainTimeout) {
+	c.elector.SetEligible(c.recordsRead())
+	if expired := c.evacuations.Expire(now); c.catalog.Expire(now, c.options.DrainTimeout) || expired {
 		c.serversChanged(now)
 	}
 	c.updatePaths(now)
@@ -370,12 +374,19 @@
 	}
 }
 
+// recordsRead reports whether this instance has read all that it must know before it sends requests or orders. With a time for
+// evacuations that includes their records, which the configuration from the leader does not have.
+func (c *Controller) recordsRead() bool {
+	return c.table != nil && c.catalogRead && (c.options.EvacuateTimeout == 0 || c.operatorsRead)
+}
+
 // updateView builds a new view and passes it to the forwarder.
 func (c *Controller) updateView() {
-	if c.table == nil || !c.catalogRead {
+	if !c.recordsRead() {
 		return
 	}
-	servers := c.catalog.Servers()
+	servers := c.servers()
+	c.countEvacuated(servers)
 	now, wall := timekeeper.Now(), time.Now() // the forwarder's times are of time.Now, not of timekeeper
 	for i, s := range servers {
 		servers[i].WarmupReadAt = wall.Add(c.catalog.WarmupReadAt(s.ID).Sub(now))
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -148,10 +148,10 @@
 
 // setServers passes the servers to the granter.
 func (c *Controller) setServers(now time.Time) {
-	if c.table == nil || !c.catalogRead {
+	if !c.recordsRead() {
 		return
 	}
-	c.leaderState.granter.SetServers(now, c.table.KeyedServices(), c.catalog.Servers())
+	c.leaderState.granter.SetServers(now, c.table.KeyedServices(), c.servers())
 }
 
 // runLeader runs everything that is due on the leader.
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -28,6 +28,7 @@
 			})
 		}
 		status.Servers = c.serverStatus()
+		status.Evacuated = c.evacuationStatus()
 		status.Barred = c.barredStatus()
 		return status
 	})
@@ -72,10 +73,11 @@
 		}
 	}
 	var list []inspector.Server
-	for _, s := range c.catalog.Servers() {
+	for _, s := range c.servers() {
 		server := inspector.Server{
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Address: s.Address, State: s.State.String(), Slots: s.Slots,
 			Ranges: ranges[s.ID], Keys: keys[s.ID], Unreachable: c.options.Forwarder.ServerLost(s.ID),
+			Evacuated: s.Evacuated, ColdSeconds: max(0, time.Until(c.options.Forwarder.ColdUntil(s.ID, s.Incarnation)).Seconds()),
 		}
 		if server.Ranges > 0 && c.view != nil {
 			server.Dispatcher = dispatcherOf(c.view, s.ID)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -35,13 +35,14 @@
 
 // watchOperators applies each new configuration that the operators publish.
 func (c *Controller) watchOperators(ctx context.Context) {
-	c.watchTopic(ctx, platform.TopicOperators, func(_ time.Time, read topicRead) {
+	c.watchTopic(ctx, platform.TopicOperators, func(now time.Time, read topicRead) {
 		for _, r := range read.records {
 			if r.Key != platform.KeyConfig || r.Value == nil {
 				continue
 			}
 			c.applyConfig(r.Value, "offset", r.Offset)
 		}
+		c.applyEvacuations(now, read)
 	})
 }
 
--- a/internal/forwarder/cold.go
+++ b/internal/forwarder/cold.go
@@ -33,7 +33,9 @@
 	warmups throttler.Warmups
 	sends   map[string]*throttler.Window // by server id
 	known   map[string]bool              // servers that were cold at the last look, by id
-	contact throttler.Contact
+	// evacuated are the servers whose failure domain is evacuated, by id. They are cold afterwards.
+	evacuated map[string]bool
+	contact   throttler.Contact
 	// lastLook is when tickCold last ran, and checks the number of questions in flight.
 	lastLook time.Time
 	checks   int
@@ -78,6 +80,15 @@
 				"longest", service.WarmupTime)
 		}
 	}
+	for server := range f.cold.evacuated {
+		if s, ok := v.Server(server); ok && !s.Evacuated {
+			f.cold.warmups.Suspect(now, server)
+		}
+	}
+	f.cold.evacuated = map[string]bool{}
+	for _, s := range v.Evacuated() {
+		f.cold.evacuated[s.ID] = true
+	}
 	f.cold.warmups.Retain(now, func(server string) bool {
 		s, ok := v.Server(server)
 		_, limited := warmupRate(v, s.Service)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
@@ -218,7 +219,7 @@
 // exchange sends the request to a server and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, now time.Time, req *clientRequest, serverID string) result {
 	server, ok := f.view.Load().Server(serverID)
-	if !ok {
+	if !ok || server.Evacuated && server.State == cataloger.Gone {
 		return result{outcome: unreached, server: serverID, reason: "server_gone"}
 	}
 	if !now.Before(req.deadline) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -125,6 +125,8 @@
 	// reasonNoServer says that a service has no server pool, or a pool no server. In the first case prepareRetry tries no
 	// other pool.
 	reasonNoServer = "no_server"
+	// reasonEvacuated says that all servers of a service are in evacuated failure domains.
+	reasonEvacuated = "evacuated"
 	// reasonClientLeft says that the client left before the answer. releaseSlot then records nothing about the server, and
 	// countResult counts the request as cancelled.
 	reasonClientLeft = "client_left"
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -62,6 +62,9 @@
 		v = f.view.Load()
 	} else {
 		pools := v.Pools(req.service, req.rotation)
+		if len(pools) == 0 && v.ServiceEvacuated(req.service, false) {
+			return result{outcome: refused, reason: reasonEvacuated, retryAfter: defaultRetryAfter}
+		}
 		if len(pools) == 0 {
 			return result{outcome: refused, reason: reasonNoServer, retryAfter: defaultRetryAfter}
 		}
@@ -129,6 +132,9 @@
 				return result{}, true
 			}
 		}
+		if v.ServiceEvacuated(req.service, true) {
+			return result{outcome: refused, reason: reasonEvacuated, retryAfter: defaultRetryAfter}, false
+		}
 		if req.moveWaitStart.IsZero() {
 			req.moveWaitStart = now
 		}
@@ -184,7 +190,7 @@
 		req.avoidServer = r.server
 		return !req.keyed || f.waitForViewChange(ctx, req, retryDelay)
 	case refused:
-		return r.reason != reasonNoServer && !r.isBarred() && f.spillOver(req, spillovers)
+		return r.reason != reasonNoServer && r.reason != reasonEvacuated && !r.isBarred() && f.spillOver(req, spillovers)
 	case moved:
 		if r.server == "" {
 			return f.waitForViewChange(ctx, req, ownerChangeTimeout)
--- a/internal/inspector/answers.go
+++ b/internal/inspector/answers.go
@@ -21,6 +21,8 @@
 	OwnerMapVersion Version  `json:"owners"`
 	Members         []Member `json:"members"`
 	Servers         []Server `json:"servers"`
+	// Evacuated are the failure domains whose servers get no new requests.
+	Evacuated []EvacuatedDomain `json:"evacuated"`
 	// Barred are the requests that the instance refuses because servers crash under them.
 	Barred []BarredRequest `json:"barred"`
 	// Running counts the requests that are in progress at servers for which the instance is the dispatcher. Waiting counts the
@@ -84,6 +86,16 @@
 	Limited        bool    `json:"limited"`
 	Limit          float64 `json:"limit"`
 	LimitedSeconds float64 `json:"limited_s"`
+	// Evacuated says that the server's failure domain is evacuated, and ColdSeconds for how long it stays cold.
+	Evacuated   bool    `json:"evacuated"`
+	ColdSeconds float64 `json:"cold_s"`
+}
+
+// EvacuatedDomain is a failure domain that is evacuated.
+type EvacuatedDomain struct {
+	Domain string `json:"failure_domain"`
+	// EvacuatedSeconds ago the instance read that it is evacuated.
+	EvacuatedSeconds float64 `json:"evacuated_s"`
 }
 
 // BarredRequest is a request that is refused because servers crash under it.
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -43,8 +43,10 @@
 	GrantsRefused
 	GrantsFailed
 	ReleasesSent
+	EvacuationsBegun
+	EvacuationsEnded
 
-	counterCount = int(ReleasesSent) + 1
+	counterCount = int(EvacuationsEnded) + 1
 )
 
 // Gauge identifies a gauge of a Meter.
@@ -62,8 +64,10 @@
 	LostServers
 	LostServices
 	ColdServers
+	EvacuatedDomains
+	EvacuatedServers
 
-	gaugeCount = int(ColdServers) + 1
+	gaugeCount = int(EvacuatedServers) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -120,19 +124,23 @@
 	GrantsRefused:       {"grants_refused", "Grants that a backend server refused because it knew a higher fencing token."},
 	GrantsFailed:        {"grants_failed", "Grants that were not accepted: refused, not answered or not sent."},
 	ReleasesSent:        {"releases_sent", "Releases sent to backend servers."},
+	EvacuationsBegun:    {"evacuations_begun", "Evacuations of a failure domain that began after this instance's start."},
+	EvacuationsEnded:    {"evacuations_ended", "Evacuations of a failure domain that ended after this instance's start."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
-	BundleVersion:   {"bundle_version", "Version of the configuration that the instance applies; 0 means none."},
-	Members:         {"members", "Entry instances that this instance knows, including itself."},
-	RequestsRunning: {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
-	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
-	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
-	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
-	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
-	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
-	ColdServers:     {"cold_servers", "Backend servers that, as far as this instance knows, are cold."},
-	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
+	BundleVersion:    {"bundle_version", "Version of the configuration that the instance applies; 0 means none."},
+	Members:          {"members", "Entry instances that this instance knows, including itself."},
+	RequestsRunning:  {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
+	RequestsWaiting:  {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
+	LimitedServers:   {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
+	BarredRequests:   {"barred_requests", "Requests that this instance refuses because servers crash under them."},
+	LostServers:      {"lost_servers", "Backend servers to which this instance has lost its path."},
+	LostServices:     {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
+	ColdServers:      {"cold_servers", "Backend servers that, as far as this instance knows, are cold."},
+	EvacuatedDomains: {"evacuated_domains", "Failure domains that are evacuated, as far as this instance knows."},
+	EvacuatedServers: {"evacuated_servers", "Backend servers in evacuated failure domains."},
+	LogLinesDropped:  {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
 var timerDescriptions = [timerCount]Description{
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -138,6 +138,32 @@
 	return list
 }
 
+// Evacuated returns the servers of evacuated failure domains, in no particular order.
+func (v *View) Evacuated() []cataloger.Server {
+	var list []cataloger.Server
+	for _, s := range v.servers {
+		if s.Evacuated {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// ServiceEvacuated reports whether a service has servers, but none outside evacuated failure domains to which requests may be sent.
+func (v *View) ServiceEvacuated(service string, keyed bool) bool {
+	evacuated := false
+	for _, s := range v.servers {
+		switch {
+		case s.Service != service:
+		case s.State == cataloger.Ready, keyed && s.State == cataloger.Draining:
+			return false
+		case s.Evacuated:
+			evacuated = true
+		}
+	}
+	return evacuated
+}
+
 // SharesServers reports whether two views have the same servers and members because one was made from the other by WithOwners.
 func (v *View) SharesServers(other *View) bool {
 	return other != nil && v.dispatchers == other.dispatchers
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -189,3 +189,29 @@
 		}
 	})
 }
+
+// TestServiceEvacuated guards against refusals that name an evacuation while there are servers outside of it, and the reverse.
+func TestServiceEvacuated(t *testing.T) {
+	ready := cataloger.Server{ID: "r", Service: "s"}
+	draining := cataloger.Server{ID: "d", Service: "s", State: cataloger.Draining, Evacuated: true}
+	gone := cataloger.Server{ID: "g", Service: "s", State: cataloger.Gone, Evacuated: true}
+	other := cataloger.Server{ID: "o", Service: "other"}
+	for name, test := range map[string]struct {
+		servers          []cataloger.Server
+		keyed, otherwise bool
+	}{
+		"no servers":            {servers: []cataloger.Server{other}},
+		"ready ones":            {servers: []cataloger.Server{gone, ready}},
+		"draining":              {servers: []cataloger.Server{draining, other}, otherwise: true},
+		"draining and gone":     {servers: []cataloger.Server{draining, gone}, otherwise: true},
+		"gone":                  {servers: []cataloger.Server{gone, other}, keyed: true, otherwise: true},
+		"gone for other causes": {servers: []cataloger.Server{{ID: "x", Service: "s", State: cataloger.Gone}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := New(Member{}, nil, test.servers, nil, nil)
+			is.Equal(v.ServiceEvacuated("s", true), test.keyed)
+			is.Equal(v.ServiceEvacuated("s", false), test.otherwise)
+		})
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -101,6 +101,7 @@
 		DrainTimeout: s.Bounds.DrainTimeout - drainMargin, MaxRangeLeaseDuration: s.Bounds.MaxLeaseDuration,
 		SourceIP:   net.ParseIP(s.SourceAddress),
 		FirstStart: s.FirstStart, Seeds: seedAddresses(s), HeartbeatInterval: s.HeartbeatInterval,
+		EvacuateTimeout: s.Bounds.EvacuateTimeout,
 	})
 	return &Runner{settings: s, forwarder: dataPlane, controller: controlPlane, meter: counters, log: log, events: events}
 }
