Cold servers count with the load that they tolerate when ranges move

Cause: the leader counted all slots of a cold server, so that it kept or got ranges with more requests than it may get. Its capacity is now bounded by its rate, as that of a server that names a limit, for as long as the server itself says that it is cold. Ruled out: servers that are only not known to be warm, which the leader does not ask. Measured: TestColdServerHasLessCapacity.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -343,11 +343,11 @@
 // it, but not all at once.
 const pausedCapacityRatio = 0.5
 
-// minLimitedCapacity is the least capacity of a server that names a limit, in slots.
+// minLimitedCapacity is the least capacity of a server that names a limit or is cold, in slots.
 const minLimitedCapacity = 0.01
 
 // capacities returns the relative capacity of each server: its slots, weighted by its speed, or the slots that its limit
-// lets it use.
+// lets it use, or that it may use while it is cold.
 func (c *Controller) capacities(now time.Time, servers []string) map[string]float64 {
 	total, count := 0.0, 0.0
 	for _, id := range servers {
@@ -371,6 +371,9 @@
 		if limit, limited := c.options.Forwarder.Limit(id, registration.Incarnation); limited && mean > 0 {
 			capacities[id] = min(capacities[id], max(limit.Rate*mean, minLimitedCapacity))
 		}
+		if rate, cold := c.options.Forwarder.ColdRate(time.Now(), id); cold && mean > 0 {
+			capacities[id] = min(capacities[id], max(rate*mean, minLimitedCapacity))
+		}
 	}
 	return capacities
 }
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -10,7 +10,10 @@
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/elector"
+	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/throttler"
+	"github.com/wasabibank/wasabibank/internal/timekeeper"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
 )
 
 // learnFromAnswer makes an instance learn of a server's limit as if from an answer.
@@ -104,3 +107,25 @@
 	is.True(math.Abs(capacities["limited"]-0.5) < 1e-9) // 2.5 requests a second of 0.2 s
 	is.Equal(capacities["none"], minLimitedCapacity)
 }
+
+// TestColdServerHasLessCapacity guards against keys that stay with a cold server which can't take the requests for them, although
+// other servers can.
+func TestColdServerHasLessCapacity(t *testing.T) {
+	is := is.New(t)
+	c := newTestController(t, http.NotFound)
+	c.options.Forwarder.SetColdRule(throttler.ColdRule{Overage: 1.5, Tolerance: 8})
+	c.table = matcher.NewTable(bundler.New(1, []bundler.Service{
+		{Name: "desk", Keyed: true, WarmupTime: 8 * time.Second, WarmupRate: 4},
+	}, nil, bundler.Limits{}))
+	c.catalogRead = true
+	now := timekeeper.Now()
+	c.leaderState = &leaderState{serviceTimes: map[string]*serviceTime{}}
+	for id, left := range map[string]time.Duration{"warm": 0, "cold": 5 * time.Second} {
+		c.catalog.Put(now, time.Second, cataloger.Server{ID: id, Service: "desk", Slots: 2, Incarnation: 7, WarmupLeft: left})
+		c.leaderState.serviceTimes[id] = &serviceTime{meanServiceSeconds: 0.2, answers: 40}
+	}
+	c.updateView()
+	capacities := c.capacities(now, []string{"warm", "cold"})
+	is.True(math.Abs(capacities["warm"]-2) < 1e-9)
+	is.True(math.Abs(capacities["cold"]-0.8) < 1e-9) // 4 requests a second of 0.2 s
+}
