--- a/cmd/admin_test.go
+++ b/cmd/admin_test.go
@@ -32,7 +32,9 @@
 		Servers: []inspector.Server{{
 			ID: "render_01", Service: "render_desk", State: "ready", Slots: 3, Ranges: 1, Keys: 65536, Dispatcher: "entry_1",
 			Limited: true, Limit: 2.5, LimitedSeconds: 61, Unreachable: s.name == "entry_2",
+			Domain: "muscat_b", ColdSeconds: 4.5,
 		}},
+		Evacuated: []inspector.EvacuatedDomain{{Domain: "muscat_b", EvacuatedSeconds: 7}},
 		Barred: []inspector.BarredRequest{{
 			Fingerprint: "00000000000000f7", Request: "GET h/x", Crashes: 3, BarredSeconds: 1.5,
 		}},
@@ -83,6 +85,7 @@
 				"lost",   // entry_2 can't reach the store
 				"5.7", "render_01  render_desk", "127.0.0.2:7720",
 				"render_01       2.5                1m1s", "GET h/x         00000000000000f7  3        1.5s",
+				"render_01    render_desk  4.5s", "muscat_b          1        7s",
 				"entry_1                 render_desk  2.5s", "entry_2   render_01           render_desk  entry_1",
 			},
 		},
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -56,6 +56,8 @@
 	writeLostServices(table, newest)
 	writeUnreachable(table, answered)
 	writeLimits(table, newest)
+	writeCold(table, newest)
+	writeEvacuated(table, newest)
 	writeBarred(table, newest)
 	return table.Flush()
 }
@@ -151,6 +153,32 @@
 	}
 }
 
+// writeCold writes the servers that are cold, if there are any.
+func writeCold(w io.Writer, s inspector.Status) {
+	head := "\nCOLD SERVER\tSERVICE\tFOR THE NEXT\n"
+	for _, server := range s.Servers {
+		if server.ColdSeconds > 0 {
+			fmt.Fprintf(w, "%s%s\t%s\t%s\n", head, server.ID, server.Service, secondsText(server.ColdSeconds))
+			head = ""
+		}
+	}
+}
+
+// writeEvacuated writes the failure domains that are evacuated, if there are any.
+func writeEvacuated(w io.Writer, s inspector.Status) {
+	head := "\nEVACUATED DOMAIN\tSERVERS\tFOR\n"
+	for _, e := range s.Evacuated {
+		servers := 0
+		for _, server := range s.Servers {
+			if server.Domain == e.Domain {
+				servers++
+			}
+		}
+		fmt.Fprintf(w, "%s%s\t%d\t%s\n", head, e.Domain, servers, secondsText(e.EvacuatedSeconds))
+		head = ""
+	}
+}
+
 // writeBarred writes the requests that are refused because servers crash under them, if there are any.
 func writeBarred(w io.Writer, s inspector.Status) {
 	head := "\nBARRED REQUEST\tFINGERPRINT\tCRASHES\tFOR\n"
