Servers are doubted after a second without a request, not after half

Cause: with half a second, a keyed server that gets three to five requests a second was asked by a health check every few seconds, although only servers that may be cold should be.

--- a/internal/throttler/cold_simulation_test.go
+++ b/internal/throttler/cold_simulation_test.go
@@ -433,7 +433,7 @@
 	}{
 		"cold servers are not limited": {flaws: simColdFlaws{unlimited: true}, allowed: allowedWhileCold()},
 		"no suspicion":                 {flaws: simColdFlaws{noSuspicion: true}, allowed: allowedWhileCold()},
-		// Without these, the rule is exceeded in only one of 100 seeds, but the parts of two dispatchers in many.
+		// Without these, the rule is exceeded in one of 100 seeds, but the parts of two dispatchers in many.
 		"no doubt and no window": {flaws: simColdFlaws{noDoubt: true, noWindow: true}, allowed: float64(2 * most)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/throttler/warmups.go
+++ b/internal/throttler/warmups.go
@@ -11,8 +11,8 @@
 	// askInterval is the time between two questions to a server that may be cold.
 	askInterval = 300 * time.Millisecond
 	// doubtAfter is after which time without a request to a server its restart may have gone unnoticed: no connection has failed. A
-	// server that gets ten requests a second is rarely without one for so long.
-	doubtAfter = 500 * time.Millisecond
+	// server that gets five requests a second is rarely without one for so long.
+	doubtAfter = time.Second
 	// doubtTime is how long such a restart may go unnoticed: the registration shows it then.
 	doubtTime = 2200 * time.Millisecond
 	// answerTime is how long requests to a server that is not known to be warm are held for its answer. After that it gets what a cold
