--- a/internal/exchanger/exchange_test.go
+++ b/internal/exchanger/exchange_test.go
@@ -213,6 +213,24 @@
 	is.Equal(s.accepted.Load(), int64(1))
 }
 
+// TestReleasedConnectionIsUsedAgain guards against connections and places in the pool that are lost when a request is not sent after
+// all.
+func TestReleasedConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	p := New(Options{Address: server.Listener.Addr().String(), MaxConnections: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute})
+	defer p.Close()
+	for range 3 {
+		c, err := p.Acquire(context.Background(), time.Now(), time.Now().Add(time.Second))
+		is.NoErr(err)
+		is.True(!c.Reused())
+		c.Release(time.Now())
+		is.Equal(p.Open(), 1)
+		is.Equal(p.Idle(), 1)
+	}
+}
+
 // TestCancelEndsWaitForAnswer guards against requests that wait for an answer after their context has ended.
 func TestCancelEndsWaitForAnswer(t *testing.T) {
 	is := is.New(t)
