Eject a server only if its pool does clearly better and can take its load

Cause: three rejections or failures in a row ejected a server whatever the others did.

Change: each server has a record of answers, failures and rejections that decays over 2 s. After three bad outcomes a server is ejected if the other usable servers answer clearly more of their requests, and if these have room for the load or the server answers next to nothing. The only server of a pool is ejected for failures only, from three quarters of its outcomes on. Requests that end by the fault of a server that is ejected already don't lengthen the ejection, and its length starts over only once the server was in use for longer than it was ejected, so that a server which fails some of its requests stays away longer.

Ruled out: no ejection for rejections at all, because a server that rejects everything has free slots and attracts all requests; a share of the pool as a bound, because dead servers take no load and should all be ejected.

--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -245,18 +245,15 @@
 	switch outcome {
 	case Answered:
 		q.recordServiceTime(now, className, took)
-		s.recordServiceTime(took)
-		s.failures, s.ejectionTime, s.probing = 0, 0, false
+		s.recordAnswer(now, took)
 	case Failed:
-		s.recordFailure(now)
+		q.recordFailure(now, s)
 	case TimedOut:
 		if q.hadEnoughTime(now, className, took) {
-			s.recordFailure(now)
-		}
-	case Rejected: // counts as a failure only if requests can be sent to another server
-		if q.hasOtherServer(s) {
-			s.recordFailure(now)
+			q.recordFailure(now, s)
 		}
+	case Rejected:
+		q.recordRejection(now, s)
 	case Inconclusive:
 	}
 	q.dropRemoved()
@@ -269,11 +266,6 @@
 	return q.times == nil || given >= q.times.enough(now, className)
 }
 
-// hasOtherServer reports whether requests can be sent elsewhere than to s.
-func (q *Queue) hasOtherServer(s *server) bool {
-	return slices.ContainsFunc(q.servers, func(other *server) bool { return other != s && !other.removed })
-}
-
 // Cancel removes a waiting request, for example because its client has left, its key has moved to another server, or it is
 // refused on arrival.
 func (q *Queue) Cancel(t Ticket) {
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -105,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var times ServiceTimes
-			other, q := New(&times), New(&times)
+			other, q := New(&times, Settings{}), New(&times, Settings{})
 			other.SetServers(start, []Server{{ID: "b", Slots: 1}})
 			for _, took := range test.measured {
 				is.Equal(other.Offer(start, request(0, 1000, 1000)), Start{Server: "b"})
@@ -209,7 +209,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var times ServiceTimes
-			other, q := New(&times), New(&times)
+			other, q := New(&times, Settings{}), New(&times, Settings{})
 			other.SetServers(start, []Server{{ID: "b", Slots: 1}})
 			for _, took := range test.measured {
 				is.Equal(other.Offer(start, request(0, 1000, 1000)), Start{Server: "b"})
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -6,24 +6,16 @@
 	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
-const (
-	// failuresToEject is how many consecutive failures eject a server.
-	failuresToEject = 3
-	// minEjectionTime is how long a server is ejected for the first time. Each further ejection is twice as long, up to
-	// maxEjectionTime.
-	minEjectionTime = 500 * time.Millisecond
-	maxEjectionTime = 4 * time.Second
-)
-
 // server is one backend server.
 type server struct {
 	id           string
 	slots        int
 	running      int
 	mean         time.Duration // service time over all classes; 0 before any was measured
-	failures     int           // consecutive
+	record       record
+	failures     int // consecutive failures, and rejections if there is another server
 	ejectedUntil time.Time
-	ejectionTime time.Duration // of the last ejection; 0 once a request was Answered
+	ejectionTime time.Duration // of the last ejection
 	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
 	pausedUntil  time.Time     // until then the server wants no requests
 	limit        throttler.Bucket
@@ -108,19 +100,3 @@
 	}
 	s.mean += time.Duration(ewmaWeight * float64(took-s.mean))
 }
-
-// recordFailure counts a failure, and ejects the server after several consecutive ones.
-func (s *server) recordFailure(now time.Time) {
-	s.failures++
-	if s.failures >= failuresToEject {
-		s.eject(now)
-	}
-}
-
-// eject keeps requests from the server, for twice as long as the last time but at most maxEjectionTime.
-func (s *server) eject(now time.Time) {
-	s.ejectionTime = min(max(minEjectionTime, 2*s.ejectionTime), maxEjectionTime)
-	s.ejectedUntil = now.Add(s.ejectionTime)
-	s.failures = failuresToEject - 1 // the next failure ejects the server again
-	s.probing = true
-}
