Retry a rejected request at its key's owner sooner the less time it has to its objective

The delay before a retry at the only server of a key was 30 ms for every request, so a request with an objective of 6 s took the slot and the retry of the budget before one with 500 ms. It is now a sixteenth of the time that is left to the objective, between 15 and 60 ms; a late request waits longest. Requests without a key are tried elsewhere at once, as before.

Ruled out: to reserve tokens of the retry budget for urgent classes, because with 63 instances an instance holds one token.

--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -17,9 +17,13 @@
 	// ownerChangeTimeout bounds the wait for a new view before a request for a key is sent again because the key's owner
 	// has changed or could not be reached.
 	ownerChangeTimeout = 100 * time.Millisecond
-	// retryDelay is the delay before a retry at the key's owner, the only server that may execute the request. A new view ends
-	// it early.
-	retryDelay = 30 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the delay before a retry at the key's owner, the only server that may execute the
+	// request. A new view ends it early.
+	minRetryDelay = 15 * time.Millisecond
+	maxRetryDelay = 60 * time.Millisecond
+	// retryDelayFraction divides the time that is left to a request's objective: the delay is that part of it. With a divisor of
+	// 16, a request with an objective of 500 ms is tried again after 30 ms.
+	retryDelayFraction = 16
 	// maxAttemptsPerRequest bounds the passes of the retry loop for one request, including those that reach no server.
 	maxAttemptsPerRequest = 12
 	// maxSends bounds how often one request may be sent to a server, including servers that rejected it.
@@ -182,7 +186,7 @@
 			return false
 		}
 		req.avoidServer = r.server
-		return !req.keyed || f.waitForViewChange(ctx, req, retryDelay)
+		return !req.keyed || f.waitForViewChange(ctx, req, retryDelay(now, req.objective))
 	case refused:
 		return r.reason != reasonNoServer && !r.isBarred() && f.spillOver(req, spillovers)
 	case moved:
@@ -203,6 +207,17 @@
 	return false
 }
 
+// retryDelay returns the delay before a rejected request is sent to the only server that may execute it again. The less time is
+// left to its objective the shorter it is, so that of several requests the most urgent one takes the slot and the retry of the
+// budget. A request that is late already waits longest.
+func retryDelay(now, objective time.Time) time.Duration {
+	left := objective.Sub(now)
+	if left <= 0 {
+		return maxRetryDelay
+	}
+	return min(max(left/retryDelayFraction, minRetryDelay), maxRetryDelay)
+}
+
 // spillOver makes the next attempt of a request without a key try another server pool, and reports whether there is one to try.
 func (f *Forwarder) spillOver(req *clientRequest, spillovers *int) bool {
 	if req.keyed || *spillovers >= maxSpillovers {
