Limit the requests at a server to the number beyond which it makes no more answers

Servers of a service differ in speed, and some slow down long before all slots are in use; the queue filled them all the same and chose among servers by their share of free slots.

Package pacer keeps service times, relative to their class, by the number of requests running, and derives a limit between 1 and the slots. With queuer.Settings.AdaptiveLimits (contract "health") the queue keeps to it and sends a request where its expected time and the part of the limit in use are least. A new incarnation begins anew; without a measurement the slots count.

--- /dev/null
+++ b/internal/queuer/adaptive.go
@@ -0,0 +1,52 @@
+package queuer
+
+import (
+	"time"
+
+	"github.com/wasabibank/wasabibank/internal/pacer"
+)
+
+// setIncarnation sets the incarnation and the slots of a server. What was learned about its load holds for one incarnation.
+func (s *server) setIncarnation(now time.Time, incarnation int64, slots int, adaptive bool) {
+	if s.incarnation != incarnation {
+		s.pacer = pacer.Pacer{}
+	}
+	s.incarnation, s.slots, s.adaptive = incarnation, slots, adaptive
+	s.pacer.SetSlots(now, slots)
+}
+
+// recordPace records how long a request took that ends at a server, before it is taken off the running ones.
+func (q *Queue) recordPace(now time.Time, s *server, className string, took time.Duration) {
+	if !s.adaptive {
+		return
+	}
+	s.pacer.Record(now, now.Add(-took), s.running, q.paces.Ratio(className, took))
+	q.paces.Record(now, className, took)
+}
+
+// ReportLoad records what a server said about its load in the answer to a request that has not been passed to Done yet.
+func (q *Queue) ReportLoad(now time.Time, serverID string, load pacer.Load) {
+	if s := q.findServer(serverID); s != nil && s.adaptive {
+		s.pacer.Report(now, load, s.running)
+	}
+}
+
+// ServerState is what a queue has found out about a server.
+type ServerState struct {
+	Slots        int
+	Limit        int       // requests that it may run concurrently, as learned, at most its slots
+	EjectedUntil time.Time // the zero Time if it was never ejected
+}
+
+// ServerState returns what the queue has found out about a server, and false if it has no such server.
+func (q *Queue) ServerState(serverID string) (ServerState, bool) {
+	s := q.findServer(serverID)
+	if s == nil {
+		return ServerState{}, false
+	}
+	state := ServerState{Slots: s.slots, Limit: s.slots, EjectedUntil: s.ejectedUntil}
+	if s.adaptive {
+		state.Limit = s.pacer.Learned()
+	}
+	return state, true
+}
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -9,6 +9,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wasabibank/wasabibank/internal/pacer"
 )
 
 // Request is what the queue needs to know about a request.
@@ -91,6 +93,7 @@
 type Queue struct {
 	settings      Settings
 	times         *ServiceTimes
+	paces         pacer.Classes // mean service times by class, for the limits of servers
 	servers       []*server
 	waiting       []*waitingRequest
 	classes       map[string]*class
@@ -115,6 +118,7 @@
 // Server is a backend server and its slots.
 type Server struct {
 	ID          string
+	Incarnation int64
 	Slots       int
 	PausedUntil time.Time // until then it wants no requests; the zero Time if it has not asked for a pause
 	Limited     bool      // whether it names a limit
@@ -133,7 +137,8 @@
 			known = &server{id: s.ID}
 			q.servers = append(q.servers, known)
 		}
-		known.slots, known.removed = s.Slots, false
+		known.setIncarnation(now, s.Incarnation, s.Slots, q.settings.AdaptiveLimits)
+		known.removed = false
 		known.pausedUntil = time.Time{} // a new incarnation of the server has not asked for the pause
 		known.pause(now, s.PausedUntil)
 		known.setLimit(now, s.Limited, s.Rate)
@@ -225,10 +230,13 @@
 func (q *Queue) pickServer(now time.Time, r Request) *server {
 	var best *server
 	for _, s := range q.servers {
+		if s.adaptive {
+			s.pacer.Advance(now)
+		}
 		if !s.usable(now) || s.running >= s.maxRunning() || !s.limit.Allows(now) || r.Suspect && s.hasSuspect {
 			continue
 		}
-		if best == nil || s.betterThan(best, r.AvoidServer) {
+		if best == nil || s.betterThan(now, best, r.AvoidServer) {
 			best = s
 		}
 	}
@@ -241,6 +249,9 @@
 	if s == nil {
 		return Change{}
 	}
+	if outcome == Answered || outcome == TimedOut && q.hadEnoughTime(now, className, took) {
+		q.recordPace(now, s, className, took)
+	}
 	s.running--
 	switch outcome {
 	case Answered:
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/pacer"
 	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
@@ -10,6 +11,9 @@
 type server struct {
 	id           string
 	slots        int
+	incarnation  int64
+	adaptive     bool // whether pacer limits its requests
+	pacer        pacer.Pacer
 	running      int
 	mean         time.Duration // service time over all classes; 0 before any was measured
 	record       record
@@ -66,8 +70,11 @@
 
 // maxRunning returns how many requests the server may run concurrently.
 func (s *server) maxRunning() int {
-	if s.probing {
+	switch {
+	case s.probing:
 		return 1
+	case s.adaptive:
+		return s.pacer.Limit()
 	}
 	return s.slots
 }
@@ -80,10 +87,15 @@
 }
 
 // betterThan reports whether s is a better choice than other for the next request.
-func (s *server) betterThan(other *server, avoid string) bool {
+func (s *server) betterThan(now time.Time, other *server, avoid string) bool {
 	if (s.id == avoid) != (other.id == avoid) {
 		return other.id == avoid
 	}
+	if s.adaptive && other.adaptive {
+		if a, b := s.pacer.Cost(now, s.running), other.pacer.Cost(now, other.running); a != b {
+			return a < b
+		}
+	}
 	if a, b := s.running*other.slots, other.running*s.slots; a != b {
 		return a < b
 	}
