Read answers with one header of a megabyte

The header of an answer was bounded to 1 MiB in all, so an answer whose server names its load in a header of that length was broken, and a request that may be executed once ended with an unknown outcome. The bound is 64 KiB higher, which holds the usual headers.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	maxAnswers     = 16      // to one request: informational answers and the final one
-	maxHeaderBytes = 1 << 20 // of one answer, including its informational answers
+	maxAnswers = 16 // to one request: informational answers and the final one
+	// maxHeaderBytes leaves room for one header of a megabyte, which a faulty server may send, beside the usual ones.
+	maxHeaderBytes = 1<<20 + 64<<10 // of one answer, including its informational answers
 	// maxFailedIDs is how many ids of failed attempts a connection remembers before it is closed.
 	maxFailedIDs = 64
 )
