Take what servers say about their load into account, and report learned limits to the leader

With adaptive limits, Wasabibank-Server-Load counts beside measured service times in the choice of a server and loses its weight within a second. Invalid loads, and those in an answer to another request or with 421, are counted, logged once a second at most, and not passed on to clients. The times that instances report to the leader are multiplied by slots / learned limit, so that the balancer's capacities follow without a new field.

Ruled out: to take over the slots that a load names, because a server that names 1 by mistake would lose its capacity; a new field in ReportRequest, as the mean service time carries the same.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -182,7 +182,8 @@
 	outcome := queueOutcome(r, took, given)
 	switch outcome {
 	case queuer.Answered:
-		f.loads.countAnswer(server, took)
+		state, _ := q.queue.ServerState(server)
+		f.loads.countAnswer(server, reportedTime(state, took))
 	case queuer.TimedOut:
 		took = given
 	}
@@ -193,6 +194,7 @@
 		q.queue.EndSuspect(server)
 	}
 	f.notifyWaiters(q, q.queue.Done(now, server, req.route, outcome, took))
+	f.observeState(now, q, server)
 }
 
 // queueOutcome returns what the result of a request that took a time, of the time given to it, says about its server.
@@ -259,6 +261,7 @@
 	if err != nil {
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
+	f.observeLoad(time.Now(), req.pool, server, response.Status, response.Header, sameRequest)
 	if sameRequest {
 		f.observeServer(time.Now(), now, server, response.Status, response.Header)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	Leaving, LeavingValue string
 	// Limit names how many requests a second a server takes from all instances together.
 	Limit string
+	// Load names how many requests a server runs and holds, its slots, and how long work takes at the moment.
+	Load string
 }
 
 // Forwarder forwards the requests that clients send to an instance, and those of the server pools that the instance
@@ -105,6 +107,8 @@
 	loads            loads
 	declines         declines
 	lastRelax        time.Time // when relaxConnections ran last
+
+	invalidLoadLogged time.Time // when an invalid load was logged last
 }
 
 // poolQueue is the queue of a server pool and the requests that wait in it.
@@ -112,6 +116,7 @@
 	queue            queuer.Queue
 	view             *resolver.View // from which the queue's servers were set
 	waiters          map[queuer.Ticket]*waiter
+	states           map[string]queuer.ServerState // by server, as logged last
 	advanceScheduled bool
 }
 
@@ -165,6 +170,7 @@
 	for serverPool, q := range f.queues {
 		f.updateQueue(now, serverPool, q, v)
 	}
+	f.countLoweredServers()
 }
 
 // updateQueue applies a view to the queue of a server pool: it ends the wait of requests that another dispatcher must queue,
@@ -194,7 +200,7 @@
 		if f.paths.lost(s.ID) {
 			continue
 		}
-		server := queuer.Server{ID: s.ID, Slots: s.Slots}
+		server := queuer.Server{ID: s.ID, Incarnation: s.Incarnation, Slots: s.Slots}
 		if p, ok := f.pauses[s.ID]; ok && p.incarnation == s.Incarnation {
 			server.PausedUntil = p.until
 		}
@@ -204,6 +210,7 @@
 		servers = append(servers, server)
 	}
 	f.notifyWaiters(q, q.queue.SetServers(now, servers))
+	q.forgetStates()
 	if q.queue.Empty() {
 		delete(f.queues, serverPool)
 	}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -18,6 +18,8 @@
 	ServersLeaving
 	ServerLimits
 	InvalidServerLimits
+	InvalidServerLoads
+	ServerEjections
 	ServersEnded
 	RequestsDetoured
 	PathProbes
@@ -54,6 +56,7 @@
 	RequestsWaiting
 	LogLinesDropped
 	LimitedServers
+	LoweredServers
 	BarredRequests
 	LostServers
 	LostServices
@@ -94,6 +97,8 @@
 	ServersLeaving:      {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
 	ServerLimits:        {"server_limits", "Times that an answer to this instance named a new or changed limit of its backend server."},
 	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
+	InvalidServerLoads:  {"invalid_server_loads", "Loads named in an answer that are invalid or come from another backend server."},
+	ServerEjections:     {"server_ejections", "Times that this instance ejected a backend server from its queue."},
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
@@ -119,6 +124,7 @@
 	RequestsRunning: {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
 	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
 	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
+	LoweredServers:  {"lowered_servers", "Backend servers that this instance sends fewer concurrent requests than they have slots, as learned."},
 	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
 	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
 	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -77,6 +77,7 @@
 		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
 		Signature: platform.HeaderSignature, NotExecuted: platform.HeaderNotExecuted, ShardKey: platform.HeaderKey,
 		Leaving: platform.HeaderLeaving, LeavingValue: platform.LeavingValue, Limit: platform.HeaderLimit,
+		Load: platform.HeaderLoad,
 	}
 	budget := limiter.New(limiter.Settings{
 		Ratio: s.Bounds.RetryBudgetRatio, Extra: s.Bounds.RetryBudgetExtra, Window: s.Bounds.RetryBudgetWindow,
