Tests of ejection under overload, for a time, and of half a pool

They guard against the ejection of a server that still answers when the others have no room, against one that stays ejected after it has recovered, and against a bound on the ejected part of a pool that keeps dead servers in use.

--- a/internal/queuer/ejection_test.go
+++ b/internal/queuer/ejection_test.go
@@ -192,6 +192,18 @@
 		"one fails all under overload": {
 			servers: append(all(7, simulatedServer{}), simulatedServer{fails: 1}), trouble: always, load: 1.3, answered: 0.6, mostEjected: 1, mostSent: 20,
 		},
+		"one fails 45 % under overload": { // the others can't take its load; it is ejected before the load is known
+			servers: append(all(7, simulatedServer{}), simulatedServer{fails: 0.45}), trouble: always, load: 1.3, answered: 0.7, mostEjected: 1,
+			mostSent: 1e9, leastSent: 400,
+		},
+		"one fails all for 5 s": {
+			servers: one(simulatedServer{fails: 1}), trouble: between(2*time.Second, 7*time.Second), load: 0.6, answered: 0.99, mostEjected: 1,
+			mostSent: 1e9, leastSent: 60,
+		},
+		"half of them fail all": {
+			servers: append(all(14, simulatedServer{}), all(14, simulatedServer{fails: 1})...), trouble: always, load: 0.4, answered: 0.96,
+			mostEjected: 14, mostSent: 20,
+		},
 		"one hangs": {servers: one(simulatedServer{hangs: true}), trouble: always, load: 0.6, answered: 0.99, mostEjected: 1, mostSent: 30},
 		"four of five fail all": {
 			servers: append(all(1, simulatedServer{}), all(4, simulatedServer{fails: 1})...), trouble: always,
