Keep the slots of servers whose requests are long or whose machines pause

Cause: limits were lowered on three answers of each side, without regard to their spread, and a pause of a machine looks like an effect of the limit: a server is full because it is slow, half of the limit is tried, the pause ends, and the trial seems to have helped. Each step back took three more answers. During a trial the queue also took half of the slots for its whole capacity, and refused requests that the server had room for.

After it is lowered, the limit before is tried again at once, and becomes the limit again unless the server is slow with it; until then it counts as the capacity, also in reports.

--- a/internal/queuer/adaptive.go
+++ b/internal/queuer/adaptive.go
@@ -34,7 +34,7 @@
 // ServerState is what a queue has found out about a server.
 type ServerState struct {
 	Slots        int
-	Limit        int       // requests that it may run concurrently, as learned, at most its slots
+	Limit        int       // requests that it may run concurrently, as learned and confirmed, at most its slots
 	EjectedUntil time.Time // the zero Time if it was never ejected
 }
 
@@ -46,7 +46,7 @@
 	}
 	state := ServerState{Slots: s.slots, Limit: s.slots, EjectedUntil: s.ejectedUntil}
 	if s.adaptive {
-		state.Limit = s.pacer.Learned()
+		state.Limit = s.pacer.Confirmed()
 	}
 	return state, true
 }
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -27,9 +27,13 @@
 	removed      bool // gets no new requests, and is dropped when none runs on it
 }
 
-// capacity returns how many requests the server is likely to run concurrently under load.
+// capacity returns how many requests the server is likely to run concurrently under load. A trial of another limit is over sooner
+// than the requests that wait.
 func (s *server) capacity() float64 {
 	slots := float64(s.maxRunning())
+	if s.adaptive && !s.probing {
+		slots = float64(s.pacer.Confirmed())
+	}
 	rate, limited := s.limit.Rate()
 	if !limited {
 		return slots
