Weigh answers by their class in the reports from which the balancer derives capacities

Cause: the leader derives a server's capacity from its mean service time over all classes. A server whose keys get more of the long requests counted as slower than it is: with bills of 180 ms and tariff reads of 1 s, 10 % or 90 % of them long, 262 or 918 ms.

Change: the time of each answer counts relative to the usual work of its class at that server, which is the mean time of the class divided by the plain mean over the server's common classes. The mean in reports is 590 ms for each of these mixes, and 1,180 ms for a server that is twice as slow. The messages are the same. Only where limits are learned.

Not solved: a server that gets one class only.

Also a test that the choice of a server in a pool does not avoid one that got the long requests; it passed before.

--- a/internal/forwarder/capacity_test.go
+++ b/internal/forwarder/capacity_test.go
@@ -80,3 +80,49 @@
 	is.Equal(sendRequestWithTimeLeft(f, 100*time.Millisecond, "POST", "/once/x", "", "").Code, 503)
 	is.Equal(f.meter.Get(meter.ServerEjections), int64(1))
 }
+
+// TestReportsWeighClasses guards against a leader that moves keys away from a server because it gets more of the long requests, and
+// against one that does not see that a server is slow, because it gets more of the short ones.
+func TestReportsWeighClasses(t *testing.T) {
+	tests := map[string]struct {
+		slow        float64 // multiplies all service times
+		long        int     // of 100 requests
+		adaptive    bool
+		least, most time.Duration // mean service time in the report
+	}{
+		"half and half":              {slow: 1, long: 50, adaptive: true, least: 550 * time.Millisecond, most: 630 * time.Millisecond},
+		"few long ones":              {slow: 1, long: 10, adaptive: true, least: 550 * time.Millisecond, most: 630 * time.Millisecond},
+		"few short ones":             {slow: 1, long: 90, adaptive: true, least: 550 * time.Millisecond, most: 630 * time.Millisecond},
+		"few long ones, slow server": {slow: 2, long: 10, adaptive: true, least: 1100 * time.Millisecond, most: 1260 * time.Millisecond},
+		"no long ones":               {slow: 1, adaptive: true, least: 180 * time.Millisecond, most: 180 * time.Millisecond},
+		"without learned limits":     {slow: 1, long: 10, least: 262 * time.Millisecond, most: 262 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			q := queuer.New(&queuer.ServiceTimes{}, queuer.Settings{AdaptiveLimits: test.adaptive})
+			q.SetServers(now, []queuer.Server{{ID: "a", Slots: 6}})
+			var stats AnswerStats
+			for round := range 4 { // the first ones teach the classes
+				l := newLoads()
+				for i := range 100 {
+					now = now.Add(100 * time.Millisecond)
+					class, took := "short", 180*time.Millisecond
+					if i*test.long%100 < test.long {
+						class, took = "long", time.Second
+					}
+					took = time.Duration(float64(took) * test.slow)
+					q.Offer(now, queuer.Request{Class: class, Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
+					l.countAnswer("a", took, q.Work(now, "a", class))
+					q.Done(now, "a", class, queuer.Answered, took)
+				}
+				stats = l.Answers["a"]
+				is.True(round < 3 || stats.Count == 100)
+			}
+			mean := stats.TotalServiceTime / time.Duration(stats.Count)
+			t.Logf("mean service time in the report: %v", mean)
+			is.True(mean >= test.least && mean <= test.most)
+		})
+	}
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -183,7 +183,7 @@
 	switch outcome {
 	case queuer.Answered:
 		state, _ := q.queue.ServerState(server)
-		f.loads.countAnswer(server, reportedTime(state, took))
+		f.loads.countAnswer(server, reportedTime(state, took), q.queue.Work(now, server, req.route))
 	case queuer.TimedOut:
 		took = given
 	}
--- a/internal/forwarder/loads.go
+++ b/internal/forwarder/loads.go
@@ -35,10 +35,12 @@
 	f.loads.Keys[service][key]++
 }
 
-// countAnswer counts an answer of a server. The caller holds mu.
-func (l *loads) countAnswer(server string, took time.Duration) {
+// countAnswer counts an answer of a server to a request of a class with a usual work, relative to that of the server's classes.
+// The time counts relative to it, so that a server which gets more of the long requests doesn't look slower than it is. The caller
+// holds mu.
+func (l *loads) countAnswer(server string, took time.Duration, work float64) {
 	stats := l.Answers[server]
-	stats.Count, stats.TotalServiceTime = stats.Count+1, stats.TotalServiceTime+took
+	stats.Count, stats.TotalServiceTime = stats.Count+1, stats.TotalServiceTime+time.Duration(float64(took)/work)
 	l.Answers[server] = stats
 }
 
--- a/internal/pacer/classes.go
+++ b/internal/pacer/classes.go
@@ -1,6 +1,9 @@
 package pacer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // classTime is the time constant of the mean service times of classes. It is long, so that servers that slow down together show
 // as slower, and a limit can be found for them.
@@ -14,7 +17,8 @@
 type classMean struct {
 	seconds float64
 	count   float64
-	at      time.Time // of the latest service time
+	recent  float64   // number of service times, which lose weight over classTime
+	at      time.Time // of the latest one
 }
 
 // Ratio returns a service time relative to the mean of its class. Record adds it to the mean.
@@ -36,6 +40,7 @@
 		m = &classMean{at: now}
 		c.means[className] = m
 	}
+	m.recent = m.recentAt(now) + 1
 	m.count++
 	byTime := min(newestWeight, now.Sub(m.at).Seconds()/classTime.Seconds())
 	weight := byTime
@@ -46,5 +51,41 @@
 	m.at = now
 }
 
+// recentAt returns the weight of the service times at a given time.
+func (m *classMean) recentAt(now time.Time) float64 {
+	return m.recent * math.Exp(-max(0, now.Sub(m.at).Seconds())/classTime.Seconds())
+}
+
+// Work returns the usual work of a request of a class relative to the mean of the common classes, each of which counts alike. It
+// does not depend on how many requests of each class there are, nor on the speed of the servers. Without enough service times it
+// is 1.
+func (c *Classes) Work(now time.Time, className string) float64 {
+	m := c.means[className]
+	if m == nil || m.count < workAnswers {
+		return 1
+	}
+	total := 0.0
+	for _, other := range c.means {
+		total += other.recentAt(now)
+	}
+	sum, common := 0.0, 0.0
+	for _, other := range c.means {
+		if other.count >= workAnswers && other.recentAt(now) >= commonShare*total {
+			sum, common = sum+other.seconds, common+1
+		}
+	}
+	if common == 0 || sum <= 0 || m.seconds <= 0 {
+		return 1
+	}
+	return m.seconds * common / sum
+}
+
+const (
+	// workAnswers is the number of answers from which the mean of a class counts in Work.
+	workAnswers = 5
+	// commonShare is the share of the service times from which a class is common. A server of a hot key has few of the others.
+	commonShare = 0.03
+)
+
 // classAnswers is the number of answers whose plain mean a class begins with.
 const classAnswers = 20
--- a/internal/queuer/adaptive.go
+++ b/internal/queuer/adaptive.go
@@ -9,7 +9,7 @@
 // setIncarnation sets the incarnation and the slots of a server. What was learned about its load holds for one incarnation.
 func (s *server) setIncarnation(now time.Time, incarnation int64, slots int, adaptive bool) {
 	if s.incarnation != incarnation {
-		s.pacer = pacer.Pacer{}
+		s.pacer, s.classes = pacer.Pacer{}, pacer.Classes{}
 	}
 	s.incarnation, s.slots, s.adaptive = incarnation, slots, adaptive
 	s.pacer.SetSlots(now, slots)
@@ -22,6 +22,16 @@
 	}
 	s.pacer.Record(now, now.Add(-took), s.running, q.paces.Ratio(className, took))
 	q.paces.Record(now, className, took)
+	s.classes.Record(now, className, took)
+}
+
+// Work returns the usual work of a request of a class relative to that of the classes which a server usually gets, as it shows at
+// that server; 1 without adaptive limits.
+func (q *Queue) Work(now time.Time, serverID, className string) float64 {
+	if s := q.findServer(serverID); s != nil && s.adaptive {
+		return s.classes.Work(now, className)
+	}
+	return 1
 }
 
 // ReportLoad records what a server said about its load in the answer to a request that has not been passed to Done yet.
--- a/internal/queuer/adaptive_test.go
+++ b/internal/queuer/adaptive_test.go
@@ -98,3 +98,24 @@
 	}
 	is.Equal(started, 3)
 }
+
+// TestMixDoesNotLookSlow guards against a server of a pool that is avoided because it has got the long requests.
+func TestMixDoesNotLookSlow(t *testing.T) {
+	is := is.New(t)
+	q := New(&ServiceTimes{}, Settings{AdaptiveLimits: true})
+	q.SetServers(start, []Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
+	for i := range 60 { // nearly all long requests go to a, and short ones to b
+		q.servers[0].running, q.servers[1].running = 1, 1
+		long, short := "a", "b"
+		if i%10 == 0 {
+			long, short = short, long
+		}
+		q.Done(at(100*i), long, "long", Answered, time.Second)
+		q.Done(at(100*i), short, "short", Answered, 180*time.Millisecond)
+	}
+	for range 6 {
+		_, ok := q.Offer(at(6000), request(1, 60_000, 60_000)).(Start)
+		is.True(ok)
+	}
+	is.Equal([]int{q.servers[0].running, q.servers[1].running}, []int{3, 3})
+}
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -14,6 +14,7 @@
 	incarnation  int64
 	adaptive     bool // whether pacer limits its requests
 	pacer        pacer.Pacer
+	classes      pacer.Classes // mean service times at this server, if adaptive
 	running      int
 	mean         time.Duration // service time over all classes; 0 before any was measured
 	record       record
