--- a/internal/queuer/cold.go
+++ b/internal/queuer/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/pacer"
 	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
@@ -40,13 +41,14 @@
 }
 
 // setIncarnation records the incarnation of the server. What the previous one has failed says nothing about a new one, which must
-// not be left idle for it.
+// not be left idle for it, and neither does what was learned about its load.
 func (s *server) setIncarnation(incarnation int64) {
 	if incarnation <= s.incarnation {
 		return
 	}
 	if s.incarnation != 0 {
-		s.failures, s.ejectionTime, s.ejectedUntil = 0, 0, time.Time{}
+		s.record, s.failures, s.ejectionTime, s.ejectedUntil = record{}, 0, 0, time.Time{}
+		s.pacer, s.classes = pacer.Pacer{}, pacer.Classes{}
 		s.probing = !s.pausedUntil.IsZero()
 	}
 	s.incarnation = incarnation
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -10,6 +10,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wasabibank/wasabibank/internal/pacer"
 )
 
 // Request is what the queue needs to know about a request.
@@ -110,6 +112,7 @@
 type Queue struct {
 	settings      Settings
 	times         *ServiceTimes
+	paces         pacer.Classes // mean service times by class, for the limits of servers
 	servers       []*server
 	waiting       []*waitingRequest
 	classes       map[string]*class
@@ -138,11 +141,11 @@
 // Server is a backend server and its slots.
 type Server struct {
 	ID          string
+	Incarnation int64
 	Slots       int
 	PausedUntil time.Time // until then it wants no requests; the zero Time if it has not asked for a pause
 	Limited     bool      // whether it names a limit
 	Rate        float64   // the limit in requests a second
-	Incarnation int64     // higher after a restart
 	ColdUntil   time.Time // until then it is cold; the zero Time if it is not
 	ColdRate    float64   // requests a second that this instance may send while it is cold; 0 means none
 }
@@ -159,11 +162,12 @@
 			known = &server{id: s.ID}
 			q.servers = append(q.servers, known)
 		}
-		known.slots, known.removed = s.Slots, false
+		known.removed = false
 		known.pausedUntil = time.Time{} // a new incarnation of the server has not asked for the pause
 		known.pause(now, s.PausedUntil)
 		known.setLimit(now, s.Limited, s.Rate)
 		known.setIncarnation(s.Incarnation)
+		known.setSlots(now, s.Slots, q.settings.AdaptiveLimits)
 		known.setCold(now, s.ColdUntil, s.ColdRate)
 	}
 	q.dropRemoved()
@@ -270,10 +274,13 @@
 func (q *Queue) pickServer(now time.Time, r Request) *server {
 	var best *server
 	for _, s := range q.servers {
+		if s.adaptive {
+			s.pacer.Advance(now)
+		}
 		if !s.usable(now) || s.running >= s.maxRunning() || !s.allows(now) || r.Suspect && s.hasSuspect {
 			continue
 		}
-		if best == nil || s.betterThan(best, r.AvoidServer) {
+		if best == nil || s.betterThan(now, best, r.AvoidServer) {
 			best = s
 		}
 	}
@@ -286,23 +293,23 @@
 	if s == nil {
 		return Change{}
 	}
+	if outcome == Answered || outcome == TimedOut && q.hadEnoughTime(now, className, took) {
+		q.recordPace(now, s, className, took)
+	}
 	s.running--
 	q.endRun(now, s, className, took)
 	switch outcome {
 	case Answered:
 		q.recordServiceTime(now, className, took)
-		s.recordServiceTime(took)
-		s.failures, s.ejectionTime, s.probing = 0, 0, false
+		s.recordAnswer(now, took)
 	case Failed:
-		s.recordFailure(now)
+		q.recordFailure(now, s)
 	case TimedOut:
 		if q.hadEnoughTime(now, className, took) {
-			s.recordFailure(now)
-		}
-	case Rejected: // counts as a failure only if requests can be sent to another server
-		if q.hasOtherServer(s) {
-			s.recordFailure(now)
+			q.recordFailure(now, s)
 		}
+	case Rejected:
+		q.recordRejection(now, s)
 	case Inconclusive:
 	}
 	q.dropRemoved()
@@ -315,11 +322,6 @@
 	return q.times == nil || given >= q.times.enough(now, className)
 }
 
-// hasOtherServer reports whether requests can be sent elsewhere than to s.
-func (q *Queue) hasOtherServer(s *server) bool {
-	return slices.ContainsFunc(q.servers, func(other *server) bool { return other != s && !other.removed })
-}
-
 // Cancel removes a waiting request, for example because its client has left, its key has moved to another server, or it is
 // refused on arrival.
 func (q *Queue) Cancel(t Ticket) {
--- a/internal/queuer/server.go
+++ b/internal/queuer/server.go
@@ -3,39 +3,39 @@
 import (
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/pacer"
 	"github.com/wasabibank/wasabibank/internal/throttler"
 )
 
-const (
-	// failuresToEject is how many consecutive failures eject a server.
-	failuresToEject = 3
-	// minEjectionTime is how long a server is ejected for the first time. Each further ejection is twice as long, up to
-	// maxEjectionTime.
-	minEjectionTime = 500 * time.Millisecond
-	maxEjectionTime = 4 * time.Second
-)
-
 // server is one backend server.
 type server struct {
 	id           string
 	slots        int
+	incarnation  int64
+	adaptive     bool // whether pacer limits its requests
+	pacer        pacer.Pacer
+	classes      pacer.Classes // mean service times at this server, if adaptive
 	running      int
 	mean         time.Duration // service time over all classes; 0 before any was measured
-	failures     int           // consecutive
+	record       record
+	failures     int // consecutive failures, and rejections if there is another server
 	ejectedUntil time.Time
-	ejectionTime time.Duration // of the last ejection; 0 once a request was Answered
+	ejectionTime time.Duration // of the last ejection
 	probing      bool          // after an ejection or a pause: limited to one request at a time until one is Answered
 	pausedUntil  time.Time     // until then the server wants no requests
 	limit        throttler.Bucket
-	incarnation  int64
 	cold         cold
 	hasSuspect   bool // whether a suspect runs on it
 	removed      bool // gets no new requests, and is dropped when none runs on it
 }
 
-// capacity returns how many requests the server is likely to run concurrently under load.
+// capacity returns how many requests the server is likely to run concurrently under load. A trial of another limit is over sooner
+// than the requests that wait.
 func (s *server) capacity(now time.Time) float64 {
 	slots := float64(s.maxRunning())
+	if s.adaptive && !s.probing {
+		slots = float64(s.pacer.Confirmed())
+	}
 	rate, limited := s.rateLimit(now)
 	if !limited {
 		return slots
@@ -79,8 +79,11 @@
 
 // maxRunning returns how many requests the server may run concurrently.
 func (s *server) maxRunning() int {
-	if s.probing {
+	switch {
+	case s.probing:
 		return 1
+	case s.adaptive:
+		return s.pacer.Limit()
 	}
 	return s.slots
 }
@@ -94,10 +97,15 @@
 }
 
 // betterThan reports whether s is a better choice than other for the next request.
-func (s *server) betterThan(other *server, avoid string) bool {
+func (s *server) betterThan(now time.Time, other *server, avoid string) bool {
 	if (s.id == avoid) != (other.id == avoid) {
 		return other.id == avoid
 	}
+	if s.adaptive && other.adaptive {
+		if a, b := s.pacer.Cost(now, s.running), other.pacer.Cost(now, other.running); a != b {
+			return a < b
+		}
+	}
 	if a, b := s.running*other.slots, other.running*s.slots; a != b {
 		return a < b
 	}
@@ -114,19 +122,3 @@
 	}
 	s.mean += time.Duration(ewmaWeight * float64(took-s.mean))
 }
-
-// recordFailure counts a failure, and ejects the server after several consecutive ones.
-func (s *server) recordFailure(now time.Time) {
-	s.failures++
-	if s.failures >= failuresToEject {
-		s.eject(now)
-	}
-}
-
-// eject keeps requests from the server, for twice as long as the last time but at most maxEjectionTime.
-func (s *server) eject(now time.Time) {
-	s.ejectionTime = min(max(minEjectionTime, 2*s.ejectionTime), maxEjectionTime)
-	s.ejectedUntil = now.Add(s.ejectionTime)
-	s.failures = failuresToEject - 1 // the next failure ejects the server again
-	s.probing = true
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,7 +95,8 @@
 		RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, Target: platform.HeaderTarget,
 		Signature: platform.HeaderSignature, NotExecuted: platform.HeaderNotExecuted, ShardKey: platform.HeaderKey,
 		Leaving: platform.HeaderLeaving, LeavingValue: platform.LeavingValue, Limit: platform.HeaderLimit,
-		Instance: platform.HeaderInstance, Warmup: platform.HeaderWarmup,
+		Instance: platform.HeaderServer, Warmup: platform.HeaderWarmup,
+		Load: platform.HeaderLoad,
 	}
 	budget := limiter.New(limiter.Settings{
 		Ratio: s.Bounds.RetryBudgetRatio, Extra: s.Bounds.RetryBudgetExtra, Window: s.Bounds.RetryBudgetWindow,
