An answer without a valid status line is no answer

A server in trouble may send an answer whose status is none of HTTP's. http.ReadResponse accepts 000 to 999, signs, several spaces and other versions, and treats statuses under 200 as informational. Answers of other instances on the peer port had the same fault, and an append that the store answered with such a status counted as refused.

The exchanger now checks the status line before it reads the answer. The request may have been executed: an idempotent one is sent once more within its budget, another is answered 502, the connection is closed, the server's record counts a failure, and a counter and a line name the server and the bytes, quoted and bounded. Ruled out: a check in interpretAnswer alone, which does not see what http.ReadResponse has skipped.

--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -61,7 +61,6 @@
 var (
 	errPoolClosed           = errors.New("pool is closed")
 	errPoolExhausted        = errors.New("no connection became free in time")
-	errSwitchingProtocols   = errors.New("unexpected switch of protocols")
 	errTooManyInformational = errors.New("too many interim answers")
 	errAnswerTooLong        = errors.New("answer is too long")
 	errDeadlinePassed       = errors.New("deadline has passed")
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -147,12 +147,18 @@
 func (e *exchange) readHeader(req *http.Request, onInformational InformationalHandler) (*http.Response, error) {
 	e.conn.limit.remaining = maxHeaderBytes
 	for range maxAnswers {
+		if err := checkStatusLine(e.conn.reader); err != nil {
+			return nil, e.preferWriteError(err)
+		}
 		response, err := http.ReadResponse(e.conn.reader, req)
+		if err == nil {
+			err = checkReason(response)
+		}
 		if err != nil {
 			return nil, e.preferWriteError(unexpectedEOF(err))
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitchingProtocols
+			return nil, errInvalidAnswer{line: response.Proto + " " + response.Status} // no request asks for it
 		}
 		if response.StatusCode >= http.StatusOK {
 			e.conn.limit.remaining = e.pool.options.MaxAnswerBytes
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/exchanger"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
@@ -272,6 +274,7 @@
 
 // exchangeFailure returns the result of an exchange that ended without a complete answer.
 func (f *Forwarder) exchangeFailure(ctx context.Context, req *clientRequest, serverID string, err error) result {
+	f.observeInvalidAnswer(req, "server", serverID, err)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	r := result{
 		outcome: broken, server: serverID, maybeSent: true, connectionLost: isConnectionLost(err),
@@ -286,6 +289,15 @@
 	return r
 }
 
+// observeInvalidAnswer counts and logs an answer of a server or a dispatcher that has no valid status line.
+func (f *Forwarder) observeInvalidAnswer(req *clientRequest, role, name string, err error) {
+	if !exchanger.IsErrInvalidAnswer(err) {
+		return
+	}
+	f.meter.Count(meter.InvalidAnswers)
+	klog.InfoS("answer is invalid", "id", req.id, role, name, "error", err)
+}
+
 // interpretAnswer returns the result for a complete answer. sameRequest is false if the answer has the id of another
 // request.
 func (f *Forwarder) interpretAnswer(
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -216,6 +216,7 @@
 
 // hopFailure returns the result of a hop whose dispatcher did not answer.
 func (f *Forwarder) hopFailure(ctx context.Context, req *clientRequest, dispatcher resolver.Member, err error) result {
+	f.observeInvalidAnswer(req, "instance", dispatcher.Instance, err)
 	if reason := f.endReason(ctx); reason != "" {
 		return result{outcome: broken, maybeSent: true, dispatcher: dispatcher.Instance, reason: reason}
 	}
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -18,6 +18,7 @@
 	ServersLeaving
 	ServerLimits
 	InvalidServerLimits
+	InvalidAnswers
 	ServersEnded
 	RequestsDetoured
 	PathProbes
@@ -94,6 +95,7 @@
 	ServersLeaving:      {"servers_leaving", "Backend servers that this instance has learned of, from an answer or another instance, as leaving."},
 	ServerLimits:        {"server_limits", "Times that an answer to this instance named a new or changed limit of its backend server."},
 	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
+	InvalidAnswers:      {"invalid_answers", "Answers of backend servers and instances whose first line is no valid status line of HTTP."},
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
