--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
@@ -297,6 +298,7 @@
 
 // exchangeFailure returns the result of an exchange that ended without a complete answer.
 func (f *Forwarder) exchangeFailure(ctx context.Context, req *clientRequest, serverID string, err error) result {
+	f.observeInvalidAnswer(req, "server", serverID, err)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	r := result{
 		outcome: broken, server: serverID, maybeSent: true, connectionLost: isConnectionLost(err),
@@ -311,6 +313,15 @@
 	return r
 }
 
+// observeInvalidAnswer counts and logs an answer of a server or a dispatcher that has no valid status line.
+func (f *Forwarder) observeInvalidAnswer(req *clientRequest, role, name string, err error) {
+	if !exchanger.IsErrInvalidAnswer(err) {
+		return
+	}
+	f.meter.Count(meter.InvalidAnswers)
+	klog.InfoS("answer is invalid", "id", req.id, role, name, "error", err)
+}
+
 // interpretAnswer returns the result for a complete answer. sameRequest is false if the answer has the id of another
 // request.
 func (f *Forwarder) interpretAnswer(
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -20,6 +20,7 @@
 	InvalidServerLimits
 	InvalidServerLoads
 	ServerEjections
+	InvalidAnswers
 	ServersEnded
 	RequestsDetoured
 	PathProbes
@@ -118,6 +119,7 @@
 	InvalidServerLimits: {"invalid_server_limits", "Limits named by a backend server that are not a number of requests a second."},
 	InvalidServerLoads:  {"invalid_server_loads", "Loads named in an answer that are invalid or come from another backend server."},
 	ServerEjections:     {"server_ejections", "Times that this instance ejected a backend server from its queue."},
+	InvalidAnswers:      {"invalid_answers", "Answers of backend servers and instances whose first line is no valid status line of HTTP."},
 	ServersEnded:        {"servers_ended", "Backend servers that ended while they executed requests that this instance had sent."},
 	RequestsDetoured:    {"requests_detoured", "Times that a request was sent through another dispatcher because one had no path to its server."},
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
