Review a valid bundle for entries without effect and contradictions

Decode accepts bundles that probably do not do what is meant: a service that no route names, a weight of 0, attempts of requests that are never repeated, a timeout below cold_keys or below the interval of requests to a cold server, a route that waits behind a more patient one of its service, and bodies that an instance can't hold. bundler.Review returns these as warnings with their place. Decode still rejects the same bundles; a finding has a severity, whose zero value is an error, and the text of errors is unchanged.

Ruled out: errors in Decode, as published bundles would become invalid; a warning for each timeout below the whole warm-up, as cold servers answer at their rate and every route of the deployments would have one. A route is not shadowed by a longer prefix, since the path that equals its own prefix matches no longer one; equal prefixes are an error already (doubled_prefix).

TestBrokenExamplesReportAllFindingsTogether counts one file more, because warnings.yaml has no error; a test of its own compares all of its warnings with the comments in the file.

--- a/pkg/bundler/bundle.go
+++ b/pkg/bundler/bundle.go
@@ -28,13 +28,25 @@
 	places        places
 }
 
-// places has the positions of the parts that CheckSuccessor and VerifyAgainst report on.
+// places has the positions of the parts that CheckSuccessor, VerifyAgainst and Review report on.
 type places struct {
 	name          reporter.Place
 	version       reporter.Place
 	parentVersion reporter.Place
 	parentDigest  reporter.Place
+	bodyBytes     reporter.Place
 	keyed         map[string]reporter.Place // of the values of keyed, by service name
+	services      map[string]reporter.Place // of the services' names, by service name
+	routes        map[string]routePlaces    // by route name
+}
+
+// routePlaces has the positions of the values of a route.
+type routePlaces struct {
+	prefix   reporter.Place
+	priority reporter.Place
+	timeout  reporter.Place
+	attempts reporter.Place
+	weights  map[string]reporter.Place // by service name; without the services that have no weight
 }
 
 // New returns a bundle that has no YAML, digest, name, parent, author, approver or signers. It validates nothing.
--- a/pkg/bundler/decode.go
+++ b/pkg/bundler/decode.go
@@ -58,13 +58,13 @@
 	b.name = m.Required("name").Match(snakeNamePattern, snakeNameDescription)
 	b.readLineage(m)
 	b.readSignerFields(m)
-	b.limits = readLimits(m.Required("limits"))
+	b.readLimits(m.Required("limits"))
 	b.readServices(m.Required("services"))
 	b.readRoutes(m.Required("routes"))
 	return b
 }
 
-// placesOf returns the places in the bundle m, without those of the services, which readServices adds.
+// placesOf returns the places in the bundle m, without those of services, routes and limits, which are added when these are read.
 func placesOf(m parser.Mapping) places {
 	return places{
 		name:          m.Optional("name").Place(),
@@ -72,6 +72,8 @@
 		parentVersion: m.Optional("parent_version").Place(),
 		parentDigest:  m.Optional("parent_digest").Place(),
 		keyed:         map[string]reporter.Place{},
+		services:      map[string]reporter.Place{},
+		routes:        map[string]routePlaces{},
 	}
 }
 
--- a/pkg/bundler/decode_routing.go
+++ b/pkg/bundler/decode_routing.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wasabibank/wasabibank/pkg/reporter"
 	"github.com/wasabibank/wasabibank/pkg/reporter/parser"
 )
 
@@ -41,9 +42,10 @@
 	maxBodyBytes     = 1 << 30
 )
 
-func readLimits(value parser.Value) Limits {
+func (b *Bundle) readLimits(value parser.Value) {
 	m := value.Mapping("header_bytes", "body_bytes", "header_timeout", "idle_timeout")
-	return Limits{
+	b.places.bodyBytes = m.Optional("body_bytes").Place()
+	b.limits = Limits{
 		HeaderBytes:   int(m.Required("header_bytes").Bytes(1, maxHeaderBytes)),
 		BodyBytes:     m.Required("body_bytes").Bytes(0, maxBodyBytes),
 		HeaderTimeout: m.Required("header_timeout").Duration(minTimeout, maxTimeout),
@@ -75,6 +77,7 @@
 		if names.add(name, s.Name) {
 			b.services = append(b.services, s)
 			b.places.keyed[s.Name] = keyed.Place()
+			b.places.services[s.Name] = name.Place()
 		}
 	}
 }
@@ -94,8 +97,9 @@
 			Timeout:     m.Required("timeout").Duration(minTimeout, maxTimeout),
 			Objective:   m.Required("objective").Duration(minTimeout, maxTimeout),
 			MaxAttempts: int(m.Required("attempts").Int(1, maxAttempts)),
-			Services:    b.readWeightedServices(m.Required("services")),
 		}
+		var weights map[string]reporter.Place
+		r.Services, weights = b.readWeightedServices(m.Required("services"))
 		if large := m.Optional("large_bodies"); large.Present() {
 			r.LargeBodies = large.Bool()
 		}
@@ -107,13 +111,18 @@
 		}
 		if names.add(name, r.Name) {
 			b.routes = append(b.routes, r)
+			b.places.routes[r.Name] = routePlaces{
+				prefix: prefix.Place(), priority: m.Optional("priority").Place(), timeout: m.Optional("timeout").Place(),
+				attempts: m.Optional("attempts").Place(), weights: weights,
+			}
 		}
 	}
 }
 
-// readWeightedServices reads the services that share a route, each with its weight.
-func (b *Bundle) readWeightedServices(list parser.Value) []WeightedService {
+// readWeightedServices reads the services that share a route, each with its weight, and the places of the weights.
+func (b *Bundle) readWeightedServices(list parser.Value) ([]WeightedService, map[string]reporter.Place) {
 	var services []WeightedService
+	weights := map[string]reporter.Place{}
 	seen := uniqueSet[string]{code: "doubled_service"}
 	for _, item := range list.Items(1, maxRouteServices) {
 		m := item.Mapping("service", "weight")
@@ -121,6 +130,7 @@
 		w := WeightedService{Service: name.Match(snakeNamePattern, snakeNameDescription), Weight: 1}
 		if weight := m.Optional("weight"); weight.Present() {
 			w.Weight = int(weight.Int(0, maxWeight))
+			weights[w.Service] = weight.Place()
 		}
 		if w.Service != "" && !slices.ContainsFunc(b.services, func(s Service) bool { return s.Name == w.Service }) {
 			name.Report("unknown_service", strconv.Quote(w.Service)+" is not among the services", "the name of a service")
@@ -132,5 +142,5 @@
 	if len(services) > 0 && !slices.ContainsFunc(services, func(w WeightedService) bool { return w.Weight > 0 }) {
 		list.Report("out_of_range", "all weights are 0", "a weight above 0")
 	}
-	return services
+	return services, weights
 }
--- a/pkg/bundler/example_files_test.go
+++ b/pkg/bundler/example_files_test.go
@@ -90,7 +90,8 @@
 	}
 	files, err := os.ReadDir(filepath.Join(examplesDir, "broken"))
 	is.New(t).NoErr(err)
-	is.New(t).Equal(len(files), len(tests))
+	// warnings.yaml has no error; TestReviewOfExampleFindsEveryWarningAtItsLine reads it.
+	is.New(t).Equal(len(files), len(tests)+1)
 	for name, codes := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/bundler/fuzz_test.go
+++ b/pkg/bundler/fuzz_test.go
@@ -9,7 +9,7 @@
 )
 
 // FuzzDecode checks that every input gives either findings or a bundle with at least two signers, different author and
-// approver, and valid routes, and never a panic.
+// approver, and valid routes, and never a panic. Review then gives only warnings with their place.
 func FuzzDecode(f *testing.F) {
 	for _, pattern := range []string{"*/bundle.yaml", "broken/*.yaml"} {
 		files, err := filepath.Glob(filepath.Join(examplesDir, pattern))
@@ -40,6 +40,11 @@
 				t.Fatalf("accepted the invalid route %s", route.Name)
 			}
 		}
+		for _, w := range Review(bundle, ReviewSettings{RequestBytes: 1}) {
+			if w.Severity() != reporter.SeverityWarning || w.Place().Line() == 0 {
+				t.Fatalf("not a warning with its place: %v", w)
+			}
+		}
 	})
 }
 
--- a/pkg/reporter/finding.go
+++ b/pkg/reporter/finding.go
@@ -43,23 +43,51 @@
 	return cmp.Or(cmp.Compare(p.file, q.file), cmp.Compare(p.line, q.line), cmp.Compare(p.column, q.column))
 }
 
-// Finding is one error in a document.
+// Severity says whether a document with a finding is rejected. The zero Severity is SeverityError.
+type Severity int
+
+// The severities.
+const (
+	SeverityError   Severity = iota // the document is rejected
+	SeverityWarning                 // the document is accepted, but probably does not do what is meant
+)
+
+// String returns "error" or "warning".
+func (s Severity) String() string {
+	if s == SeverityWarning {
+		return "warning"
+	}
+	return "error"
+}
+
+// Finding is one error in a document, or one warning about it.
 type Finding struct {
+	severity Severity
 	place    Place
 	code     Code
 	message  string
 	expected string
 }
 
-// NewFinding returns a Finding. message describes what was found and expected what would be valid; expected may be "".
+// NewFinding returns an error. message describes what was found and expected what would be valid; expected may be "".
 func NewFinding(place Place, code Code, message, expected string) Finding {
 	return Finding{place: place, code: code, message: message, expected: expected}
 }
 
-// Place returns the position of the error.
+// NewWarning returns a warning. The arguments are those of NewFinding.
+func NewWarning(place Place, code Code, message, expected string) Finding {
+	f := NewFinding(place, code, message, expected)
+	f.severity = SeverityWarning
+	return f
+}
+
+// Severity returns whether the finding is an error or a warning.
+func (f Finding) Severity() Severity { return f.severity }
+
+// Place returns the position of the finding.
 func (f Finding) Place() Place { return f.place }
 
-// Code returns the kind of the error.
+// Code returns the kind of the finding.
 func (f Finding) Code() Code { return f.code }
 
 // Message describes what was found.
@@ -68,11 +96,14 @@
 // Expected describes what would be valid, or is "".
 func (f Finding) Expected() string { return f.expected }
 
-// String formats the finding as one line, without a trailing newline.
+// String formats the finding as one line, without a trailing newline. Only a warning names its severity.
 func (f Finding) String() string {
 	var b strings.Builder
 	b.WriteString(f.place.String())
 	b.WriteString(": ")
+	if f.severity == SeverityWarning {
+		b.WriteString("warning: ")
+	}
 	b.WriteString(string(f.code))
 	b.WriteString(": ")
 	b.WriteString(f.message)
--- a/pkg/reporter/findings_test.go
+++ b/pkg/reporter/findings_test.go
@@ -49,3 +49,12 @@
 	}
 	is.Equal(replaceControl('é'), 'é')
 }
+
+// TestOnlyWarningsNameTheirSeverity guards the form of errors, which scripts may read, and warnings that look like errors.
+func TestOnlyWarningsNameTheirSeverity(t *testing.T) {
+	is := is.New(t)
+	place := NewPlace("a.yaml", 2, 3)
+	is.Equal(NewFinding(place, "c", "found", "").String(), "a.yaml:2:3: c: found")
+	is.Equal(NewFinding(place, "c", "found", "").Severity(), SeverityError)
+	is.Equal(NewWarning(place, "c", "found", "less").String(), "a.yaml:2:3: warning: c: found (expected less)")
+}
