--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -109,6 +109,9 @@
 // New returns an Allocator of so many bytes.
 func New(limit int64) *Allocator { return &Allocator{limit: limit, accounts: map[Ticket]*account{}} }
 
+// MaxRequestBytes returns the bytes that one request, its header included, may hold at most of limit bytes for all of them.
+func MaxRequestBytes(limit int64) int64 { return limit - limit/reservedFraction }
+
 // Limit returns the bytes that requests may hold together.
 func (a *Allocator) Limit() int64 { return a.limit }
 
@@ -164,7 +167,7 @@
 	if urgent || acc.held+bytes <= max(SmallBytes, a.limit/smallFraction) {
 		return a.limit
 	}
-	return a.limit - a.limit/reservedFraction
+	return MaxRequestBytes(a.limit)
 }
 
 func (a *Allocator) give(acc *account, bytes int64) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -87,6 +87,10 @@
 	stopping   atomic.Bool
 }
 
+// BodyBytes returns the bytes that the bodies of requests and answers may take together in an instance with so much memory, which is in
+// units of 2^20 bytes.
+func BodyBytes(memoryMB int) int64 { return int64(float64(memoryMB) * (1 << 20) * bufferedRatio) }
+
 // New returns a Runner that has not been started. log is the writer of its log, and events holds its latest events. New also
 // sets the soft memory limit of the process.
 func New(s platform.Settings, log *logger.AsyncWriter, events *recorder.Ring) *Runner {
@@ -104,7 +108,7 @@
 	counters := meter.New()
 	dataPlane := forwarder.New(names, budget, counters)
 	dataPlane.SetSourceIP(net.ParseIP(s.SourceAddress))
-	dataPlane.LimitBuffers(int64(float64(s.MemoryMB) * (1 << 20) * bufferedRatio))
+	dataPlane.LimitBuffers(BodyBytes(s.MemoryMB))
 	dataPlane.SetQueueing(queuer.Settings{
 		Reservation: s.HasContract(platform.ContractPressure), AdaptiveLimits: s.HasContract(platform.ContractHealth),
 	})
