--- a/pkg/bundler/review_test.go
+++ b/pkg/bundler/review_test.go
@@ -95,32 +95,48 @@
 	}
 }
 
-// TestReviewOfRoutesWithoutPlaces guards against a panic for bundles from New, which have no places, and covers what Decode rejects.
+// TestReviewOfRoutesWithoutPlaces guards against a panic for bundles from New, which have no places, and against warnings about
+// routes that don't meet at a service, or more than one about a route that meets another at several. It covers equal prefixes, which
+// Decode rejects.
 func TestReviewOfRoutesWithoutPlaces(t *testing.T) {
 	route := func(name, prefix string, priority int, objective time.Duration) Route {
 		return Route{
 			Name: name, Host: "a", Prefix: prefix, Idempotent: true, Priority: priority, Objective: objective, Timeout: time.Minute,
-			Services: []WeightedService{{Service: "s", Weight: 1}},
+			Services: []WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}},
 		}
 	}
-	otherHost := route("b", "/", 0, time.Second)
+	otherHost := route("b", "/", 0, 1)
 	otherHost.Host = "b"
+	// Only its requests to t are part of the traffic; s has cold keys for longer than its timeout.
+	onlyT := route("a", "/a/", 0, 9)
+	onlyT.Services = []WeightedService{{Service: "s"}, {Service: "t", Weight: 1}}
+	onlyT.Timeout = time.Second
+	onlyS := route("b", "/b/", 1, 3)
+	onlyS.Services = onlyS.Services[:1]
 	tests := map[string]struct {
 		routes []Route
-		want   []string // names of the routes that the warnings begin with, after their codes
+		want   []string // codes, and the first two words of the messages
 	}{
-		"same prefix":                 {routes: []Route{route("a", "/", 0, 1), route("b", "/", 0, 1)}, want: []string{"shadowed_route: route b"}},
-		"same prefix of other hosts":  {routes: []Route{route("a", "/", 0, 1), otherHost}},
-		"longer prefix":               {routes: []Route{route("a", "/", 0, 1), route("b", "/b/", 0, 1)}},
-		"behind two, one is patient":  {routes: []Route{route("a", "/a/", 0, 1), route("b", "/b/", 1, 9), route("c", "/c/", 2, 3)}, want: []string{"inverted_priority: route c"}},
-		"one warning for each behind": {routes: []Route{route("c", "/c/", 2, 3), route("b", "/b/", 1, 4), route("a", "/a/", 0, 9)}, want: []string{"inverted_priority: route b", "inverted_priority: route c"}},
-		"patient with equal priority": {routes: []Route{route("a", "/a/", 1, 9), route("b", "/b/", 1, 3)}},
+		"same prefix":                {routes: []Route{route("a", "/", 0, 1), route("b", "/", 0, 1)}, want: []string{"shadowed_route: route b"}},
+		"same prefix of other hosts": {routes: []Route{route("a", "/", 0, 1), otherHost}},
+		"longer prefix":              {routes: []Route{route("a", "/", 0, 1), route("b", "/b/", 0, 1)}},
+		"behind two, one is patient": {
+			routes: []Route{route("a", "/a/", 0, 1), route("b", "/b/", 1, 9), route("c", "/c/", 2, 3)},
+			want:   []string{"inverted_priority: route c"},
+		},
+		"behind one that is not the next": {
+			routes: []Route{route("c", "/c/", 2, 5), route("b", "/b/", 1, 4), route("a", "/a/", 0, 9)},
+			want:   []string{"inverted_priority: route b", "inverted_priority: route c"},
+		},
+		"patient with equal priority":        {routes: []Route{route("a", "/a/", 1, 9), route("b", "/b/", 1, 3)}},
+		"no requests to the service of both": {routes: []Route{onlyT, onlyS}, want: []string{"zero_weight: service s"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			services := []Service{{Name: "s", Keyed: true, KeyWarmup: time.Minute}, {Name: "t"}}
 			var got []string
-			for _, w := range Review(New(1, []Service{{Name: "s"}}, tc.routes, Limits{}), ReviewSettings{}) {
+			for _, w := range Review(New(1, services, tc.routes, Limits{}), ReviewSettings{}) {
 				got = append(got, string(w.Code())+": "+strings.Join(strings.Fields(w.Message())[:2], " "))
 			}
 			slices.Sort(got)
