Learned limits only where classes compete for slots

The contract health is also that of earlier deployments. The contract pressure switches them on now.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -110,7 +110,7 @@
 	dataPlane.SetSourceIP(net.ParseIP(s.SourceAddress))
 	dataPlane.LimitBuffers(BodyBytes(s.MemoryMB))
 	dataPlane.SetQueueing(queuer.Settings{
-		Reservation: s.HasContract(platform.ContractPressure), AdaptiveLimits: s.HasContract(platform.ContractHealth),
+		Reservation: s.HasContract(platform.ContractPressure), AdaptiveLimits: s.HasContract(platform.ContractPressure),
 	})
 	dataPlane.SetColdRule(throttler.ColdRule{Overage: s.Bounds.WarmupOverage, Tolerance: s.Bounds.WarmupTolerance})
 	self := resolver.Member{
