Bound the wait for a stuck log at the end of a graceful shutdown

Cause: AsyncWriter.Close waited without a bound until the log was written. An instance whose output is stuck was killed at the end of its grace period in place of exiting.

Change: Close takes a context, as http.Server.Shutdown does, and returns an error if lines are not written when it ends. The command passes the new last time of admitter.Plan, LogWritten: 100 ms before the end of grace periods from 4.7 s on, a seventh of the final span (43 ms of 2 s) for shorter ones. Lines that are not written by then are lost and not reported, as standard error may be stuck like the output.

TestSignalWhileLogIsWritten sent its second signals after the end of the grace period, which no process reaches any more. It has a grace period of 8 s and sends them after 5 s, while the log is stuck, and checks the same. It and the new TestStopWithStuckLogEndsWithinGrace were compiled and vetted here, not run.

A write that the kernel does not interrupt still delays the exit.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -65,20 +66,29 @@
 		fmt.Fprintln(stderr, err)
 		return ExitFailure
 	}
+	instance := runner.New(settings, log, events)
 	defer func() {
 		klog.Flush()
-		log.Close()
+		closeLog(log, instance.LogDeadline(time.Now()))
 	}()
 	// It is never released: another signal must not end the process while it shuts down and writes its log.
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	go checkSettingsOnHangup(path, hangups)
-	if err := runner.New(settings, log, events).Run(ctx); err != nil && err != http.ErrServerClosed {
+	if err := instance.Run(ctx); err != nil && err != http.ErrServerClosed {
 		klog.InfoS("stopped", "error", err)
 		return ExitFailure
 	}
 	return ExitSuccess
 }
 
+// closeLog waits until the log is written, or until deadline. Lines that are not written then are not reported, as standard error may
+// be stuck like the output: the process would be killed in place of exiting.
+func closeLog(log *logger.AsyncWriter, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	_ = log.Close(ctx)
+}
+
 // checkSettingsOnHangup checks the settings file at each SIGHUP and logs the result. A running instance never changes its
 // settings, so the result only says whether the next start would succeed.
 func checkSettingsOnHangup(path string, hangups <-chan os.Signal) {
--- a/internal/admitter/plan.go
+++ b/internal/admitter/plan.go
@@ -17,13 +17,15 @@
 	maxFinalSpan  = 700 * time.Millisecond
 	maxFinalRatio = 0.15
 	// exitRatio and lastByteRatio are the parts of the final span after which the instance exits: when all answers are written, and
-	// when clients read theirs slowly.
+	// when clients read theirs slowly. logRatio is the part after which it no longer waits for the output of its log; the rest, 100 ms
+	// of the usual 700 ms, is for the exit itself.
 	exitRatio     = 2.0 / 7
 	lastByteRatio = 5.0 / 7
+	logRatio      = 6.0 / 7
 )
 
-// Plan holds the times of a graceful shutdown, in this order: CloseIdle, StopAccepting, LastAnswer, Exit, LastByte. The platform kills the
-// instance after the last one.
+// Plan holds the times of a graceful shutdown, in this order: CloseIdle, StopAccepting, LastAnswer, Exit, LastByte, LogWritten. The
+// platform kills the instance after the last one.
 type Plan struct {
 	requestedAt time.Time
 	gracePeriod time.Duration
@@ -50,9 +52,12 @@
 // Exit returns the time at which the instance exits unless clients are still receiving answers.
 func (p Plan) Exit() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), exitRatio)) }
 
-// LastByte returns the time at which the instance exits in any case.
+// LastByte returns the time at which the instance no longer waits for clients in any case.
 func (p Plan) LastByte() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), lastByteRatio)) }
 
+// LogWritten returns the time at which the instance exits although its log is not written.
+func (p Plan) LogWritten() time.Time { return p.LastAnswer().Add(scale(p.finalSpan(), logRatio)) }
+
 // finalSpan returns the time between the last answer and the end of the grace period.
 func (p Plan) finalSpan() time.Duration {
 	return min(maxFinalSpan, scale(p.gracePeriod, maxFinalRatio))
--- a/internal/admitter/plan_test.go
+++ b/internal/admitter/plan_test.go
@@ -11,16 +11,16 @@
 // deployments with usual grace periods rely on.
 func TestPlanFollowsGracePeriod(t *testing.T) {
 	tests := map[string]struct {
-		grace, closeIdle, stopAccepting, lastAnswer, exit, lastByte int // ms
+		grace, closeIdle, stopAccepting, lastAnswer, exit, lastByte, logWritten int // ms
 	}{
-		"2 s": {grace: 2000, closeIdle: 1360, stopAccepting: 1360, lastAnswer: 1700, exit: 1786, lastByte: 1914},
+		"2 s": {grace: 2000, closeIdle: 1360, stopAccepting: 1360, lastAnswer: 1700, exit: 1786, lastByte: 1914, logWritten: 1957},
 		"3 s, covers the deregistration by the platform": {
-			grace: 3000, closeIdle: 2040, stopAccepting: 2040, lastAnswer: 2550, exit: 2679, lastByte: 2871,
+			grace: 3000, closeIdle: 2040, stopAccepting: 2040, lastAnswer: 2550, exit: 2679, lastByte: 2871, logWritten: 2936,
 		},
-		"4 s":  {grace: 4000, closeIdle: 2200, stopAccepting: 2720, lastAnswer: 3400, exit: 3571, lastByte: 3829},
-		"6 s":  {grace: 6000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 5300, exit: 5500, lastByte: 5800},
-		"10 s": {grace: 10000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 9300, exit: 9500, lastByte: 9800},
-		"30 s": {grace: 30000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 29300, exit: 29500, lastByte: 29800},
+		"4 s":  {grace: 4000, closeIdle: 2200, stopAccepting: 2720, lastAnswer: 3400, exit: 3571, lastByte: 3829, logWritten: 3914},
+		"6 s":  {grace: 6000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 5300, exit: 5500, lastByte: 5800, logWritten: 5900},
+		"10 s": {grace: 10000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 9300, exit: 9500, lastByte: 9800, logWritten: 9900},
+		"30 s": {grace: 30000, closeIdle: 2200, stopAccepting: 3200, lastAnswer: 29300, exit: 29500, lastByte: 29800, logWritten: 29900},
 		"none": {},
 	}
 	for name, test := range tests {
@@ -34,6 +34,7 @@
 			is.Equal(ms(p.LastAnswer()), test.lastAnswer)
 			is.Equal(ms(p.Exit()), test.exit)
 			is.Equal(ms(p.LastByte()), test.lastByte)
+			is.Equal(ms(p.LogWritten()), test.logWritten)
 		})
 	}
 }
@@ -49,7 +50,7 @@
 		}
 		killed := start.Add(grace)
 		if p.CloseIdle().After(p.StopAccepting()) || !p.StopAccepting().Before(p.LastAnswer()) || !p.LastAnswer().Before(p.Exit()) ||
-			!p.Exit().Before(p.LastByte()) || !p.LastByte().Before(killed) {
+			!p.Exit().Before(p.LastByte()) || !p.LastByte().Before(p.LogWritten()) || !p.LogWritten().Before(killed) {
 			t.Errorf("grace period %v: the times %+v are not in order", grace, p)
 		}
 	}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -3,11 +3,13 @@
 package logger
 
 import (
+	"context"
 	"flag"
 	"io"
 	"sync"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -53,11 +55,17 @@
 // failed write adds 1, however many lines its batch has.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the lines that wait, and blocks until they are written. Further calls do the same. Lines written after Close
-// are discarded; Dropped counts only those that no longer fit into the buffer.
-func (w *AsyncWriter) Close() {
+// Close writes the lines that wait, and blocks until they are written or ctx ends; then the error says so, and the lines that
+// are not written are lost if the process exits. Further calls do the same. Lines written after Close are discarded; Dropped
+// counts only those that no longer fit into the buffer.
+func (w *AsyncWriter) Close(ctx context.Context) error {
 	w.closing.Do(func() { close(w.closed) })
-	<-w.done
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "write the rest of the log")
+	}
 }
 
 // run writes the lines until Close is called and none is waiting.
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 func TestLinesAreWrittenInOrder(t *testing.T) {
@@ -17,7 +20,7 @@
 		_, err := w.Write([]byte(line))
 		is.NoErr(err)
 	}
-	w.Close()
+	is.NoErr(w.Close(context.Background()))
 	is.Equal(out.String(), "one\ntwo\nthree\n")
 	is.Equal(observed, out.String())
 	is.Equal(w.Dropped(), int64(0))
@@ -57,10 +60,29 @@
 	}
 	is.Equal(w.Dropped(), int64(written-maxPendingLines))
 	close(out.unblock)
-	w.Close()
+	is.NoErr(w.Close(context.Background()))
 	is.Equal(int64(out.writtenLines)+w.Dropped(), int64(1+written))
 }
 
+// TestCloseEndsWithItsContext guards against an instance that is killed at the end of its grace period because the output of
+// its log is stuck, and against lines that are lost although the output recovers.
+func TestCloseEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{blocked: make(chan struct{}, 1), unblock: make(chan struct{})}
+	w := New(out, nil)
+	for range 3 {
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	<-out.blocked
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(w.Close(ctx), context.DeadlineExceeded))
+	close(out.unblock)
+	is.NoErr(w.Close(context.Background()))
+	is.Equal(out.writtenLines, 3)
+}
+
 // TestWriteAfterCloseDoesNotBlock guards against blocking or panicking when goroutines still log after Close.
 func TestWriteAfterCloseDoesNotBlock(t *testing.T) {
 	is := is.New(t)
@@ -68,7 +90,7 @@
 	w := New(&out, nil)
 	_, err := w.Write([]byte("one\n"))
 	is.NoErr(err)
-	w.Close()
+	is.NoErr(w.Close(context.Background()))
 	for range 2 * maxPendingLines {
 		_, err := w.Write([]byte("late\n"))
 		is.NoErr(err)
@@ -87,7 +109,7 @@
 		_, err := w.Write([]byte(line))
 		is.NoErr(err)
 	}
-	w.Close()
-	w.Close()
+	is.NoErr(w.Close(context.Background()))
+	is.NoErr(w.Close(context.Background()))
 	is.Equal(out.String(), "one\ntwo\n")
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,6 +85,7 @@
 	log        *logger.AsyncWriter
 	events     *recorder.Ring
 	stopping   atomic.Bool
+	shutdown   admitter.Plan // of the shutdown, once it has begun
 }
 
 // New returns a Runner that has not been started. log is the writer of its log, and events holds its latest events. New also
@@ -193,6 +194,15 @@
 	return nil
 }
 
+// LogDeadline returns until when to wait at now, after Run, for the output of the log: less than the grace period after the
+// shutdown was requested, or after now if Run has ended with an error.
+func (r *Runner) LogDeadline(now time.Time) time.Time {
+	if !r.stopping.Load() {
+		return admitter.NewPlan(now, r.settings.Bounds.GracePeriod).LogWritten()
+	}
+	return r.shutdown.LogWritten()
+}
+
 // connectionLimits returns the limits on the connections of clients, or of other instances, which may take a part of the descriptors.
 func (r *Runner) connectionLimits(descriptorRatio float64) drainer.Limits {
 	memory := connectionMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
@@ -215,6 +225,7 @@
 	klog.InfoS("shutdown requested")
 	now := time.Now()
 	plan := admitter.NewPlan(now, r.settings.Bounds.GracePeriod)
+	r.shutdown = plan
 	r.stopping.Store(true)
 	r.forwarder.BeginShutdown(now, plan.LastAnswer())
 	r.controller.AnnounceLeaving()
--- a/internal/runner/shutdown_test.go
+++ b/internal/runner/shutdown_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/admitter"
 	"github.com/wasabibank/wasabibank/internal/drainer"
 	"github.com/wasabibank/wasabibank/internal/recorder"
 	"github.com/wasabibank/wasabibank/platform"
@@ -73,6 +74,18 @@
 	return response, err
 }
 
+// TestLogDeadlineEndsBeforeGracePeriod guards against an instance that is killed because it waits for the output of its log.
+func TestLogDeadlineEndsBeforeGracePeriod(t *testing.T) {
+	is := is.New(t)
+	r := newTestRunner(2 * time.Second)
+	requested := time.Unix(1000, 0)
+	want := requested.Add(1957 * time.Millisecond)
+	is.Equal(r.LogDeadline(requested), want) // Run has ended with an error
+	r.shutdown = admitter.NewPlan(requested, 2*time.Second)
+	r.stopping.Store(true)
+	is.Equal(r.LogDeadline(requested.Add(time.Second)), want)
+}
+
 // TestStoppingInstanceAsksPeersToClose guards against requests of other instances that are sent on a connection which the exit is
 // about to close, so that these can't tell whether they have run.
 func TestStoppingInstanceAsksPeersToClose(t *testing.T) {
--- a/internal/verifier/signal_test.go
+++ b/internal/verifier/signal_test.go
@@ -38,42 +38,68 @@
 	is.True(p.outputContains("self.node_name: missing"))
 }
 
-// TestSignalWhileLogIsWritten guards against a signal that ends an instance early, and with a failure, while it writes the end of its
-// log after a planned stop.
-func TestSignalWhileLogIsWritten(t *testing.T) {
-	is := is.New(t)
-	const grace = 4 * time.Second // ends after the delays of a planned stop
+// stuckEntry is an instance whose log is stuck: its standard output is a full pipe.
+type stuckEntry struct {
+	command   *exec.Cmd
+	out, full *os.File // the ends of the pipe
+	signalled time.Time
+}
+
+// stopStuckEntry starts a stuckEntry and sends it SIGTERM once it listens.
+func stopStuckEntry(t *testing.T, grace time.Duration) stuckEntry {
+	t.Helper()
 	raw, err := os.ReadFile(filepath.Join(examplesDir, "node.conf"))
-	is.NoErr(err)
+	must(t, err)
 	ip := fmt.Sprintf("127.%d.%d.1", addressBlock, clusterCount.Add(1))
 	text := strings.NewReplacer("127.0.0.2", ip, "grace_period_s=8", fmt.Sprintf("grace_period_s=%.0f", grace.Seconds())).Replace(string(raw))
 	path := filepath.Join(t.TempDir(), "settings")
-	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	must(t, os.WriteFile(path, []byte(text), 0o600))
 	out, full, err := os.Pipe()
-	is.NoErr(err)
-	defer out.Close()
-	defer full.Close()
+	must(t, err)
+	t.Cleanup(func() {
+		_ = out.Close()
+		_ = full.Close() // closed already if the test has read the output
+	})
 	fillPipe(t, full)
 	entry := exec.Command(binary, "entry", "-settings", path)
 	entry.Stdout = full
-	is.NoErr(entry.Start())
-	defer func() { _ = entry.Process.Kill() }() // if the test fails
+	must(t, entry.Start())
+	t.Cleanup(func() { _ = entry.Process.Kill() }) // if the test fails
 	await(t, "the entry listens", func() bool {
 		connection, err := net.Dial("tcp", net.JoinHostPort(ip, clientPort))
 		return err == nil && connection.Close() == nil
 	})
-	is.NoErr(entry.Process.Signal(syscall.SIGTERM))
-	time.Sleep(grace)
-	is.NoErr(entry.Process.Signal(syscall.SIGTERM))
-	is.NoErr(entry.Process.Signal(syscall.SIGINT))
+	must(t, entry.Process.Signal(syscall.SIGTERM))
+	return stuckEntry{command: entry, out: out, full: full, signalled: time.Now()}
+}
+
+// TestSignalWhileLogIsWritten guards against a signal that ends an instance early, and with a failure, while it writes the end of its
+// log after a planned stop.
+func TestSignalWhileLogIsWritten(t *testing.T) {
+	is := is.New(t)
+	entry := stopStuckEntry(t, 8*time.Second)
+	time.Sleep(5 * time.Second) // a stop without clients takes 3.2 s, and its log may take until 7.9 s
+	is.NoErr(entry.command.Process.Signal(syscall.SIGTERM))
+	is.NoErr(entry.command.Process.Signal(syscall.SIGINT))
 	time.Sleep(100 * time.Millisecond)
-	is.NoErr(full.Close())
-	rest, err := io.ReadAll(out) // ends when the entry has exited
+	is.NoErr(entry.full.Close())
+	rest, err := io.ReadAll(entry.out) // ends when the entry has exited
 	is.NoErr(err)
-	is.NoErr(entry.Wait())
+	is.NoErr(entry.command.Wait())
 	is.True(bytes.Contains(rest, []byte(`"stop"`)))
 }
 
+// TestStopWithStuckLogEndsWithinGrace guards against an instance that is killed at the end of its grace period because the output of
+// its log is stuck.
+func TestStopWithStuckLogEndsWithinGrace(t *testing.T) {
+	is := is.New(t)
+	const grace = 4 * time.Second
+	entry := stopStuckEntry(t, grace)
+	killer := time.AfterFunc(time.Until(entry.signalled.Add(grace)), func() { _ = entry.command.Process.Kill() })
+	defer killer.Stop()
+	is.NoErr(entry.command.Wait())
+}
+
 // fillPipe fills a pipe, so that the next write to it blocks.
 func fillPipe(t *testing.T, pipe *os.File) {
 	t.Helper()
