Keep the leader's offsets valid while reports become less frequent

Cause: an instance takes the offsets in the leader's answer as valid for its report interval and 300 ms. As members join, the interval grows from 400 ms to 1 s (40 instances and more), and the next answer comes after the offsets have expired. Each instance then interrupts its reads and reads the store. Found by measuring the load of seeds at the first start.

Change: the offsets stay valid for as long as the interval has grown. They are not shortened as members leave.

The new test fails without it.

Not changed: an interrupted read through a relay goes to the store, also when all instances notice at once that the leader is lost.

--- a/internal/controller/leader_offsets.go
+++ b/internal/controller/leader_offsets.go
@@ -29,6 +29,16 @@
 // valid reports whether the leader has answered recently, so that relays can be checked against its offsets.
 func (o *leaderOffsets) valid(now time.Time) bool { return o != nil && now.Before(o.validUntil) }
 
+// extended returns the offsets with a validity that is longer by delay, if that is positive.
+func (o *leaderOffsets) extended(delay time.Duration) *leaderOffsets {
+	if o == nil || delay <= 0 {
+		return o
+	}
+	extended := *o
+	extended.validUntil = o.validUntil.Add(delay)
+	return &extended
+}
+
 // ahead reports whether the leader has read a topic further than from, or in a later era.
 func (o *leaderOffsets) ahead(topic string, from platform.Position) bool {
 	return from.Era < o.era || from.Era == o.era && from.Offset < o.offsets[topic]
--- a/internal/controller/leader_offsets_test.go
+++ b/internal/controller/leader_offsets_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -62,3 +64,40 @@
 		})
 	}
 }
+
+// TestLeaderOffsetsStayValidAsMembersJoin guards against instances that take the leader's next answer for overdue because reports
+// became less frequent, and all read the store at once when a large system starts.
+func TestLeaderOffsetsStayValidAsMembersJoin(t *testing.T) {
+	many := &herald.Members{Term: 1, Version: 2}
+	for i := range 100 {
+		many.Members = append(many.Members, &herald.Member{Instance: fmt.Sprintf("entry_%d", i)})
+	}
+	few := &herald.Members{Term: 1, Version: 3, Members: many.Members[:1]}
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		lists    []*herald.Members
+		validFor time.Duration
+	}{
+		"no news":                   {validFor: minReportInterval + leaderOffsetsMargin},
+		"many join":                 {lists: []*herald.Members{many}, validFor: maxReportInterval + leaderOffsetsMargin},
+		"the same list comes again": {lists: []*herald.Members{many, many}, validFor: maxReportInterval + leaderOffsetsMargin},
+		"many leave":                {lists: []*herald.Members{many, few}, validFor: maxReportInterval + leaderOffsetsMargin},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestController(t, http.NotFound)
+			for _, list := range test.lists {
+				c.applyMembers(list) // without offsets it has no effect on them
+			}
+			is.True(!c.leaderOffsets.Load().valid(now))
+			c.members, c.membersVersion = nil, membersVersion{}
+			c.leaderOffsets.Store(&leaderOffsets{validUntil: now.Add(c.reportInterval() + leaderOffsetsMargin)})
+			for _, list := range test.lists {
+				c.applyMembers(list)
+			}
+			is.True(c.leaderOffsets.Load().valid(now.Add(test.validFor - 1)))
+			is.True(!c.leaderOffsets.Load().valid(now.Add(test.validFor)))
+		})
+	}
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -234,13 +234,15 @@
 		return // from a leader that was replaced, or overtaken by a newer list
 	}
 	c.membersVersion = version
-	before := c.members
+	before, intervalBefore := c.members, c.reportInterval()
 	c.members = nil
 	for _, m := range list.GetMembers() {
 		if m.GetInstance() != c.options.Self.Instance {
 			c.members = append(c.members, decodeMember(m))
 		}
 	}
+	// With more members the next report, and the leader's answer, come later.
+	c.leaderOffsets.Store(c.leaderOffsets.Load().extended(c.reportInterval() - intervalBefore))
 	c.checkServicesLostBy(c.members, before)
 	c.viewOutdated = true
 }
