--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,6 +85,7 @@
 	log        *logger.AsyncWriter
 	events     *recorder.Ring
 	stopping   atomic.Bool
+	shutdown   admitter.Plan // of the shutdown, once it has begun
 }
 
 // BodyBytes returns the bytes that the bodies of requests and answers may take together in an instance with so much memory, which is in
@@ -197,6 +198,15 @@
 	return nil
 }
 
+// LogDeadline returns until when to wait at now, after Run, for the output of the log: less than the grace period after the
+// shutdown was requested, or after now if Run has ended with an error.
+func (r *Runner) LogDeadline(now time.Time) time.Time {
+	if !r.stopping.Load() {
+		return admitter.NewPlan(now, r.settings.Bounds.GracePeriod).LogWritten()
+	}
+	return r.shutdown.LogWritten()
+}
+
 // connectionLimits returns the limits on the connections of clients, or of other instances, which may take a part of the descriptors.
 func (r *Runner) connectionLimits(descriptorRatio float64) drainer.Limits {
 	memory := connectionMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
@@ -219,6 +229,7 @@
 	klog.InfoS("shutdown requested")
 	now := time.Now()
 	plan := admitter.NewPlan(now, r.settings.Bounds.GracePeriod)
+	r.shutdown = plan
 	r.stopping.Store(true)
 	r.forwarder.BeginShutdown(now, plan.LastAnswer())
 	r.controller.AnnounceLeaving()
