Stand-in servers can be cold and can name their load

The soak test could not show whether cold servers get too many requests, because stand-ins named no warm-up.

A stand-in is cold for -cold-start after its start, and for warmup_ms from the time at which that fault is set. It names the time left in its registration and in its answers to health checks, and counts the requests that arrive within any second of it; -cold-limit counts those over a limit. With -names-load its answers name its load; the fault load replaces the text.

Ruled out: a stand-in that crashes over its limit. A count shows by how much the limit was passed, and a crash would hide it, as the count ends with the process.

Result: go test -race of internal/emulator, cmd and internal/docchecker passes.

--- a/cmd/standin_server.go
+++ b/cmd/standin_server.go
@@ -52,7 +52,9 @@
 	flags.Float64Var(&s.settings.Jitter, "jitter", 0.2, "largest relative deviation of a service time from the mean")
 	flags.Uint64Var(&s.settings.Seed, "seed", 1, "seed of the service times")
 	flags.DurationVar(&s.settings.StartWarmup, "cold-start", 0,
-		"duration of the server warm-up, in which executions are slower")
+		"duration of the server warm-up, in which the server is cold and executions are slower")
+	flags.IntVar(&s.settings.WarmupLimit, "cold-limit", 0, "requests that it tolerates in a second while it is cold; 0 means any number")
+	flags.BoolVar(&s.settings.NamesLoad, "names-load", false, "name its load in answers")
 	flags.DurationVar(&s.settings.KeyWarmup, "cold-keys", 0, "duration of the key warm-up, for keys granted without a handover")
 	flags.Float64Var(&s.settings.ColdFactor, "cold-factor", 4, "factor by which executions are slower during a warm-up")
 	flags.StringVar(&s.settings.CrashOn, "crash-on", "", "exit when it begins to execute a request whose URI contains this text")
--- a/cmd/standin_usage.go
+++ b/cmd/standin_usage.go
@@ -16,9 +16,12 @@
 	serverDescription = `Stands in for a backend server: answers requests, grants, releases and /health.
 Prints "listening ADDRESS". On SIGTERM it announces that it is draining, keeps serving for -drain, and exits.
 
-GET /admin/counts returns how many requests it executed and how many it rejected.
+GET /admin/counts returns how many requests it executed and how many it rejected, and the most that
+arrived in a second while it was cold.
 POST /admin/faults sets the faults that its JSON names; GET returns all of them:
   shed                true: new requests are rejected as if the queue were full
+  warmup_ms           makes it cold for that many milliseconds from now on; 0 ends a warm-up
+  load                text that it names as its load in answers; empty means the true load, with -names-load
   slow_factor         multiplies service times; 0 means 1
   lying_health        true: answers to health checks are inverted
   fail_requests       number of requests that are executed and answered with 500; -1 means all
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -36,8 +36,14 @@
 	Jitter float64
 	// Seed is the seed of the random service times.
 	Seed uint64
-	// StartWarmup is the duration of the server warm-up, during which all executions are slower.
+	// StartWarmup is the duration of the server warm-up, during which the server is cold: all executions are slower, and its
+	// registration and its answers to health checks say how long that lasts.
 	StartWarmup time.Duration
+	// WarmupLimit is the number of requests that the server tolerates in any second while it is cold; 0 is no limit. Requests over
+	// it are counted and served.
+	WarmupLimit int
+	// NamesLoad makes the server name its load in all answers but those to health checks and orders.
+	NamesLoad bool
 	// KeyWarmup is the duration of the key warm-up, during which keys that were granted without a handover are slower.
 	KeyWarmup time.Duration
 	// ColdFactor multiplies service times during a warm-up; values below 1 mean 1.
@@ -55,6 +61,10 @@
 type Counts struct {
 	Executed int            `json:"runs"`
 	Rejected map[string]int `json:"rejected"`
+	// MostCold is the largest number of requests that arrived within a second while the server was cold.
+	MostCold int `json:"most_cold"`
+	// OverWarmupLimit is the number of requests that arrived over ServerSettings.WarmupLimit.
+	OverWarmupLimit int `json:"over_warmup_limit"`
 }
 
 // Server is the stand-in for a backend server. It implements platform.OrderReceiver. Use NewServer.
@@ -75,6 +85,9 @@
 	sequence       int
 	executionEnded chan struct{} // closed and replaced when an execution ends
 	counts         Counts
+	coldUntil      time.Time
+	warmupFault    int64    // the fault WarmupMS that coldUntil contains
+	coldArrivals   arrivals // while the server is cold
 }
 
 // NewServer returns a Server whose start time, and thus its incarnation, is started.
@@ -83,8 +96,9 @@
 	s := &Server{
 		settings: settings, started: started, slots: make(chan struct{}, settings.Slots),
 		random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)), running: map[*job]bool{},
-		executionEnded: make(chan struct{}), counts: Counts{Rejected: map[string]int{}},
+		executionEnded: make(chan struct{}), counts: Counts{Rejected: map[string]int{}}, coldUntil: started.Add(settings.StartWarmup),
 	}
+	s.faults.onChange = func(f ServerFaults) { s.setWarmup(time.Now(), f) }
 	orders := platform.NewOrderHandler(s)
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc("/admin/faults", s.faults.serveAdmin).Methods(http.MethodGet, http.MethodPost)
@@ -118,7 +132,7 @@
 	defer s.mu.Unlock()
 	return cataloger.Server{
 		ID: s.settings.ID, Service: s.settings.Service, Address: address, Domain: s.settings.Domain, Slots: s.settings.Slots,
-		State: s.state, Incarnation: s.started.UnixMilli(),
+		State: s.state, Incarnation: s.started.UnixMilli(), WarmupLeft: s.warmupLeft(time.Now()),
 	}
 }
 
@@ -141,9 +155,10 @@
 }
 
 // serveHealth answers a health check: 200 if the server is ready and 503 if it is draining, or the reverse during the
-// fault InvertHealthChecks. The answer has the server's id.
+// fault InvertHealthChecks. The answer has the server's id, and how long it stays cold.
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(platform.HeaderServer, s.settings.ID)
+	s.setWarmupHeader(time.Now(), w.Header())
 	s.mu.Lock()
 	healthy := s.state == cataloger.Ready
 	s.mu.Unlock()
@@ -165,8 +180,9 @@
 	writeJSON(w, status, errorBody{Message: reason})
 }
 
-// setSignals sets the headers of a server that is about to end, or that limits its requests.
+// setSignals sets the headers of a server that is about to end, that limits its requests, or that names its load.
 func (s *Server) setSignals(header http.Header) {
+	s.setLoadHeader(header)
 	if s.draining() {
 		header.Set(platform.HeaderLeaving, platform.LeavingValue)
 	}
@@ -181,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	factor := 1 + s.settings.Jitter*(2*s.random.Float64()-1)
-	if inWarmup || now.Sub(s.started) < s.settings.StartWarmup {
+	if inWarmup || s.warmupLeft(now) > 0 {
 		factor *= max(s.settings.ColdFactor, 1)
 	}
 	if slow := s.faults.get().SlowFactor; slow > 0 {
--- a/internal/emulator/server_faults.go
+++ b/internal/emulator/server_faults.go
@@ -10,6 +10,10 @@
 	// Limit is the number of requests a second that the server names as its limit in all answers; empty means none. The server
 	// accepts more all the same.
 	Limit string `json:"limit"`
+	// WarmupMS makes the server cold for that many milliseconds from the time at which the value changes; 0 ends a warm-up.
+	WarmupMS int64 `json:"warmup_ms"`
+	// Load replaces the load that the server names in its answers; empty leaves it as it is.
+	Load string `json:"load"`
 	// SlowFactor multiplies service times; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
 	// InvertHealthChecks inverts the answers to health checks.
--- a/internal/emulator/server_requests.go
+++ b/internal/emulator/server_requests.go
@@ -81,6 +81,7 @@
 	if left, err := strconv.ParseFloat(r.Header.Get(platform.HeaderTimeLeft), 64); err == nil {
 		j.deadline = received.Add(time.Duration(left * float64(time.Millisecond)))
 	}
+	s.countArrival(received, j)
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	if err != nil {
 		abortConnection()
