Soak: uneven and cold servers, an evacuation, a hot key, unfinished bodies

The soak knew nothing of cold servers, evacuations, hot keys and clients that leave bodies unfinished, so combinations of these with other faults were never run.

Servers of a service now differ in speed by up to 3.2 times and every other one names its load. A server of each service restarts cold, and must never get more than 15 requests (5.1 a second x 1.5 + 8) in a second while it is cold. In one of three seeds a failure domain is evacuated; after 10 s nothing may reach its servers. A second load has a key with 70 % of its keyed requests, another one every 3 s. Three clients at each entry leave bodies unfinished.

The random numbers of these actions are apart from the others, so that regression seeds keep their series. The evacuation and the cold servers have no link faults or suspensions: these would bring requests together on the way that were sent in time.

--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -45,6 +46,21 @@
 	// memoryMB is the memory of the entries, whose settings then also bound descriptors to crowdDescriptors; 0 leaves those of the
 	// example.
 	memoryMB int
+	// uneven gives the servers of a service different speeds, and makes every other one name its load.
+	uneven bool
+	// settings are lines that are added to the settings of the entries.
+	settings string
+}
+
+// serviceTimes are the mean service times of servers with uneven speeds, from the first on.
+var serviceTimes = []string{"5ms", "16ms", "10ms"}
+
+// serverFlags returns the flags of server number i of a service, from 0.
+func (size clusterSize) serverFlags(i int) []string {
+	if !size.uneven {
+		return nil
+	}
+	return []string{"-service-time", serviceTimes[i%len(serviceTimes)], fmt.Sprintf("-names-load=%t", i%2 == 0)}
 }
 
 // defaultSize is the size of the clusters of all tests but the soak.
@@ -100,6 +116,7 @@
 	seeded    bool // the settings name seeds
 	grace     time.Duration
 	memoryMB  int // see clusterSize
+	settings  string
 	store     *process
 	collector *process
 	servers   []*server // first those with keys
@@ -114,15 +131,15 @@
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
 // owner. keyedServerFlags are added to the command line of the keyed servers.
 func newCluster(t *testing.T, size clusterSize, keyedServerFlags ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, memoryMB: size.memoryMB, admin: inspector.NewClient(adminTimeout)}
+	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, memoryMB: size.memoryMB, settings: size.settings, admin: inspector.NewClient(adminTimeout)}
 	t.Cleanup(c.admin.Close)
 	c.store = startStandin(t, "store", "standin", "store")
 	c.collector = startStandin(t, "collector", "standin", "collector")
 	for i := range size.keyedServers {
-		c.addServer(fmt.Sprintf("render_%02d", i+1), keyedService, append([]string{"-keyed"}, keyedServerFlags...)...)
+		c.addServer(fmt.Sprintf("render_%02d", i+1), keyedService, slices.Concat([]string{"-keyed"}, size.serverFlags(i), keyedServerFlags)...)
 	}
 	for i := range size.unkeyedServers {
-		c.addServer(fmt.Sprintf("shelf_%02d", i+1), unkeyedService)
+		c.addServer(fmt.Sprintf("shelf_%02d", i+1), unkeyedService, size.serverFlags(i)...)
 	}
 	c.publishBundle(nil)
 	for range size.entries {
@@ -164,7 +181,7 @@
 	must(c.t, err)
 	text := strings.NewReplacer("entry_1", e.name, "127.0.0.2", e.ip, "127.0.0.1:7400", e.storeProxy.address(),
 		"muscat_a", e.domain).Replace(string(raw))
-	text += "network.source_address=" + e.ip + "\n"
+	text += "network.source_address=" + e.ip + "\n" + c.settings
 	if c.seeded {
 		text += fmt.Sprintf("network.seeds=127.%[1]d.%[2]d.250:%[3]s,127.%[1]d.%[2]d.1:%[3]s\n", addressBlock, c.number, peerPort)
 	}
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -4,11 +4,9 @@
 	"cmp"
 	"flag"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,11 +73,14 @@
 
 	mu        sync.Mutex // guards actionLog
 	actionLog []string
+
+	bundleChanges []string // of each published bundle from the example; see cluster.publishBundle
+	evacuation    evacuation
 }
 
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
-	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2), seeded: seed%2 == 0}
+	size := clusterSize{entries: *soakEntries, keyedServers: *soakServers, unkeyedServers: max(1, *soakServers/2), seeded: seed%2 == 0, uneven: true, settings: coldSettings}
 	crashes := seed%3 == 0 // otherwise a server limits its requests
 	if crashes {
 		size.unkeyedServers = 0 // they would answer the requests that crash servers
@@ -93,19 +94,31 @@
 		special, check = s.prepareLimits(seed)
 	}
 	t.Cleanup(s.logActions)
+	restarts, checkCold := s.prepareColdServers(seed, !crashes)
+	further := append(s.drawCuts(seed), s.drawRestore(seed), special)
+	further = append(further, restarts...)
+	if seed%3 == 1 {
+		further = append(further, s.drawEvacuation(seed))
+	}
 	s.started = time.Now()
 	loadTail := 6 * time.Second // how long the load continues after soak.length
 	count := int((*soakLength + loadTail).Seconds() * requestsPerSecond)
 	l := s.startLoad(s.entries, seed, count)
+	hot := s.startPlan(s.entries, hotPlan(seed, count))
+	closeUnfinished := s.startUnfinished()
 	stopWatching := s.watchEntries()
-	s.runActions(append(s.drawCuts(seed), s.drawRestore(seed), special)...)
+	s.runActions(further...)
 	stopWatching()
 	s.awaitAgreement(s.entries...)
 	s.awaitAllAnswered()
+	closeUnfinished()
 	report := s.verifyLoad(l)
 	is.Equal(report.Sent, count)
 	is.True(report.Answered > 0)
+	is.True(s.verifyLoad(hot).Answered > 0)
 	check()
+	checkCold()
+	s.checkEvacuation()
 }
 
 // logActions logs the actions if the test failed.
@@ -293,7 +306,7 @@
 // publishNewBundle publishes the next version of the bundle; variant selects its latency objective.
 func (s *soak) publishNewBundle(variant int) {
 	s.recordAction("publish a new bundle")
-	s.publishBundle([]string{"objective: 300ms", fmt.Sprintf("objective: %dms", 250+10*variant)})
+	s.publishBundle(append([]string{"objective: 300ms", fmt.Sprintf("objective: %dms", 250+10*variant)}, s.bundleChanges...))
 }
 
 // drawCuts returns cuts of some or all entries from all servers, which may overlap. Their random numbers are apart from those of the
@@ -339,9 +352,10 @@
 }
 
 // restoreStore makes the store come back from an older copy after it was away for a while. The operators publish their
-// bundle again.
+// bundle again, and the evacuation.
 func (s *soak) restoreStore(age, away time.Duration) {
 	s.recordAction("store away for %v, back from a copy %v old", away, age)
+	defer s.evacuation.interrupt(s)()
 	s.setFaults(s.store, emulator.StoreFaults{Outage: true})
 	time.Sleep(away)
 	if err := post("http://"+s.store.address()+"/admin/restore", fmt.Sprintf(`{"age_ms":%d}`, age.Milliseconds())); err != nil {
@@ -351,15 +365,6 @@
 	s.publishAgain()
 }
 
-// prepareLimits adds a server that only the returned action disturbs: it is not one of s.servers, from which the other actions
-// draw. check checks how many requests it got.
-func (s *soak) prepareLimits(seed uint64) (limit action, check func()) {
-	limited := s.addServer("shelf_limited", unkeyedService)
-	s.servers = s.servers[:len(s.servers)-1]
-	phases := s.drawLimits(seed)
-	return s.limitAction(limited, phases), func() { s.checkLimits(limited, phases) }
-}
-
 // prepareCrashes adds servers that crash under the requests of the returned action, and that no other action disturbs. check
 // checks how often they got these.
 func (s *soak) prepareCrashes(seed uint64) (repeat action, check func()) {
@@ -369,53 +374,6 @@
 	return s.drawCrashes(seed, x), func() { x.check(1) }
 }
 
-// limitPhase is a time in which a server names a limit.
-type limitPhase struct {
-	rate       float64
-	length     time.Duration
-	start, end time.Time // when it was in force
-}
-
-// drawLimits returns two limits that a server names one after the other. Its random numbers are apart from those of the other
-// actions, so that regression seeds keep their series.
-func (s *soak) drawLimits(seed uint64) []*limitPhase {
-	random := rand.New(rand.NewPCG(^seed, seed))
-	var phases []*limitPhase
-	for range 2 {
-		rate := 0.5 + math.Round(random.Float64()*40)/10
-		phases = append(phases, &limitPhase{rate: rate, length: limitGrace + time.Duration(random.Int64N(int64(5*time.Second)))})
-	}
-	return phases
-}
-
-// limitAction makes a server name limits one after the other, and then withdraw the last one.
-func (s *soak) limitAction(srv *server, phases []*limitPhase) action {
-	return s.newAction(srv.id, func() {
-		for _, p := range phases {
-			s.recordAction("%s limits its requests to %v a second for %v", srv.id, p.rate, p.length)
-			s.setFaults(srv.process, emulator.ServerFaults{Limit: strconv.FormatFloat(p.rate, 'f', -1, 64)})
-			p.start = time.Now()
-			time.Sleep(p.length)
-			p.end = time.Now()
-		}
-		s.recordAction("%s withdraws its limit", srv.id)
-		s.setFaults(srv.process, emulator.ServerFaults{})
-	})
-}
-
-// checkLimits checks that a server got no more than it tolerates in each phase, from limitGrace after its start. Requests of
-// instances that were killed, suspended or cut off count as well.
-func (s *soak) checkLimits(srv *server, phases []*limitPhase) {
-	executions := s.fetchExecutions()
-	for _, p := range phases {
-		most := mostInWindow(executions, srv.id, p.start.Add(limitGrace), p.end, limitWindow)
-		s.t.Logf("%s, limit %v a second: %d requests in %v, %d tolerated", srv.id, p.rate, most, limitWindow, toleratedInWindow(p.rate))
-		if most > toleratedInWindow(p.rate) {
-			s.t.Errorf("%s got more requests than it tolerates", srv.id)
-		}
-	}
-}
-
 // drawCrashes returns an action that repeats a request which crashes servers. Its random numbers are apart from those of the other
 // actions, so that regression seeds keep their series.
 func (s *soak) drawCrashes(seed uint64, x *crashes) action {
