Soak: cold servers own keys from the start, an evacuation's time depends on outages

The keyed server that restarts cold joined after the start and owned few keys, so that it got 0 to 6 requests within a second; it is now there from the start, and the second load has twice the rate. The check of an evacuation allowed 10 s always; now it allows evacuate_ms (5 s), and 5 s more only if the store, a link or an entry was out within that time. A return of the store from an older copy ends the checked time only if the copy lacks the record.

--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -50,6 +50,8 @@
 	uneven bool
 	// settings are lines that are added to the settings of the entries.
 	settings string
+	// addMore, if not nil, adds further servers before the first keys are granted.
+	addMore func(c *cluster)
 }
 
 // serviceTimes are the mean service times of servers with uneven speeds, from the first on.
@@ -141,6 +143,9 @@
 	for i := range size.unkeyedServers {
 		c.addServer(fmt.Sprintf("shelf_%02d", i+1), unkeyedService, size.serverFlags(i)...)
 	}
+	if size.addMore != nil {
+		size.addMore(c)
+	}
 	c.publishBundle(nil)
 	for range size.entries {
 		c.addEntry()
--- a/internal/verifier/soak_load_test.go
+++ b/internal/verifier/soak_load_test.go
@@ -24,7 +24,7 @@
 	coldRate  = "5.1"
 	coldLimit = 15
 	// evacuateTimeout is the time in coldSettings after which an evacuated failure domain must get no more requests. outOfContact is
-	// added for instances that are out of contact with the store, which the other actions cause for 5 s at most.
+	// added if an entry is out of contact with the store or suspended within that time, which one action causes for 5 s at most.
 	evacuateTimeout = 5 * time.Second
 	outOfContact    = 5 * time.Second
 	// unfinishedBytes is the announced size of the bodies that clients leave unfinished, and unfinishedClients their number at each
@@ -37,25 +37,33 @@
 var coldSettings = fmt.Sprintf("terms.bounds.warmup_overage=1.5\nterms.bounds.warmup_tolerance=8\nterms.bounds.evacuate_ms=%d\n",
 	evacuateTimeout.Milliseconds())
 
-// prepareColdServers adds a keyed server and, if unkeyed is true, one without keys, which only the returned actions disturb: they
-// restart them cold. A fault of their links would bring requests together that the entries have spaced. check checks that no
-// incarnation got more requests within a second than it tolerates while it was cold.
-func (s *soak) prepareColdServers(seed uint64, unkeyed bool) (restarts []action, check func()) {
+// addColdServers adds a keyed server and, if unkeyed is true, one without keys, which no action but their restarts disturbs: they are
+// not in c.servers, from which the other actions draw. A fault of their links would bring requests together that the entries have
+// spaced.
+func (s *soak) addColdServers(c *cluster, unkeyed bool) {
+	flags := []string{"-cold-start", coldTime.String(), "-cold-limit", strconv.Itoa(coldLimit), "-names-load", "-service-time", "16ms", "-drain", "1s"}
+	disturbed := c.servers
+	s.cold = append(s.cold, c.addServer("render_cold", keyedService, append([]string{"-keyed"}, flags...)...))
+	c.servers = disturbed // also gives both the same failure domain
+	if unkeyed {
+		s.cold = append(s.cold, c.addServer("shelf_cold", unkeyedService, flags...))
+	}
+	c.servers = disturbed
+}
+
+// prepareColdServers publishes the limits of cold servers and returns the restarts of these servers. Their random numbers are apart
+// from those of the other actions, so that regression seeds keep their series.
+func (s *soak) prepareColdServers(seed uint64) (restarts []action) {
 	warmup := fmt.Sprintf("    warmup: %v\n    warmup_rate: %s\n", coldTime, coldRate)
 	s.bundleChanges = []string{"    cold_keys: 2s\n", "    cold_keys: 2s\n" + warmup}
-	flags := []string{"-cold-start", coldTime.String(), "-cold-limit", fmt.Sprint(coldLimit), "-names-load", "-service-time", "16ms", "-drain", "1s"}
-	disturbed := s.servers
-	cold := []*server{s.addServer("render_cold", keyedService, append([]string{"-keyed"}, flags...)...)}
-	if unkeyed {
+	if len(s.cold) > 1 {
 		shelf := "  - name: template_shelf\n    keyed: false\n"
 		s.bundleChanges = append(s.bundleChanges, shelf, shelf+warmup)
-		cold = append(cold, s.addServer("shelf_cold", unkeyedService, flags...))
 	}
-	s.servers = disturbed
 	s.publishBundle(s.bundleChanges)
 	s.awaitAgreement(s.entries...)
-	random := rand.New(rand.NewPCG(seed, 5*seed+3)) // apart from the other actions, so that regression seeds keep their series
-	for _, srv := range cold {
+	random := rand.New(rand.NewPCG(seed, 5*seed+3))
+	for _, srv := range s.cold {
 		for at := time.Second; at < *soakLength; at += randomBetween(random, 4*time.Second, 7*time.Second) {
 			kill, downtime := random.IntN(2) == 0, randomBetween(random, 50*time.Millisecond, 3*time.Second)
 			a := s.newAction(srv.id, func() { s.restartCold(srv, kill, downtime) })
@@ -63,11 +71,7 @@
 			restarts = append(restarts, a)
 		}
 	}
-	return restarts, func() {
-		for _, srv := range cold {
-			s.checkColdArrivals(srv)
-		}
-	}
+	return restarts
 }
 
 // restartCold checks the requests of a server's incarnation, ends it and starts a new one after the downtime.
@@ -107,11 +111,22 @@
 type evacuation struct {
 	mu      sync.Mutex // also held while the store comes back from an older copy
 	domain  string     // empty unless it is under way
-	periods []evacuationPeriod
+	periods []period   // in which the store had the record
 }
 
-// evacuationPeriod is a time in which the store has had the record of an evacuation.
-type evacuationPeriod struct{ start, end time.Time } // end is zero while it lasts
+// period is a time from start to end. Its end is zero while it lasts.
+type period struct{ start, end time.Time }
+
+// recordOutage records that an entry is out of contact until the returned function is called.
+func (s *soak) recordOutage() (end func()) {
+	p := period{start: time.Now()}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.end = time.Now()
+		s.outages = append(s.outages, p)
+	}
+}
 
 // drawEvacuation returns the evacuation of the failure domain of the servers that no other action suspends or cuts off, so that a
 // request which arrives there was sent shortly before. Its random numbers are apart from those of the other actions.
@@ -135,7 +150,7 @@
 	defer x.mu.Unlock()
 	x.domain = domain
 	s.writeEvacuation(domain, []byte("1"))
-	x.periods = append(x.periods, evacuationPeriod{start: time.Now()})
+	x.periods = append(x.periods, period{start: time.Now()})
 }
 
 func (x *evacuation) end(s *soak) {
@@ -153,10 +168,13 @@
 	}
 }
 
-// interrupt ends the current period because the store may lose the record. The returned function writes it again, as operators do,
-// and begins a new period.
-func (x *evacuation) interrupt(s *soak) (resume func()) {
+// interrupt ends the current period if the store loses the record because it comes back from a copy that is as old as age. The
+// returned function then writes the record again, as operators do, and begins a new period.
+func (x *evacuation) interrupt(s *soak, age time.Duration) (resume func()) {
 	x.mu.Lock()
+	if n := len(x.periods); n > 0 && time.Since(x.periods[n-1].start) > age {
+		return x.mu.Unlock
+	}
 	x.endPeriod()
 	return func() {
 		defer x.mu.Unlock()
@@ -164,7 +182,7 @@
 			return
 		}
 		s.writeEvacuation(x.domain, []byte("1"))
-		x.periods = append(x.periods, evacuationPeriod{start: time.Now()})
+		x.periods = append(x.periods, period{start: time.Now()})
 	}
 }
 
@@ -183,8 +201,9 @@
 	undisturbed := map[string]bool{"render_cold": true, "shelf_cold": true, "shelf_limited": true}
 	executions := s.fetchExecutions()
 	for _, p := range s.evacuation.periods {
-		from := p.start.Add(evacuateTimeout + outOfContact)
-		s.t.Logf("evacuation from %.2f s to %.2f s", p.start.Sub(s.started).Seconds(), p.end.Sub(s.started).Seconds())
+		from := s.evacuated(p)
+		s.t.Logf("evacuation from %.2f s to %.2f s, checked from %.2f s on",
+			p.start.Sub(s.started).Seconds(), p.end.Sub(s.started).Seconds(), from.Sub(s.started).Seconds())
 		for _, e := range executions {
 			if undisturbed[e.Server] && e.Start.After(from) && e.Start.Before(p.end) {
 				s.t.Errorf("%s in an evacuated failure domain got a request %.2f s after the record was stored: %+v", e.Server, e.Start.Sub(p.start).Seconds(), e)
@@ -193,14 +212,25 @@
 	}
 }
 
+// evacuated returns from when on nothing may reach the servers of a domain whose evacuation was stored at the start of p.
+func (s *soak) evacuated(p period) time.Time {
+	from := p.start.Add(evacuateTimeout)
+	for _, o := range s.outages {
+		if o.start.Before(from) && o.end.After(p.start) {
+			return from.Add(outOfContact)
+		}
+	}
+	return from
+}
+
 // hotPlan returns a plan in which most keyed requests have one key, another one every few seconds.
 func hotPlan(seed uint64, count int) loadtester.Plan {
 	plan := newPlan(seed+1, count)
 	plan.Keys = loadtester.Keys{Distribution: loadtester.DistributionHot, Count: 200, HotShare: 0.7, HotEvery: 3 * time.Second}
 	plan.Classes = plan.Classes[1:] // without those that must not be executed twice, which the other load has
-	for i := range plan.Classes {
-		plan.Classes[i].Weight = 1
-	}
+	// Either class alone would be more than a cold server tolerates.
+	plan.Rate, plan.Count = 2*plan.Rate, 2*plan.Count
+	plan.Classes[0].Weight, plan.Classes[1].Weight = 1, 2
 	return plan
 }
 
--- a/internal/verifier/soak_test.go
+++ b/internal/verifier/soak_test.go
@@ -74,8 +74,10 @@
 	mu        sync.Mutex // guards actionLog
 	actionLog []string
 
-	bundleChanges []string // of each published bundle from the example; see cluster.publishBundle
+	bundleChanges []string  // of each published bundle from the example; see cluster.publishBundle
+	cold          []*server // servers that only restart, cold
 	evacuation    evacuation
+	outages       []period // in which an entry was out of contact with the store or with others; guarded by mu
 }
 
 func runSoak(t *testing.T, seed uint64) {
@@ -85,7 +87,9 @@
 	if crashes {
 		size.unkeyedServers = 0 // they would answer the requests that crash servers
 	}
-	s := &soak{cluster: newCluster(t, size), random: rand.New(rand.NewPCG(seed, seed))}
+	s := &soak{random: rand.New(rand.NewPCG(seed, seed))}
+	size.addMore = func(c *cluster) { s.addColdServers(c, !crashes) }
+	s.cluster = newCluster(t, size)
 	var special action
 	var check func()
 	if crashes {
@@ -94,7 +98,7 @@
 		special, check = s.prepareLimits(seed)
 	}
 	t.Cleanup(s.logActions)
-	restarts, checkCold := s.prepareColdServers(seed, !crashes)
+	restarts := s.prepareColdServers(seed)
 	further := append(s.drawCuts(seed), s.drawRestore(seed), special)
 	further = append(further, restarts...)
 	if seed%3 == 1 {
@@ -117,7 +121,9 @@
 	is.True(report.Answered > 0)
 	is.True(s.verifyLoad(hot).Answered > 0)
 	check()
-	checkCold()
+	for _, srv := range s.cold {
+		s.checkColdArrivals(srv)
+	}
 	s.checkEvacuation()
 }
 
@@ -238,6 +244,7 @@
 
 // suspend stops a process with SIGSTOP and resumes it with SIGCONT after the duration.
 func (s *soak) suspend(p *process, duration time.Duration) {
+	defer s.recordOutage()()
 	s.recordAction("suspend %s for %v", p.name, duration)
 	p.signal(s.t, syscall.SIGSTOP)
 	time.Sleep(duration)
@@ -246,6 +253,7 @@
 
 // breakLink injects a fault into a proxy for the duration.
 func (s *soak) breakLink(p *proxy, name string, f fault, duration time.Duration) {
+	defer s.recordOutage()()
 	s.recordAction("%s: link fault %d for %v", name, f, duration)
 	p.setFault(f)
 	time.Sleep(duration)
@@ -296,6 +304,7 @@
 		{DelayMS: 900},
 		{Outage: true, LoseAnswers: count},
 	}[variant]
+	defer s.recordOutage()()
 	s.recordAction("faults of the store for %v: %+v", duration, faults)
 	s.setFaults(s.store, faults)
 	time.Sleep(duration)
@@ -355,7 +364,8 @@
 // bundle again, and the evacuation.
 func (s *soak) restoreStore(age, away time.Duration) {
 	s.recordAction("store away for %v, back from a copy %v old", away, age)
-	defer s.evacuation.interrupt(s)()
+	defer s.recordOutage()()
+	defer s.evacuation.interrupt(s, age)()
 	s.setFaults(s.store, emulator.StoreFaults{Outage: true})
 	time.Sleep(away)
 	if err := post("http://"+s.store.address()+"/admin/restore", fmt.Sprintf(`{"age_ms":%d}`, age.Milliseconds())); err != nil {
