--- a/internal/verifier/soak_load_test.go
+++ b/internal/verifier/soak_load_test.go
@@ -132,8 +132,8 @@
 // request which arrives there was sent shortly before. Its random numbers are apart from those of the other actions.
 func (s *soak) drawEvacuation(seed uint64) action {
 	random := rand.New(rand.NewPCG(seed, 7*seed+5))
-	domain := domains[(len(s.servers)+1)%len(domains)] // see addServer
-	length := randomBetween(random, 12*time.Second, 15*time.Second)
+	domain := domains[(len(s.servers)+1)%len(domains)]              // see addServer
+	length := randomBetween(random, 15*time.Second, 16*time.Second) // until shortly before the load ends
 	a := s.newAction("evacuation", func() {
 		s.recordAction("evacuate %s for %v", domain, length)
 		s.evacuation.begin(s, domain)
