A dispatcher learns that the client of a request that must not be repeated has left

An upload of 60 to 360 KB takes a third of a second to cross a link of 10 Mbit/s; its client left meanwhile, and the entry instance did not tell the dispatcher, as the hop of a request that is not idempotent was cancelled at the exit only. The hop now ends with the client. The dispatcher gives up a request that has not been sent to a server; one that is at work there goes on, as before.

--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -187,11 +187,9 @@
 		// The dispatcher may refuse it before it has read it all.
 		httpReq.Body = exchanger.NewStreamedBody(req.body.reader(), nil)
 	}
-	sendCtx := ctx
-	if !req.idempotent {
-		sendCtx = f.lifetime
-	}
-	response, err := connection.Do(sendCtx, httpReq, req.deadline, nil)
+	// When its client leaves, the dispatcher has to know, also of a request that is not idempotent: it is not sent to a server then. One that
+	// is at work at a server is not cancelled there.
+	response, err := connection.Do(ctx, httpReq, req.deadline, nil)
 	var body payload
 	if err == nil {
 		body, err = f.readAnswer(req, response.Body)
