--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -367,19 +367,15 @@
 	c.askSeeds(now)
 	c.sendReport(now)
 	c.interruptOutdatedReads(now)
-	sourcesOutdated := c.leavesSeeds(now)
 	switch {
 	case c.viewOutdated || c.ownersOutdated && c.view == nil:
-		c.viewOutdated, c.ownersOutdated, sourcesOutdated = false, false, true
+		c.viewOutdated, c.ownersOutdated = false, false
 		c.updateView()
 	case c.ownersOutdated:
 		c.ownersOutdated = false
 		c.view = c.view.WithOwners(c.owners)
 		c.options.Forwarder.SetView(time.Now(), c.view) // the forwarder's times are of time.Now, not of timekeeper
 	}
-	if sourcesOutdated && c.view != nil {
-		c.updateSources(now, c.view)
-	}
 }
 
 // recordsRead reports whether this instance has read all that it must know before it sends requests or orders. With a time for
@@ -404,6 +400,7 @@
 	if c.leaderState != nil {
 		c.leaderState.limits.retain(func(server string) bool { _, ok := view.Server(server); return ok })
 	}
+	c.updateSources(view)
 	c.options.Meter.Set(meter.BundleVersion, int64(c.table.Version()))
 	c.options.Meter.Set(meter.Members, int64(len(c.members)+1))
 	c.options.Forwarder.SetView(wall, view)
--- a/internal/controller/seeds.go
+++ b/internal/controller/seeds.go
@@ -13,8 +13,7 @@
 // The timings of joining through seeds.
 const (
 	// seedPatience is how long after the first start of the whole system an instance that is no seed leaves the store to the
-	// seeds. Then it reads through the relays of its failure domain. If it knows no leader by then, it reads the store, and
-	// may become the leader, like the seeds.
+	// seeds. If it knows no leader then, it reads the store, and may become the leader, like the seeds.
 	seedPatience = 2 * time.Second
 	// startSpread is the time within which the platform starts all machines.
 	startSpread = 300 * time.Millisecond
@@ -23,7 +22,7 @@
 )
 
 // seeds are the instances through which this one joins a system that starts for the first time: they elect the leader among
-// themselves and are the relays for the first seedPatience, so that the calls to the store don't grow with the number of
+// themselves and are the relays until its members are known, so that the calls to the store don't grow with the number of
 // machines. A seed itself, and an instance that starts later, has none. Only the control loop uses it.
 type seeds struct {
 	addresses []string
--- a/internal/controller/sources.go
+++ b/internal/controller/sources.go
@@ -1,9 +1,8 @@
 package controller
 
 import (
-	"time"
-
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/internal/timekeeper"
 )
 
 // sources are the instances through which topics can be read.
@@ -11,7 +10,7 @@
 	relays []string // addresses of the relays of this instance, in order of preference
 	others []string // addresses of all other instances
 	// seeds says that the relays are the seeds: what is read through them is cached, as if this instance had read the store,
-	// so that it can be a relay itself afterwards.
+	// so that it can be a relay itself once the members are known.
 	seeds bool
 	// domainSize is the number of instances in this failure domain.
 	domainSize int
@@ -23,12 +22,10 @@
 // maxRelays is the number of relays in a failure domain.
 const maxRelays = 2
 
-// updateSources decides where this instance reads topics at now. While it relies on seeds, they stay the sources, also once
-// members are known: until the leader has told all members, several instances of a failure domain, each of which sees a part
-// of them, may take themselves for the relay and read the store.
-func (c *Controller) updateSources(now time.Time, view *resolver.View) {
-	if c.seeds.reliedOn(now) {
-		return
+// updateSources decides where this instance reads topics.
+func (c *Controller) updateSources(view *resolver.View) {
+	if len(c.members) == 0 && c.seeds.reliedOn(timekeeper.Now()) {
+		return // the seeds are the sources until the members are known
 	}
 	src := &sources{domainSize: 1}
 	// The leader reads the store itself, so that a relay that can't reach the store can't leave its whole domain
@@ -52,9 +49,3 @@
 	}
 	c.sources.Store(src)
 }
-
-// leavesSeeds reports whether this instance relies on the seeds no longer at now, but still reads through them.
-func (c *Controller) leavesSeeds(now time.Time) bool {
-	src := c.sources.Load()
-	return src != nil && src.seeds && !c.seeds.reliedOn(now)
-}
