A body that stalls while its instance stops is refused as shutting down

Traced: bodies now end at their request's deadline (body_stalled), which came before the end of the grace period. Both say that nothing was executed, but only 503 with Retry-After sends the client to another instance. The test stays as it is.

--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -109,6 +109,9 @@
 	}
 	req.setParts(r)
 	if err := f.readBody(w, r, req, v.Table.Limits().BodyBytes); err != nil {
+		if errors.Is(err, errBodyStalled) && f.shuttingDown() {
+			err = errShuttingDown // whatever ends the wait first: the client may send it to another instance
+		}
 		return nil, newRefusal(err)
 	}
 	credentials := strings.Join(slices.Concat(r.Header["Authorization"], r.Header["Cookie"]), "\n")
--- a/internal/forwarder/shutdown_body_test.go
+++ b/internal/forwarder/shutdown_body_test.go
@@ -100,3 +100,28 @@
 	is.True(got.declined())
 	is.Equal(backend.requests.Load(), int64(0))
 }
+
+// TestStalledBodyAtItsDeadlineDuringShutdown guards against a client that is told that its body was too slow, and not to come back, by
+// an instance that stops while it reads it.
+func TestStalledBodyAtItsDeadlineDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	backend := startScriptedServer(t, answerOK)
+	f := newForwarderWithTimeout(t, backend, 300*time.Millisecond)
+	server := httptest.NewServer(f)
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = io.WriteString(c, "POST /keyonce/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: 5\r\nContent-Length: 8\r\n\r\nhalf")
+	is.NoErr(err)
+	await(t, func() bool { return len(f.inFlight.oldestFirst()) == 1 })
+	now := time.Now()
+	f.BeginShutdown(now, now.Add(time.Minute))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(backend.requests.Load(), int64(0))
+}
