--- a/internal/forwarder/invalid_answer_test.go
+++ b/internal/forwarder/invalid_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -110,3 +111,15 @@
 		})
 	}
 }
+
+// TestInformationalAnswersWithoutEnd guards against a server that keeps a request waiting with informational answers.
+func TestInformationalAnswersWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	server := startScriptedServer(t, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)+answerOK)
+	f := newForwarder(t, server)
+	w := sendRequest(f, http.MethodPost, "/once/x", "", "order")
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(server.requests.Load(), int64(1))
+	is.Equal(f.meter.Get(meter.InvalidAnswers), int64(1))
+	is.Equal(openConnections(f), 0)
+}
