The servers of an instance don't read the map that its start still fills

Cause: since each server's goroutine looked its listener up in the map that the start goes on to fill for the next server. Ruled out: load, as the log names the two accesses.

Change: each goroutine gets its listener. Measured: TestStartSharesNoMapWithServers with the race detector, three runs on the code before: DATA RACE each; three runs after: passed.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -176,16 +176,17 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		drainers[server] = drainer.New(listener, server)
+		connections := drainer.New(listener, server)
+		drainers[server] = connections
 		switch server {
 		case clients:
-			drainers[server].SetLimits(r.connectionLimits(clientDescriptorRatio))
+			connections.SetLimits(r.connectionLimits(clientDescriptorRatio))
 		case peers:
-			drainers[server].SetLimits(r.connectionLimits(peerDescriptorRatio))
+			connections.SetLimits(r.connectionLimits(peerDescriptorRatio))
 		default:
-			drainers[server].SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.countRefusedConnection})
+			connections.SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.countRefusedConnection})
 		}
-		go func() { serveErrors <- server.Serve(drainers[server]) }()
+		go func() { serveErrors <- server.Serve(connections) }()
 	}
 	go r.controller.Run(ctx)
 	select {
