allocator: an answer waits for memory also while 64 bodies wait

Cause: the bound on waiting bodies was applied to every request for memory. An instance with 64 waiting bodies refused the memory of an answer at once, and its client got 502 for a request that the server had executed. docs/design/request_bodies.md says that an answer waits until the deadline of its request.

Change: the bound holds for bodies only. Answers that wait are bounded by the slots of the servers.

Ruled out: that Advance prefers answers does not help, as the refused answer never waited.

Measured: TestAnswersWaitBesideWaitingBodies/answer before: Refuse{1 false 30s} instead of Wait; after: passed. The body beside it is still refused.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -22,7 +22,8 @@
 	// maxWait bounds how long a body waits for memory. While it waits, its client's bytes stay in the system's buffers. It is below the time
 	// after which an instance gives up a connection on which another one takes no bytes (1.2 s).
 	maxWait = time.Second
-	// maxWaiting bounds how many bodies wait, as each may have a full receive buffer.
+	// maxWaiting is how many requests may wait before another body waits too, as each may have a full receive buffer. It does not hold for
+	// answers, whose requests have been executed.
 	maxWaiting = 64
 	// stallTimeout is how long a body may make no progress before it may be dropped for others. It covers a lost segment and its
 	// retransmission.
@@ -154,7 +155,7 @@
 		return Grant{}
 	}
 	a.shortage = now
-	if len(a.waiting) >= maxWaiting {
+	if len(a.waiting) >= maxWaiting && !urgent {
 		return Refuse{Ticket: acc.ticket, RetryAfter: a.retryAfter(now, bytes)}
 	}
 	acc.wanted, acc.urgent, acc.waitSince = bytes, urgent, now
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -71,6 +71,34 @@
 	is.Equal(refused[0].RetryAfter, maxRetryAfter) // no hold has a known end but for its deadline
 }
 
+// TestAnswersWaitBesideWaitingBodies guards against an answer that is refused because many bodies wait for memory: its request has been
+// executed, and without the answer its outcome would be unknown.
+func TestAnswersWaitBesideWaitingBodies(t *testing.T) {
+	tests := map[string]struct {
+		answer bool
+		want   Decision
+	}{
+		"answer": {answer: true, want: Wait{}},
+		"body":   {want: Refuse{Ticket: 1, RetryAfter: maxRetryAfter}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const limit = 1 << 20
+			a := New(limit)
+			open := func(bytes int64) (Ticket, Decision) { return a.Open(start, bytes, start.Add(maxRetryAfter)) }
+			ticket, _ := open(0)
+			other, _ := open(0)
+			is.Equal(a.Grow(start, other, limit, true), Grant{})
+			for range maxWaiting {
+				_, d := open(1)
+				is.Equal(d, Wait{})
+			}
+			is.Equal(a.Grow(start, ticket, 1, test.answer), test.want)
+		})
+	}
+}
+
 // TestRandomBodies guards against memory beyond the limit or lost from the accounts, waits without an end, and small bodies that are not
 // served beside a crowd of large, mostly stalled ones.
 func TestRandomBodies(t *testing.T) {
