--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/wasabibank/wasabibank/internal/elector"
+	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/forwarder"
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/meter"
@@ -40,16 +41,21 @@
 	maxPeerHeaderBytes = 64 << 10
 )
 
-// limitedTransport limits the bodies of answers to MaxPeerMessageBytes.
+// limitedTransport limits the bodies of answers to MaxPeerMessageBytes, and fails for answers with an invalid status line.
 type limitedTransport struct{ transport http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.transport.RoundTrip(request)
-	if err == nil {
-		response.Body = http.MaxBytesReader(nil, response.Body, MaxPeerMessageBytes)
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	if err := exchanger.CheckResponse(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, MaxPeerMessageBytes)
+	return response, nil
 }
 
 // httpClient returns the HTTP client, which is safe for concurrent use.
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -34,6 +35,39 @@
 	is.True(err != nil)
 }
 
+// TestInvalidStatusOfInstanceIsNoAnswer guards against a message that is believed although the first line of the answer is no status line
+// of HTTP/1, so that something else than an instance may have sent it.
+func TestInvalidStatusOfInstanceIsNoAnswer(t *testing.T) {
+	tests := map[string]struct {
+		line  string
+		valid bool
+	}{
+		"valid":                  {line: "HTTP/1.1 200 OK", valid: true},
+		"status 000":             {line: "HTTP/1.1 000 OK"},
+		"status 600":             {line: "HTTP/1.1 600 Odd"},
+		"switching protocols":    {line: "HTTP/1.1 101 Switching Protocols"},
+		"unknown version":        {line: "HTTP/3.7 200 OK"},
+		"later version":          {line: "HTTP/2.0 200 OK"},
+		"no version":             {line: "HTTP 200 OK"},
+		"control byte in reason": {line: "HTTP/1.1 200 O\x00K"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				defer conn.Close()
+				_, _ = io.WriteString(conn, test.line+"\r\nContent-Type: application/protobuf\r\nContent-Length: 0\r\n\r\n")
+			}))
+			defer peer.Close()
+			peers := newPeers()
+			_, err := peers.get(peer.Listener.Addr().String()).Report(t.Context(), &herald.ReportRequest{})
+			is.Equal(err == nil, test.valid)
+		})
+	}
+}
+
 // TestMemberListsFollowTermsAndVersions guards against a list of members of a leader that was replaced, or an older one of
 // the same leader, that replaces a newer list.
 func TestMemberListsFollowTermsAndVersions(t *testing.T) {
--- a/internal/exchanger/status_line.go
+++ b/internal/exchanger/status_line.go
@@ -13,6 +13,9 @@
 // statusLineStart is the length of the part of a status line that has a fixed form: version, space, status and one more byte.
 const statusLineStart = len("HTTP/1.1 200 ")
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
 // maxQuotedBytes bounds the bytes of an invalid status line in its error.
 const maxQuotedBytes = 64
 
@@ -57,6 +60,16 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// CheckResponse returns an error for which IsErrInvalidAnswer is true if a response that net/http has read is no final answer of HTTP/1
+// with a status from 200 to 599: net/http also takes other versions and statuses, and control bytes in the reason.
+func CheckResponse(response *http.Response) error {
+	isHTTP1 := response.ProtoMajor == 1 && response.ProtoMinor <= 1
+	if !isHTTP1 || response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return errInvalidAnswer{line: response.Proto + " " + response.Status}
+	}
+	return checkReason(response)
+}
+
 // checkReason returns an error if the reason phrase of an answer contains control bytes other than tabs.
 func checkReason(response *http.Response) error {
 	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
