drainer: the header of a request that net/http answers itself stops counting

Cause: a header stopped counting as unfinished when the handler was called. net/http answers "OPTIONS *" without the handler, so the headers of such requests added up until their connection was closed. Connections with many of them used up the bytes for unfinished headers of all clients; other connections whose header has more than 4 KiB, and they themselves, were then closed without an answer.

Change: the counting also ends when the connection becomes idle.

Ruled out: headers that net/http refuses (400, 431), since it closes the connection.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -115,6 +115,7 @@
 
 // markIdle records that the connection became idle at now, after a request.
 func (c *conn) markIdle(now time.Time) {
+	c.endHeader() // a request that the server answers without the handler, "OPTIONS *", has ended no header
 	c.answering.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/drainer/limits_test.go
+++ b/internal/drainer/limits_test.go
@@ -68,3 +68,31 @@
 	is.Equal(c.readStatus(), 200)
 	is.True(d.headerBytes.Load() <= 20<<10)
 }
+
+// TestHeadersThatAreAnsweredAreNotCounted guards against headers that count as unfinished after their requests have been answered, until
+// connections with longer headers are closed for them.
+func TestHeadersThatAreAnsweredAreNotCounted(t *testing.T) {
+	tests := map[string]struct {
+		line string
+		want int
+	}{
+		"ordinary request":      {line: "GET / HTTP/1.1", want: 200},
+		"request to the server": {line: "OPTIONS * HTTP/1.1", want: 200}, // net/http answers it without the handler
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderBytes: 20 << 10})
+			c := dial(t, d)
+			for range 10 {
+				_, err := io.WriteString(c.conn, test.line+"\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 3<<10)+"\r\n\r\n")
+				is.NoErr(err)
+				is.Equal(c.readStatus(), test.want)
+			}
+			for start := time.Now(); d.headerBytes.Load() > 0 && time.Since(start) < 2*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(d.headerBytes.Load(), int64(0))
+		})
+	}
+}
