drainer: a connection on which a request arrives is not closed to make room

Cause: at the limit of connections, the one that has been idle for the longest time was chosen under its lock, and closed under it later. A request that arrived between the two made the connection busy, and its reads were ended nevertheless. net/http takes a failing read during a request for a client that has left: the request was cancelled, or its body refused as stalled.

Change: closing checks that the connection has been idle since the time by which it was chosen; otherwise the next one is chosen.

--- a/internal/drainer/limits.go
+++ b/internal/drainer/limits.go
@@ -56,19 +56,26 @@
 
 // closeLongestIdle closes the connection that has been idle for the longest time, and reports whether there is one. The caller holds mu.
 func (d *Drainer) closeLongestIdle(now time.Time) bool {
-	var longest *conn
-	var since time.Time
+	for {
+		longest, since := d.longestIdle(now)
+		if longest == nil {
+			return false
+		}
+		if longest.closeIdle(since) {
+			d.refused()
+			return true
+		}
+	}
+}
+
+// longestIdle returns the connection that has been idle for the longest time, and since when, or nil. The caller holds mu.
+func (d *Drainer) longestIdle(now time.Time) (longest *conn, since time.Time) {
 	for c := range d.conns {
 		if idle := c.idleFrom(); !idle.IsZero() && now.Sub(idle) >= minIdleTime && (longest == nil || idle.Before(since)) {
 			longest, since = c, idle
 		}
 	}
-	if longest == nil {
-		return false
-	}
-	longest.closeIdle()
-	d.refused()
-	return true
+	return longest, since
 }
 
 func (d *Drainer) refused() {
@@ -87,12 +94,17 @@
 	return c.idleSince
 }
 
-// closeIdle makes the server close the connection, unless a request arrives before.
-func (c *conn) closeIdle() {
+// closeIdle makes the server close the connection, unless a request arrives before, and reports whether it has been idle since a given time
+// all along. The reads of a request that is in progress must not fail: the server would take its client to have left.
+func (c *conn) closeIdle(since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing || !c.idleSince.Equal(since) {
+		return false
+	}
 	c.closing = true
 	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+	return true
 }
 
 // countHeader counts n bytes of a header that were read. The error, after which the server closes the connection without an answer, says
--- a/internal/drainer/limits_test.go
+++ b/internal/drainer/limits_test.go
@@ -48,6 +48,34 @@
 	is.Equal(err, io.EOF) // none is idle
 }
 
+// TestOnlyIdleConnectionsMakeRoom guards against the end of a request that arrives after its connection was chosen to be closed, and
+// before it is closed: its reads would fail, as if the client had left.
+func TestOnlyIdleConnectionsMakeRoom(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		event  func(c *conn)
+		closed bool
+	}{
+		"nothing":               {event: func(*conn) {}, closed: true},
+		"a request arrives":     {event: func(c *conn) { _ = c.markBusy() }},
+		"a request is answered": {event: func(c *conn) { _ = c.markBusy(); c.markIdle(start.Add(time.Second)) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			inner := &fakeConn{}
+			d := &Drainer{conns: map[*conn]bool{}}
+			c := &conn{Conn: inner, drainer: d, idleSince: start, minIdle: minIdleTime}
+			d.conns[c] = true
+			chosen, since := d.longestIdle(start.Add(time.Second))
+			is.Equal(chosen, c)
+			test.event(c)
+			is.Equal(c.closeIdle(since), test.closed)
+			is.Equal(inner.deadline.Equal(pastDeadline), test.closed)
+		})
+	}
+}
+
 // TestHeadersAreLimitedTogether guards against memory that unfinished headers of many connections take, and against the end of a
 // connection with a short header.
 func TestHeadersAreLimitedTogether(t *testing.T) {
