--- a/internal/drainer/limits_test.go
+++ b/internal/drainer/limits_test.go
@@ -48,6 +48,34 @@
 	is.Equal(err, io.EOF) // none is idle
 }
 
+// TestOnlyIdleConnectionsMakeRoom guards against the end of a request that arrives after its connection was chosen to be closed, and
+// before it is closed: its reads would fail, as if the client had left.
+func TestOnlyIdleConnectionsMakeRoom(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		event  func(c *conn)
+		closed bool
+	}{
+		"nothing":               {event: func(*conn) {}, closed: true},
+		"a request arrives":     {event: func(c *conn) { _ = c.markBusy() }},
+		"a request is answered": {event: func(c *conn) { _ = c.markBusy(); c.markIdle(start.Add(time.Second)) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			inner := &fakeConn{}
+			d := &Drainer{conns: map[*conn]bool{}}
+			c := &conn{Conn: inner, drainer: d, idleSince: start, minIdle: minIdleTime}
+			d.conns[c] = true
+			chosen, since := d.longestIdle(start.Add(time.Second))
+			is.Equal(chosen, c)
+			test.event(c)
+			is.Equal(c.closeIdle(since), test.closed)
+			is.Equal(inner.deadline.Equal(pastDeadline), test.closed)
+		})
+	}
+}
+
 // TestHeadersAreLimitedTogether guards against memory that unfinished headers of many connections take, and against the end of a
 // connection with a short header.
 func TestHeadersAreLimitedTogether(t *testing.T) {
@@ -68,3 +96,31 @@
 	is.Equal(c.readStatus(), 200)
 	is.True(d.headerBytes.Load() <= 20<<10)
 }
+
+// TestHeadersThatAreAnsweredAreNotCounted guards against headers that count as unfinished after their requests have been answered, until
+// connections with longer headers are closed for them.
+func TestHeadersThatAreAnsweredAreNotCounted(t *testing.T) {
+	tests := map[string]struct {
+		line string
+		want int
+	}{
+		"ordinary request":      {line: "GET / HTTP/1.1", want: 200},
+		"request to the server": {line: "OPTIONS * HTTP/1.1", want: 200}, // net/http answers it without the handler
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderBytes: 20 << 10})
+			c := dial(t, d)
+			for range 10 {
+				_, err := io.WriteString(c.conn, test.line+"\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 3<<10)+"\r\n\r\n")
+				is.NoErr(err)
+				is.Equal(c.readStatus(), test.want)
+			}
+			for start := time.Now(); d.headerBytes.Load() > 0 && time.Since(start) < 2*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(d.headerBytes.Load(), int64(0))
+		})
+	}
+}
--- a/internal/throttler/warmups.go
+++ b/internal/throttler/warmups.go
@@ -83,11 +83,9 @@
 	}
 	if isNew && r.Left == 0 {
 		// A registration may be older than the beginning of the warm-up.
-		latest := now.Add(r.WarmupTime + warmupMargin)
-		if until := r.Started.Add(r.WarmupTime + warmupMargin); until.Before(latest) {
-			latest = until
-		}
-		s.assume(now, latest)
+		longest := r.WarmupTime + warmupMargin
+		// From now on the time left counts by this instance's own clock, which is never set back.
+		s.assume(now, now.Add(min(longest, r.Started.Add(longest).Sub(now))))
 	}
 	if !isNew && r.ReadAt.Sub(s.readAt).Abs() < sameRegistration {
 		return false
@@ -144,7 +142,8 @@
 	if s.awaitsAnswer(now) {
 		return !now.Before(s.until) // else it is known to be cold
 	}
-	if now.Sub(s.sentAt) > doubtAfter {
+	// A doubt in which no request was sent goes on, since the answer to a question counts only for the doubt in which it was asked.
+	if now.Sub(s.sentAt) > doubtAfter && !(s.inDoubt(now) && s.doubtedAt.After(s.sentAt)) {
 		s.doubtedAt, s.doubted, s.held = now, 0, false
 	}
 	if s.inDoubt(now) && s.doubted >= min(maxDoubted, most) && !now.Before(s.until) && !now.Before(s.assumedUntil) {
