An instance that led before its restart takes over at once

After a restart of all instances, keys are not served until the next leader has granted them. The instance that the leader's record names waited 250 ms after its read of the record and then for its jitter, as if the leader could be alive; it alone knows that its earlier incarnation has ended.

Result: TestInstanceThatLedBeforeItsRestartTakesOverAtOnce fails before (no call) and passes; packages elector, granter and controller pass.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -331,10 +331,8 @@
 // needsTakeover reports whether another instance must replace the known leader.
 func (e *Elector) needsTakeover(now time.Time) bool {
 	switch {
-	case e.leader.Identity.Instance == "":
+	case e.leader.Identity.Instance == "", e.restarted():
 		return true
-	case e.leader.Identity.Instance == e.self.Instance:
-		return true // an earlier incarnation of this instance
 	case e.refusals >= e.settings.RefusalThreshold:
 		return true
 	case e.leaderStopped, e.leaderReplaceable && !e.lastResort:
@@ -347,6 +345,9 @@
 func (e *Elector) takeoverCall(now time.Time) Call {
 	if e.takeoverAt.IsZero() {
 		e.takeoverAt = now.Add(e.jitter)
+		if e.restarted() {
+			e.takeoverAt = now
+		}
 		if e.lastResort {
 			e.takeoverAt = e.takeoverAt.Add(e.settings.LastResortDelay)
 		}
@@ -391,9 +392,14 @@
 		return
 	}
 	e.term = 0
-	e.nextCallAt = now.Add(e.settings.RetryDelay)
+	if !e.restarted() {
+		e.nextCallAt = now.Add(e.settings.RetryDelay)
+	}
 }
 
+// restarted reports whether the known leader is an earlier incarnation of this instance. No other instance knows as soon that it has ended.
+func (e *Elector) restarted() bool { return e.leader.Identity.Instance == e.self.Instance && e.term == 0 }
+
 // completeReadWithoutLeader records the result of a read in an era in which no leader was elected yet. old is the leader's
 // record of an earlier era that the store has kept. The known leader, whose record the store may have lost, stays known.
 func (e *Elector) completeReadWithoutLeader(now time.Time, old Leader) {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -261,6 +261,28 @@
 	}
 }
 
+// TestInstanceThatLedBeforeItsRestartTakesOverAtOnce guards against keys that are not served after a restart of all instances
+// while the previous leader waits as others do for a leader that may be alive.
+func TestInstanceThatLedBeforeItsRestartTakesOverAtOnce(t *testing.T) {
+	before := Identity{Instance: self.Instance, Incarnation: self.Incarnation - 1, Address: self.Address}
+	tests := map[string]struct {
+		record Identity
+		want   Call
+	}{
+		"led before":        {record: before, want: AppendLeader{Leader: Leader{Identity: self, Term: 6, Settled: true}, Offset: 5}},
+		"another one leads": {record: other},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := New(settings, start, self, 1, true)
+			is.Equal(e.Tick(start), ReadLeader{})
+			e.CompleteRead(at(4*time.Millisecond), 0, 5, Leader{Identity: test.record, Term: 3}, 0)
+			is.Equal(e.Tick(at(4*time.Millisecond)), test.want)
+		})
+	}
+}
+
 // TestMaybeStoredPlan guards against a plan that counts as not stored although it may be in the store: a server could then
 // get keys that the stored plan assigns to another.
 func TestMaybeStoredPlan(t *testing.T) {
