Ranges await the registration of their owner where a release would free nothing

Cause: a registration that expires during a network partition reappears 1 to 2 s after its end.

Change: if the owner accepts grants but is not registered, and leases of grants without an answer may last, the release waits for the registration, for at most 2 s from the first of the accepted grants. Renewals in this time are confirmed, so that they don't delay a release. Ranges whose latest grant failed, and those of servers that drain or are gone, are released as before.

Ruled out: waiting also where the release can free the range now, which would only delay the next owner.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -99,6 +99,7 @@
 	inherited        bool      // granted by an earlier leader and not yet by this one; the server serves it without a pause
 	failing          bool      // the latest order failed, a grant or a release
 	failingSince     time.Time // when the first of consecutive failed grants failed; only valid if a grant set failing
+	acceptedSince    time.Time // when the first of consecutive accepted grants was accepted; only valid if granted and not failing
 	released         bool      // the server has answered the release, but may still apply a grant that it has not answered
 	unconfirmed      bool      // the answer to the latest grant may have been one to an earlier order; see Grant.Confirmed
 	confirmFailed    bool      // during a release: the grant that was to confirm the lease has not been accepted
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -60,9 +60,12 @@
 	}
 	o.orderInFlight = true
 	o.nextOrderAt = now.Add(g.settings.RenewInterval)
+	_, registered := g.servers[o.Server]
 	order := Grant{
 		ID: o.id, Server: o.Server, Incarnation: o.Incarnation, Range: o.Range, Fence: o.fence,
-		LeaseDuration: g.settings.LeaseDuration, Confirmed: o.state != granted || o.failing,
+		LeaseDuration: g.settings.LeaseDuration,
+		// A server that is not registered may soon have to release the range, which an unconfirmed renewal would delay.
+		Confirmed: o.state != granted || o.failing || !registered,
 	}
 	if order.Incarnation == 0 {
 		order.Incarnation = g.servers[o.Server].Incarnation
@@ -116,14 +119,24 @@
 	}
 }
 
+// registrationWait is how long a range whose release would not free it stays with an owner that accepts grants but is not
+// registered. A registration that has expired during a network partition reappears within about 2 s of its end.
+const registrationWait = 2 * time.Second
+
 // shouldRelease reports whether a range should be released because its server is not ready. That is as soon as the range
-// could be granted to another server right after the release, or at once if the server no longer gets requests.
+// could be granted to another server right after the release, or at once if the server no longer gets requests. If its
+// registration is missing, it may reappear before the range could be granted to another server; see registrationWait.
 func (g *Granter) shouldRelease(now time.Time, o *ownership) bool {
 	s, known := g.servers[o.Server]
-	if known && s.State == cataloger.Ready {
+	switch {
+	case known && s.State == cataloger.Ready:
+		return false
+	case !now.Before(o.unansweredExpiry) || known && s.State == cataloger.Gone:
+		return true
+	case known:
 		return false
 	}
-	return !now.Before(o.unansweredExpiry) || !known || s.State == cataloger.Gone
+	return o.failing || now.Sub(o.acceptedSince) >= registrationWait
 }
 
 // markFree records that no server owns o.
@@ -220,6 +233,7 @@
 		b.Range.First = a.Range.First
 		b.fence = g.nextFence()
 		b.unconfirmed = a.unconfirmed || b.unconfirmed
+		b.acceptedSince = later(a.acceptedSince, b.acceptedSince)
 		b.leaseExpiry, b.unansweredExpiry =
 			later(a.leaseExpiry, b.leaseExpiry), later(a.unansweredExpiry, b.unansweredExpiry)
 		if a.nextOrderAt.Before(b.nextOrderAt) {
@@ -273,6 +287,9 @@
 	}
 	switch outcome {
 	case Accepted:
+		if o.state == granting || o.failing {
+			o.acceptedSince = now
+		}
 		if o.state == granting {
 			o.state = granted
 			g.changed[o.id] = true
