A leader yields to a larger machine only while no keys wait

Cause: a leader asked a larger machine to take over while its grants to 43 servers failed.

Change: shouldYieldTo asks the granter whether keys wait: an order fails, a range is released or planned, its owner is not ready, or the leases of a free range have not expired. A handover because of lost paths, a lost store or a shutdown is as before.

Ruled out: counting free ranges without leases, as a service without an assignable server would keep a small machine in the lead.

Measured: go test ./internal/controller -run TestLeaderYieldsOnlyWhileNoKeysWait fails in 3 of 6 cases without the condition and passes with it; go test ./internal/granter ./internal/controller passes.

TestLeaderPassesOnALostConfiguration builds a leader without a granter, which no leader lacks; it gets an empty one.

--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -68,6 +68,44 @@
 	}
 }
 
+// TestLeaderYieldsOnlyWhileNoKeysWait guards against a leader that asks a larger machine to take over while grants fail or ranges are
+// about to move, so that their keys are served later, and against one that never asks.
+func TestLeaderYieldsOnlyWhileNoKeysWait(t *testing.T) {
+	tests := map[string]struct {
+		change func(c *Controller, now time.Time)
+		want   bool
+	}{
+		"all granted": {change: func(*Controller, time.Time) {}, want: true},
+		"grant fails": {change: func(c *Controller, now time.Time) {
+			orders := c.leaderState.granter.Tick(now.Add(c.grantSettings.RenewInterval))
+			c.leaderState.granter.CompleteGrant(now, orders[0].(granter.Grant), granter.NotSent)
+		}},
+		"server drains": {change: func(c *Controller, now time.Time) {
+			c.catalog.Put(now, time.Second, cataloger.Server{ID: "b", Service: "desk", Slots: 1, State: cataloger.Draining})
+			c.setServers(now)
+		}},
+		"range is released": {change: func(c *Controller, now time.Time) {
+			c.leaderState.granter.StartMove(now, "desk", partitioner.Range{First: 0, Last: 32767}, "c")
+		}},
+		"range has moved": {change: func(c *Controller, now time.Time) {
+			c.leaderState.granter.StartMove(now, "desk", partitioner.Range{First: 0, Last: 32767}, "c")
+			completeMove(c.leaderState.granter, now)
+		}, want: true},
+		"candidate is small": {change: func(c *Controller, _ time.Time) {
+			c.leaderState.members["large"].member.Capacity = c.options.Self.Capacity
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, now := newLeaderOfTwo(t)
+			c.options.Self.Capacity = 100
+			c.leaderState.members["large"] = &memberState{member: resolver.Member{Instance: "large", Capacity: 800}}
+			test.change(c, now)
+			is.New(t).Equal(c.shouldYieldTo(now, "large"), test.want)
+		})
+	}
+}
+
 // TestLeavingInstanceTakesOverLast guards against an instance that becomes the leader while it is leaving, so that keys change their leader
 // once more when it exits, and against one that never does although no other is left.
 func TestLeavingInstanceTakesOverLast(t *testing.T) {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -367,7 +367,7 @@
 }
 
 // shouldYieldTo reports whether an instance should lead instead of this one: it has far more capacity, and no member has
-// more.
+// more. A leader whose grants fail does not yield: the next one may wait longer for the leases of the servers concerned.
 func (c *Controller) shouldYieldTo(now time.Time, instance string) bool {
 	l := c.leaderState
 	if now.Sub(l.since) < minLeadershipDuration {
@@ -379,7 +379,7 @@
 			return false
 		}
 	}
-	return !candidate.Leaving && candidate.Capacity >= yieldCapacityRatio*c.options.Self.Capacity
+	return !candidate.Leaving && candidate.Capacity >= yieldCapacityRatio*c.options.Self.Capacity && !l.granter.KeysWait(now)
 }
 
 // recordReport records that a member has reported, and adds or updates the member.
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -159,7 +159,10 @@
 			leader, other := newTestController(t, http.NotFound), newTestController(t, http.NotFound)
 			leader.elector.ObserveEra(now, 1)
 			leader.applyConfig(config(7))
-			leader.leaderState = &leaderState{members: map[string]*memberState{}, loads: map[string]*balancer.Load{}}
+			leader.leaderState = &leaderState{
+				leaderTerm: newLeaderTerm(now, leader.grantSettings, 1, elector.Election{Certain: true}, storedPlan{}),
+				members:    map[string]*memberState{}, loads: map[string]*balancer.Load{},
+			}
 			leader.elector.ObserveEra(now, test.era)
 			other.applyConfig(config(test.have))
 			reply := leader.handleReport(now, other.reportRequest(now, emptyLoads()))
--- a/internal/granter/moves.go
+++ b/internal/granter/moves.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
 )
 
@@ -71,6 +72,27 @@
 	return list
 }
 
+// KeysWait reports whether the next leader would probably serve some keys later than this one: an order to their owner fails, they
+// are about to be released or move, or the leases of an earlier owner have not expired. Keys without an assignable server don't
+// count.
+func (g *Granter) KeysWait(now time.Time) bool {
+	for _, o := range g.ranges {
+		switch o.state {
+		case releasing, planned:
+			return true
+		case free:
+			if now.Before(o.latestExpiry()) {
+				return true
+			}
+		case granting, granted:
+			if s, known := g.servers[o.Server]; o.failing || !known || s.State != cataloger.Ready {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // UngrantedRanges returns the number of ranges of a service that are not granted: those that move, that have no owner, or
 // whose owner has not answered this leader's first grant yet.
 func (g *Granter) UngrantedRanges(service string) int {
