--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -8,8 +8,9 @@
 
 const (
 	// ratioUsed is the fraction of the allowed retries per request that is spent. The rest is kept for retries that can't be
-	// planned and are not counted, such as those of requests that arrive at a server that has just released their key.
-	ratioUsed = 0.6
+	// planned and are not counted, such as those of requests that arrive at a server that has just released their key: one request
+	// in 25 at a budget of one retry for each five requests.
+	ratioUsed = 0.8
 	// extraUsed is the fraction of the extra retries that all instances together spend.
 	extraUsed = 0.5
 )
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// TestMostOfTheBudgetIsSpent guards against rejected requests that are not tried again although the budget allows it, while most
+// requests of a service are rejected for several seconds.
+func TestMostOfTheBudgetIsSpent(t *testing.T) {
+	is := is.New(t)
+	settings := Settings{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}
+	b := New(settings)
+	const requests = 5000
+	retries := 0
+	for n := range requests {
+		now := time.Unix(1000, 0).Add(time.Duration(n) * 2 * time.Millisecond)
+		b.CountRequest(now, "s", 1)
+		if b.AllowRetry(now, "s", 1) {
+			retries++
+		}
+	}
+	is.True(retries >= requests*3/20) // three quarters of the budget
+	is.True(float64(retries) <= settings.Ratio*requests+settings.Extra)
+}
+
 // TestServicesHaveSeparateBudgets guards against a failing service that uses up the retries of others.
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	is := is.New(t)
