throttler: the answer of a server ends the doubt about it also while all requests are held

Cause: an instance that may send a cold server no request (a rule below five requests a second at one that stands in, below two at the dispatcher) holds the first request after a second of silence until the server has answered whether it is cold. Each look at the held request, every 10 ms, began a new doubt, and an answer counts only for a question that was sent after its doubt began. So an answer that took longer than 10 ms was lost, and requests to a warm server were refused as cold_server.

Change: a doubt in which no request was sent goes on instead of beginning again.

Ruled out: instances that may send one request or more, since the first request of a doubt is sent.

--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -226,3 +226,31 @@
 		})
 	}
 }
+
+// TestAnswerEndsDoubtOfHeldRequests guards against a server that gets no requests although it has answered that it is warm, at an
+// instance that may send it none while it is cold. Each look at the held request would begin a new doubt after the question.
+func TestAnswerEndsDoubtOfHeldRequests(t *testing.T) {
+	for name, most := range map[string]int{"none while cold": 0, "one while cold": 1, "several while cold": 6} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var w Warmups
+			w.Register(start, Registration{Server: "s", Incarnation: 1, Started: start.Add(-time.Hour), WarmupTime: 9 * time.Second})
+			const interval, answerDelay = 10 * time.Millisecond, 30 * time.Millisecond
+			sent := 0
+			var asked time.Time
+			for now := start.Add(time.Minute); now.Before(start.Add(time.Minute + answerTime)); now = now.Add(interval) {
+				if !asked.IsZero() && now.Sub(asked) == answerDelay {
+					is.True(w.Answered(now, asked, "s", 1, 0))
+				}
+				if !w.Sending(now, "s", most) {
+					sent++
+				}
+				if w.Ask(now, "s") {
+					asked = now
+				}
+			}
+			is.True(!asked.IsZero())
+			is.True(sent > 20)
+		})
+	}
+}
--- a/internal/throttler/warmups.go
+++ b/internal/throttler/warmups.go
@@ -144,7 +144,8 @@
 	if s.awaitsAnswer(now) {
 		return !now.Before(s.until) // else it is known to be cold
 	}
-	if now.Sub(s.sentAt) > doubtAfter {
+	// A doubt in which no request was sent goes on, since the answer to a question counts only for the doubt in which it was asked.
+	if now.Sub(s.sentAt) > doubtAfter && !(s.inDoubt(now) && s.doubtedAt.After(s.sentAt)) {
 		s.doubtedAt, s.doubted, s.held = now, 0, false
 	}
 	if s.inDoubt(now) && s.doubted >= min(maxDoubted, most) && !now.Before(s.until) && !now.Before(s.assumedUntil) {
