throttler: a step of the system's clock does not prolong an assumed warm-up

Cause: the assumed warm-up of a new server ended at a time that was derived from the time of start in its registration. That has no monotonic reading, so it was compared with the system's clock later: after that was set back, the server counted as cold until it had answered a health check, which only the dispatcher sends.

Change: the time left is computed once, and added to the present time.

Ruled out: the times of statements, which controller.updateView derives from time.Now.

Measured: TestAssumedWarmupIgnoresClockSteps before: the end has no monotonic reading; after: passed.

--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -254,3 +254,16 @@
 		})
 	}
 }
+
+// TestAssumedWarmupIgnoresClockSteps guards against a server that counts as cold for hours because the system's clock was set back after
+// its registration, whose time of start is one of the system's clocks.
+func TestAssumedWarmupIgnoresClockSteps(t *testing.T) {
+	is := is.New(t)
+	var w Warmups
+	now := time.Now()
+	started := now.Add(-time.Second).Round(0) // without a monotonic reading, as one from a registration
+	w.Register(now, Registration{Server: "s", Incarnation: 1, Started: started, WarmupTime: 9 * time.Second})
+	until := w.ColdUntil("s", 1)
+	is.True(until.After(now))
+	is.True(until != until.Round(0)) // it has a monotonic reading, so that it is compared with that of time.Now
+}
--- a/internal/throttler/warmups.go
+++ b/internal/throttler/warmups.go
@@ -83,11 +83,9 @@
 	}
 	if isNew && r.Left == 0 {
 		// A registration may be older than the beginning of the warm-up.
-		latest := now.Add(r.WarmupTime + warmupMargin)
-		if until := r.Started.Add(r.WarmupTime + warmupMargin); until.Before(latest) {
-			latest = until
-		}
-		s.assume(now, latest)
+		longest := r.WarmupTime + warmupMargin
+		// From now on the time left counts by this instance's own clock, which is never set back.
+		s.assume(now, now.Add(min(longest, r.Started.Add(longest).Sub(now))))
 	}
 	if !isNew && r.ReadAt.Sub(s.readAt).Abs() < sameRegistration {
 		return false
