forwarder: an answer that is discarded holds no memory while its request is tried again

Cause: the memory of an answer was given back only when its request ended. A request whose attempts failed in the middle of large answers held up to 8 MiB for each of them until its deadline, beside other requests that waited for memory.

Change: the memory of an answer that is cut, too long, or not passed on is given back at once.

Ruled out: an answered attempt that is repeated because of its status keeps its memory, as the client may get this answer in the end.

Measured: TestDiscardedAnswerHoldsNoMemory and TestAnswerThatClientsDoNotGetHoldsNoMemory before: memory held in all 5 cases of discarded answers; after: passed.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -171,8 +171,18 @@
 }
 
 // readAnswer reads the body of an answer to req into memory, which is held by req.memory. A server may send bytes without end, so a body
-// of more than maxBodyBytes is an error.
+// of more than maxBodyBytes is an error. After an error no memory is held for the answer.
 func (f *Forwarder) readAnswer(req *clientRequest, body io.Reader) (payload, error) {
+	req.memory.beginAnswer()
+	p, err := f.readAnswerPieces(req, body)
+	if err != nil {
+		req.memory.releaseAnswer()
+	}
+	return p, err
+}
+
+// readAnswerPieces implements readAnswer. It leaves the memory held after an error.
+func (f *Forwarder) readAnswerPieces(req *clientRequest, body io.Reader) (payload, error) {
 	var p payload
 	for {
 		size := p.nextPieceBytes(-1)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -290,6 +290,9 @@
 	}
 	r := f.interpretAnswer(req, response.Status, response.Header, body, sameRequest)
 	r.server = serverID
+	if r.outcome != answered { // the result is without the answer
+		req.memory.releaseAnswer()
+	}
 	if r.outcome == rejected {
 		r.retryAfter = f.pauseLeft(time.Now(), serverID)
 	}
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -61,6 +61,7 @@
 	memory   *memory
 	ticket   allocator.Ticket
 	body     int64                   // bytes for the header and the body of the request
+	answer   int64                   // bytes for the answer that was read last
 	reported int64                   // progress that the allocator knows
 	decided  chan allocator.Decision // gets the end of a wait; buffered for its only value
 
@@ -118,7 +119,9 @@
 	if err := h.await(ctx, decision); err != nil {
 		return err
 	}
-	if !answer {
+	if answer {
+		h.answer += bytes
+	} else {
 		h.body += bytes
 	}
 	return nil
@@ -168,12 +171,26 @@
 
 // releaseBody gives back the memory of the request's body, which the caller must not use any longer.
 func (h *hold) releaseBody() {
+	h.release(h.body)
+	h.body = 0
+}
+
+// beginAnswer prepares for another answer. The memory of the one before stays held.
+func (h *hold) beginAnswer() { h.answer = 0 }
+
+// releaseAnswer gives back the memory of the answer that was read last, which the caller must not use any longer.
+func (h *hold) releaseAnswer() {
+	h.release(h.answer)
+	h.answer = 0
+}
+
+// release gives back bytes.
+func (h *hold) release(bytes int64) {
 	now := time.Now()
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	h.memory.apply(h.memory.allocator.Release(now, h.ticket, h.body))
+	h.memory.apply(h.memory.allocator.Release(now, h.ticket, bytes))
 	h.memory.observe(now)
-	h.body = 0
 }
 
 // close gives back all memory.
--- a/internal/forwarder/memory_test.go
+++ b/internal/forwarder/memory_test.go
@@ -1,8 +1,12 @@
 package forwarder
 
 import (
+	"io"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -44,3 +48,63 @@
 		})
 	}
 }
+
+// TestDiscardedAnswerHoldsNoMemory guards against memory that a request holds for the answers of failed attempts while it is tried again.
+func TestDiscardedAnswerHoldsNoMemory(t *testing.T) {
+	body := strings.Repeat("x", 20<<10)
+	tests := map[string]struct {
+		reader io.Reader
+		kept   bool
+	}{
+		"complete":     {reader: strings.NewReader(body), kept: true},
+		"cut":          {reader: io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF))},
+		"does not end": {reader: io.MultiReader(strings.NewReader(body), endlessReader{})},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, startScriptedServer(t, answerOK))
+			const requestBytes = 1000
+			h, err := f.memory.open(t.Context(), requestBytes, time.Now().Add(time.Minute), nil)
+			is.NoErr(err)
+			_, err = f.readAnswer(&clientRequest{memory: h}, test.reader)
+			is.Equal(err == nil, test.kept)
+			is.Equal(f.memory.held() > requestBytes, test.kept)
+			h.close()
+			is.Equal(f.memory.held(), int64(0))
+		})
+	}
+}
+
+// TestAnswerThatClientsDoNotGetHoldsNoMemory guards against the same for complete answers that are not passed on.
+func TestAnswerThatClientsDoNotGetHoldsNoMemory(t *testing.T) {
+	const head, tail = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n", "Content-Length: 2\r\n\r\nhi"
+	tests := map[string]struct {
+		header string
+		kept   bool
+	}{
+		"answer":                    {header: "X-Signature: s\r\n", kept: true},
+		"rejection":                 {header: "X-Not-Executed: 1\r\n"},
+		"answer without signature":  {header: ""},
+		"answer with other content": {header: "X-Signature: s\r\nContent-Encoding: gzip\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, startScriptedServer(t, head+test.header+tail))
+			now := time.Now()
+			h, err := f.memory.open(t.Context(), 0, now.Add(time.Minute), nil)
+			is.NoErr(err)
+			req := &clientRequest{id: "r1", method: "GET", uri: "/once/x", host: "h", header: http.Header{}, memory: h, deadline: now.Add(time.Minute)}
+			r := f.exchange(t.Context(), now, req, "p")
+			is.Equal(r.outcome == answered, test.kept)
+			is.Equal(f.memory.held() > 0, test.kept)
+		})
+	}
+}
+
+// endlessReader is a body without an end.
+type endlessReader struct{}
+
+// Read implements io.Reader.
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
