cataloger: an entry with another start leaves the address of a server uncertain

Cause: Moved compared each registration with the one before. Once the registration of a server had expired, two entries of another writer under its id, the first with another start and the second with the server's own start and another address, made that address the only one known. The leader then asked there whether the server has ended, and the server at that address would have ended leases of one that lives.

Change: a registration with an earlier start than the latest one known also leaves the address uncertain, up to that start. Leases of such a server expire as before; a later incarnation is certain again.

Measured: TestEarlierRegistrationLeavesAddressUncertain before: 3 of 8 cases failed, with Moved false; after: passed. The simulation of package inquirer passes unchanged.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -57,7 +57,7 @@
 	leaving           map[string]int64       // incarnation of each server that said that it is leaving
 	warmupReadAt      map[string]time.Time   // when the registration that a server last changed was recorded
 	unconfirmed       map[string]unconfirmed // registrations of removed servers that are in an older copy of the store
-	moved             map[string]int64       // latest incarnation of each server that was registered with different addresses
+	moved             map[string]int64       // latest incarnation of each server up to which its addresses are uncertain
 }
 
 // unconfirmed is a registration that a server may have removed or changed since.
@@ -81,11 +81,13 @@
 	if known && s.Incarnation < previous.Incarnation {
 		return false
 	}
-	if last, ok := c.lastKnown[s.ID]; ok && s.Incarnation == last.Incarnation && s.Address != last.Address {
+	// An earlier incarnation, which counts after the registration was removed, replaces the address by which later entries are compared.
+	if last, ok := c.lastKnown[s.ID]; ok &&
+		(s.Incarnation < last.Incarnation || s.Incarnation == last.Incarnation && s.Address != last.Address) {
 		if c.moved == nil {
 			c.moved = map[string]int64{}
 		}
-		c.moved[s.ID] = s.Incarnation
+		c.moved[s.ID] = max(c.moved[s.ID], last.Incarnation)
 	}
 	delete(c.reappearDeadlines, s.ID)
 	if known && s.Incarnation > previous.Incarnation {
@@ -221,12 +223,12 @@
 	return s, ok
 }
 
-// Moved reports whether the latest incarnation of a server was registered with different addresses, so that it is not certain which
-// of them it has: a server does not change its address, but other writers may replace its registration.
+// Moved reports whether the latest incarnation of a server was registered with different addresses, or may have been, so that it is not
+// certain which of them it has: a server does not change its address, but other writers may replace its registration.
 func (c *Catalog) Moved(id string) bool {
 	s, known := c.lastKnown[id]
 	incarnation, moved := c.moved[id]
-	return known && moved && incarnation == s.Incarnation
+	return known && moved && s.Incarnation <= incarnation
 }
 
 // WarmupReadAt returns when the registration was recorded from which the remaining warm-up time of a server counts.
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -259,6 +259,40 @@
 	is.True(!c.Moved("a"))
 }
 
+// TestEarlierRegistrationLeavesAddressUncertain guards against the same where an entry with an earlier start, which counts once the
+// registration has expired, hides which address the server had.
+func TestEarlierRegistrationLeavesAddressUncertain(t *testing.T) {
+	registration := func(address string, incarnation int64) Server {
+		s := server("a", Ready, incarnation)
+		s.Address = address
+		return s
+	}
+	tests := map[string]struct {
+		entries []Server // after the server's own, which has the incarnation 5 and has expired; each expires
+		want    bool
+	}{
+		"none":                              {},
+		"the server again":                  {entries: []Server{registration("a:1", 5)}},
+		"a restart elsewhere":               {entries: []Server{registration("b:1", 6)}},
+		"another address":                   {entries: []Server{registration("b:1", 5)}, want: true},
+		"an earlier start":                  {entries: []Server{registration("b:1", 4)}, want: true},
+		"an earlier start, another address": {entries: []Server{registration("c:1", 4), registration("b:1", 5)}, want: true},
+		"a later start, another address":    {entries: []Server{registration("c:1", 6), registration("b:1", 5)}, want: true},
+		"an earlier start, a restart":       {entries: []Server{registration("c:1", 4), registration("b:1", 6)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c Catalog
+			for _, s := range append([]Server{registration("a:1", 5)}, test.entries...) {
+				c.Put(start, drainTimeout, s)
+				c.Remove(start, start, "a")
+			}
+			is.Equal(c.Moved("a"), test.want)
+		})
+	}
+}
+
 // TestWarmupCountsFromItsArrival guards against the time left of a cold server that counts from an earlier registration, and against
 // heartbeats of warm servers that count as changes.
 func TestWarmupCountsFromItsArrival(t *testing.T) {
