allocator: as many stalled bodies are dropped as make room for all that wait

Cause: the bytes that each waiting body lacked were added up as if each had the free memory to itself. Where answers used the reserve, its use counted once for each waiting body, and stalled bodies were dropped (408) that nobody needed; where memory was partly free, that counted several times, and too few were dropped at first.

Change: the bytes that wait are added up, in the order in which they are given memory, and the use beyond the bound counts once.

Ruled out: a single waiting body, where both agree.

Measured: TestOnlyMissingMemoryIsDropped before: two bodies (30 and 20 MiB) dropped for four waiting bodies of 1 MiB with 8 MiB of answers beside, now one; one dropped in place of two for two bodies of 20 MiB. TestRandomBodies passes unchanged.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -234,7 +234,7 @@
 	a.shortage = now
 	order := slices.Clone(a.waiting)
 	slices.SortStableFunc(order, func(x, y *account) int { return cmp.Compare(rank(x), rank(y)) })
-	var missing int64 // bytes that the requests which go on waiting lack
+	var wanted, beyond int64 // by the requests that go on waiting, and how far that takes the use beyond their bounds
 	for _, acc := range order {
 		bytes := acc.wanted
 		switch {
@@ -247,10 +247,11 @@
 			a.stopWaiting(acc)
 			c.Refused = append(c.Refused, Refuse{Ticket: acc.ticket, RetryAfter: a.retryAfter(now, bytes)})
 		default:
-			missing += a.used + bytes - a.bound(acc, bytes, acc.urgent)
+			wanted += bytes
+			beyond = max(beyond, a.used+wanted-a.bound(acc, bytes, acc.urgent))
 		}
 	}
-	c.Dropped = a.drop(now, missing)
+	c.Dropped = a.drop(now, beyond)
 	return c
 }
 
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -99,6 +99,42 @@
 	}
 }
 
+// TestOnlyMissingMemoryIsDropped guards against stalled bodies that are dropped although fewer of them make room for all that wait, and
+// against ones that are dropped too late because the bytes of several waiting bodies count as if each had the free memory to itself.
+func TestOnlyMissingMemoryIsDropped(t *testing.T) {
+	const limit, mib = 80 << 20, 1 << 20 // bodies may take 70 MiB
+	tests := map[string]struct {
+		stalled []int64 // each is the larger one of those that are left
+		answer  int64   // bytes of an answer at work
+		waiting []int64
+		want    []Ticket
+	}{
+		"one waits, the reserve is in use":     {stalled: []int64{30 * mib, 20 * mib, 20 * mib}, answer: 8 * mib, waiting: []int64{mib}, want: []Ticket{1}},
+		"several wait, the reserve is in use":  {stalled: []int64{30 * mib, 20 * mib, 20 * mib}, answer: 8 * mib, waiting: []int64{mib, mib, mib, mib}, want: []Ticket{1}},
+		"several wait for what is partly free": {stalled: []int64{20 * mib, 15 * mib, 15 * mib}, answer: 10 * mib, waiting: []int64{20 * mib, 20 * mib}, want: []Ticket{1, 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(limit)
+			open := func(now time.Time, bytes int64) (Ticket, Decision) { return a.Open(now, bytes, now.Add(time.Minute)) }
+			for _, bytes := range test.stalled {
+				_, d := open(start, bytes)
+				is.Equal(d, Grant{})
+			}
+			working, _ := open(start, 0)
+			a.Enter(start, working, Working)
+			is.Equal(a.Grow(start, working, test.answer, true), Grant{})
+			now := start.Add(stallTimeout)
+			for _, bytes := range test.waiting {
+				_, d := open(now, bytes)
+				is.Equal(d, Wait{})
+			}
+			is.Equal(a.Advance(now).Dropped, test.want)
+		})
+	}
+}
+
 // TestRandomBodies guards against memory beyond the limit or lost from the accounts, waits without an end, and small bodies that are not
 // served beside a crowd of large, mostly stalled ones.
 func TestRandomBodies(t *testing.T) {
