forwarder: headers between instances are not taken from clients and servers

Cause: a client's Wasabibank-Crashes was passed on with its request, and the dispatcher merged it as news of the entry instance; a server's came back with its answer, and the entry instance merged it. The records name any request, and go to the leader and to all instances. So any client could have the requests of others barred, whose fingerprints are hashes of method, host, URI and body, and replace the 4,096 records that are kept. Direct requests and answers passed the headers on to servers and clients.

Change: the four headers of hops are removed from clients' requests and from servers' answers.

Ruled out: Wasabibank-Hop and Wasabibank-Fingerprints, which the entry instance replaces, and Wasabibank-Outcome, which the dispatcher replaces.

Measured: TestCrashesAreBelievedFromInstancesOnly before: all 8 cases failed, those of hops with a record of a crash at the dispatcher or at the entry instance; after: passed. TestCrashesGoWithTheRequest passes unchanged.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -274,6 +274,7 @@
 		}
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
+	removeInstanceHeaders(response.Header)
 	f.observeContact(time.Now(), serverID, contactMade)
 	body, err := f.readAnswer(req, response.Body)
 	answerID := response.Header.Get(f.headers.RequestID)
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -31,6 +31,13 @@
 	headerOutcome = "Wasabibank-Outcome"
 )
 
+// removeInstanceHeaders deletes the headers that only instances send, to each other, from those of a client or a server.
+func removeInstanceHeaders(header http.Header) {
+	for _, name := range []string{HeaderHop, headerFingerprints, headerCrashes, headerOutcome} {
+		header.Del(name)
+	}
+}
+
 // hopMargin is subtracted from a request's deadline for its dispatcher, to leave time for returning the answer to the
 // instance that received the request.
 const hopMargin = 10 * time.Millisecond
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -108,6 +108,7 @@
 		f.countKey(req.service, req.key)
 	}
 	req.setParts(r)
+	removeInstanceHeaders(req.header)
 	if err := f.readBody(w, r, req, v.Table.Limits().BodyBytes); err != nil {
 		if errors.Is(err, errBodyStalled) && f.shuttingDown() {
 			err = errShuttingDown // whatever ends the wait first: the client may send it to another instance
