forwarder: a hop that is answered before its body is read does not hold its connection

Cause: net/http reads the rest of a body before it sends the answer. A hop that can't be decoded, or that reaches an instance without a view, was answered without a bound on that time: a body that stops held its connection, which is never idle, for ever.

Change: the rest is read for one second at most, as after other refusals.

Ruled out: refusals after the reading of a body has begun, and those to clients, which have this bound.

Measured: TestUnreadBodyOfHopDoesNotHoldItsConnection before: no answer in 5 s in both cases; after: passed.

--- a/internal/forwarder/body_test.go
+++ b/internal/forwarder/body_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 )
 
@@ -105,3 +106,39 @@
 	is.Equal(got.reason, "exceeds_memory")
 	is.Equal(backend.requests.Load(), int64(0))
 }
+
+// TestUnreadBodyOfHopDoesNotHoldItsConnection guards against connections of the port for instances that unfinished bodies hold for ever,
+// because the request is answered before its body is read.
+func TestUnreadBodyOfHopDoesNotHoldItsConnection(t *testing.T) {
+	hop := (&clientRequest{pool: resolver.ServerPool{Service: "plain", Domain: "d"}, route: "once"}).encodeHop(time.Now())
+	tests := map[string]struct {
+		hop        string
+		noView     bool
+		wantStatus int
+	}{
+		"hop that can't be decoded": {hop: "x", wantStatus: http.StatusBadRequest},
+		"instance without a view":   {hop: hop, noView: true, wantStatus: http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newForwarder(t, startScriptedServer(t, answerOK))
+			if test.noView {
+				f = New(testHeaders, nil, meter.New())
+			}
+			server := httptest.NewServer(http.HandlerFunc(f.ServeHop))
+			defer server.CloseClientConnections()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(5 * unreadTimeout)))
+			_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\n"+HeaderHop+": "+test.hop+"\r\nContent-Length: 8\r\n\r\nhalf")
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			defer response.Body.Close()
+			is.Equal(response.StatusCode, test.wantStatus)
+		})
+	}
+}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -251,10 +251,12 @@
 	now := time.Now()
 	req := &clientRequest{isHop: true}
 	if err := req.decodeHop(now, r.Header.Get(HeaderHop)); err != nil {
+		limitUnread(w, r, "bad_hop")
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	if f.view.Load() == nil {
+		limitUnread(w, r, "no_configuration")
 		writeHopResult(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
