drainer: a body that the handler does not read holds its connection for a second at most

Cause: net/http reads the rest of a body before it sends the answer, without a bound where the handler has set none. Handlers that read no body (readiness, the admin API, unknown paths of the port for instances) answered a request with an unfinished body never. Its connection is not idle, so it does not make room: 64 of them keep all readiness checks out.

Change: after the handler, the rest of an unread body has one second, unless the handler has set a deadline.

Ruled out: the timeouts of headers and of idle connections, as the header is complete and the request in progress.

Not covered: handlers whose answer exceeds 2 KiB, which is sent before they return.

--- a/internal/drainer/handler.go
+++ b/internal/drainer/handler.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // trackedBody is the body of a request. It records whether the body was read completely.
@@ -21,6 +22,9 @@
 	return n, err
 }
 
+// unreadTimeout bounds the time for the rest of a body that the handler has not read: the server reads it before it answers.
+const unreadTimeout = time.Second
+
 // handler tells the connections of requests about their progress. The server reads a pipelined request together with the one before, and
 // then neither calls Read for it nor reports that the connection is active.
 type handler struct{ http.Handler }
@@ -41,4 +45,17 @@
 		tracked.Body = trackedBody{ReadCloser: r.Body, complete: &c.bodyRead}
 	}
 	h.Handler.ServeHTTP(w, &tracked)
+	if !c.bodyRead.Load() {
+		c.limitUnread(time.Now().Add(unreadTimeout))
+	}
+}
+
+// limitUnread sets the read deadline, unless the handler has set one. The server sets its own before it reads the next request.
+func (c *conn) limitUnread(deadline time.Time) {
+	c.mu.Lock()
+	unlimited := c.serverDeadline.IsZero()
+	c.mu.Unlock()
+	if unlimited {
+		_ = c.SetReadDeadline(deadline) // fails only on a closed connection
+	}
 }
