queuer: a server with very many slots, or without learned limits, takes no memory for a pacer

Cause: the queue made a pacer for the slots of each server, 240 bytes for each slot, also where limits are not learned. A registration may name 65,536 slots: 16 MB at each instance that queues for the server, of which one of another writer can have several; instances have 144 MB.

Change: a pacer is made only where AdaptiveLimits is set, and for at most 1,024 slots. A server with more has its slots as the limit.

Ruled out: the bound of 65,536 in package platform, which earlier deployments may rely on.

Size of the elements by unsafe.Sizeof: 240 bytes. Not covered: the reservation of slots lists the free ones, 8 bytes for each slot, at a decision.

--- a/internal/queuer/adaptive.go
+++ b/internal/queuer/adaptive.go
@@ -6,9 +6,17 @@
 	"github.com/wasabibank/wasabibank/internal/pacer"
 )
 
+// maxAdaptiveSlots is the most slots of a server whose limit is learned. A pacer takes 240 bytes for each slot that a registration
+// names, which may be 65,536.
+const maxAdaptiveSlots = 1024
+
 // setSlots sets the slots of a server, and whether a learned limit bounds its requests below them.
 func (s *server) setSlots(now time.Time, slots int, adaptive bool) {
-	s.slots, s.adaptive = slots, adaptive
+	s.slots, s.adaptive = slots, adaptive && slots <= maxAdaptiveSlots
+	if !s.adaptive {
+		s.pacer = pacer.Pacer{}
+		return
+	}
 	s.pacer.SetSlots(now, slots)
 }
 
