forwarder: the wait of a chunked body for memory does not count as its client's silence

Cause: the read deadline of the connection was set before the wait, up to a second, and not after it. With an idle timeout below that, or a client that had been silent before, the next read failed although bytes had arrived, and the body was refused as stalled (408).

Change: the deadline is moved once the memory is granted, which only follows progress.

Ruled out: bodies that announce their length, which wait before the deadline is set.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -154,6 +154,7 @@
 			if err := h.grow(f.lifetime, size, false); err != nil {
 				return payload{}, err
 			}
+			moveDeadline() // the client may have sent bytes meanwhile
 		}
 		err := p.readPiece(body, size, func(total int64) {
 			h.progress(total)
--- a/internal/forwarder/memory_test.go
+++ b/internal/forwarder/memory_test.go
@@ -13,8 +13,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabibank/wasabibank/internal/allocator"
+	"github.com/wasabibank/wasabibank/internal/matcher"
 	"github.com/wasabibank/wasabibank/internal/queuer"
 	"github.com/wasabibank/wasabibank/internal/resolver"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
 )
 
 // TestLackOfMemoryIsNoFaultOfOthers guards against servers that are ejected, and dispatchers that count as unreachable, because this
@@ -108,3 +110,42 @@
 
 // Read implements io.Reader.
 func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestWaitForMemoryIsNoStall guards against a body that counts as stalled because its client's bytes were not read while it waited for
+// memory.
+func TestWaitForMemoryIsNoStall(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, startScriptedServer(t, answerOK))
+	const idle, memoryBytes = 150 * time.Millisecond, 1 << 20
+	v := *f.View()
+	v.Table = matcher.NewTable(bundler.New(2, nil, nil, bundler.Limits{IdleTimeout: idle}))
+	f.SetView(time.Now(), &v)
+	f.LimitBuffers(memoryBytes)
+	end := time.Now().Add(time.Minute)
+	other, err := f.memory.open(t.Context(), 0, end, nil)
+	is.NoErr(err)
+	is.NoErr(other.grow(t.Context(), memoryBytes, true)) // all of it
+	h, err := f.memory.open(t.Context(), 0, end, nil)
+	is.NoErr(err)
+	defer h.close()
+	time.AfterFunc(2*idle, other.close)
+	var set time.Time
+	deadline := &connDeadline{set: func(at time.Time) error {
+		set = at
+		return nil
+	}}
+	body := readerFunc(func([]byte) (int, error) {
+		if !time.Now().Before(set) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		return 0, io.EOF
+	})
+	_, err = f.readPieces(body, h, deadline, end, -1, memoryBytes)
+	is.NoErr(err)
+}
+
+// readerFunc is a function that is an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
