controller: an evacuation that is read late drains for less

Cause: the servers of an evacuated domain that own keys drained for 2 s from the time when an instance read the record. One that could not read the store for a while reads the record late, as a change, and added these 2 s: requests arrived in the domain after the time that the rule allows.

Change: each read says for how long reads before it had failed. What exceeds the 2 s within which records are read shortens the draining, down to none.

Ruled out: a read of all records, which had no draining already, and a long wait for new records, which a record ends at once. Not covered: a waiting read that the store loses silently, and a process that is suspended during a read.

--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -30,13 +30,14 @@
 	return max(0, c.options.EvacuateTimeout-MaxConfigDelay-evacuationMargin)
 }
 
-// applyEvacuations applies the records of evacuations that were read. A read of all records ends the evacuations that have none,
-// unless the store came back from an older copy of itself, which may lack the record.
+// applyEvacuations applies the records of evacuations that were read. The draining is shorter by the time that the record may be late. A
+// read of all records ends the evacuations that have none, unless the store came back from an older copy of itself, which may lack the
+// record.
 func (c *Controller) applyEvacuations(now time.Time, read topicRead) {
 	changed := !c.operatorsRead
 	c.operatorsRead = true
 	present := map[string]bool{}
-	drain := c.evacuationDrain()
+	drain := max(0, c.evacuationDrain()-max(0, read.missed-MaxConfigDelay))
 	if read.full {
 		drain = 0 // the record may be old, so that the time for draining has passed
 	}
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -71,6 +71,39 @@
 	}
 }
 
+// TestLateEvacuationDrainsForLess guards against requests to an evacuated domain after the time that the rule allows, from an instance that
+// could not read the record for a while.
+func TestLateEvacuationDrainsForLess(t *testing.T) {
+	tests := map[string]struct {
+		missed time.Duration
+		drains time.Duration // 0: the servers are gone at once
+	}{
+		"in time":         {drains: 2 * time.Second},
+		"a failed read":   {missed: MaxConfigDelay, drains: 2 * time.Second},
+		"a second late":   {missed: MaxConfigDelay + time.Second, drains: time.Second},
+		"ten seconds":     {missed: 10 * time.Second},
+		"late by a drain": {missed: MaxConfigDelay + 2*time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestController(t, http.NotFound)
+			c.options.EvacuateTimeout = 5 * time.Second
+			now := time.Unix(1000, 0)
+			c.catalog.Put(now, time.Minute, cataloger.Server{ID: "1", Service: "desk", Address: "10.0.0.9:1", Domain: "a", Slots: 1})
+			c.applyEvacuations(now, topicRead{full: true})
+			c.applyEvacuations(now, topicRead{
+				records: []platform.Record{{Key: platform.EvacuationKey("a"), Value: []byte{1}}}, missed: test.missed,
+			})
+			is.Equal(c.servers()[0].State == cataloger.Gone, test.drains == 0)
+			c.evacuations.Expire(now.Add(test.drains - 1))
+			is.Equal(c.servers()[0].State == cataloger.Gone, test.drains == 0)
+			c.evacuations.Expire(now.Add(test.drains))
+			is.Equal(c.servers()[0].State, cataloger.Gone)
+		})
+	}
+}
+
 // TestNothingIsSentBeforeEvacuationsAreRead guards against an instance that starts during an evacuation, and sends requests or orders
 // to the domain because it has the configuration from the leader.
 func TestNothingIsSentBeforeEvacuationsAreRead(t *testing.T) {
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -74,6 +74,7 @@
 	// nextPoll is when the store itself is polled next, while the relays can't reach it either; nextFallback is when other
 	// instances are asked next. Both are by timekeeper.Now.
 	nextPoll, nextFallback time.Time
+	lastRead               time.Time // when a read last succeeded, by timekeeper.Now; the zero Time before the first one
 }
 
 // topicRead is what a read of a topic has returned.
@@ -81,6 +82,8 @@
 	records  []platform.Record
 	full     bool // records are all there are
 	restored bool // the store came back from an older copy, so that what was read before may be newer than records
+	// missed is the time between the read before and the beginning of this one, in which other reads failed: records may be that old.
+	missed time.Duration
 }
 
 // watchTopic reads all records of a topic, then its changes, until ctx ends. apply runs in the control loop. While the store
@@ -90,6 +93,7 @@
 ) {
 	w := &watcher{topic: topic, full: true, retryDelay: readRetryDelay}
 	for ctx.Err() == nil {
+		asked := timekeeper.Now()
 		records, next, err := c.readNext(ctx, w)
 		switch {
 		case platform.IsErrExpired(err):
@@ -105,7 +109,10 @@
 			w.retryDelay = min(2*w.retryDelay, maxReadRetryDelay)
 		default:
 			read := topicRead{records: records, full: w.full, restored: w.loaded && next.Era > w.next.Era}
-			w.next, w.full, w.loaded = next, false, true
+			if w.loaded {
+				read.missed = asked.Sub(w.lastRead)
+			}
+			w.next, w.full, w.loaded, w.lastRead = next, false, true, timekeeper.Now()
 			if read.full || len(records) > 0 {
 				c.post(func(now time.Time) {
 					c.elector.ObserveEra(now, next.Era)
--- a/internal/controller/watcher_test.go
+++ b/internal/controller/watcher_test.go
@@ -6,14 +6,65 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/wasabibank/wasabibank/internal/timekeeper"
 	"github.com/wasabibank/wasabibank/platform"
 )
 
+// TestReadTellsHowLongOthersFailed guards against records that count as new although they could not be read for a while, and against the
+// same for ones that come after a long wait.
+func TestReadTellsHowLongOthersFailed(t *testing.T) {
+	const outage, wait = 500 * time.Millisecond, 700 * time.Millisecond
+	record := append(make([]byte, 16), 0, 0, 0, 3, 1, 'k', 'v') // the key k with the value v
+	tests := map[string]struct {
+		answer       func(w http.ResponseWriter, sinceFirst time.Duration)
+		from, before time.Duration
+	}{
+		"the store fails": {from: outage / 2, before: time.Minute, answer: func(w http.ResponseWriter, sinceFirst time.Duration) {
+			if sinceFirst < outage {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			_, _ = w.Write(record)
+		}},
+		"nothing new for a while": {before: wait / 2, answer: func(w http.ResponseWriter, _ time.Duration) {
+			time.Sleep(wait)
+			_, _ = w.Write(record)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var first atomic.Pointer[time.Time]
+			c := newTestController(t, func(w http.ResponseWriter, r *http.Request) {
+				if !strings.Contains(r.URL.RawQuery, "from=") {
+					_, _ = io.WriteString(w, `{"items":[],"end":7}`)
+					return
+				}
+				now := time.Now()
+				first.CompareAndSwap(nil, &now)
+				test.answer(w, time.Since(*first.Load()))
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			reads := make(chan topicRead, 2)
+			go c.watchTopic(ctx, platform.TopicOperators, func(_ time.Time, read topicRead) { reads <- read })
+			for len(reads) < 2 {
+				event := <-c.events
+				event(timekeeper.Now())
+			}
+			is.Equal((<-reads).missed, time.Duration(0)) // the first one
+			missed := (<-reads).missed
+			is.True(missed >= test.from && missed < test.before)
+		})
+	}
+}
+
 // TestReadLostByTheStoreIsRetried guards against missing records for up to readWait when the store loses a waiting read
 // without an error: the read is retried once the leader has read more.
 func TestReadLostByTheStoreIsRetried(t *testing.T) {
