--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -31,6 +31,13 @@
 	headerOutcome = "Wasabibank-Outcome"
 )
 
+// removeInstanceHeaders deletes the headers that only instances send, to each other, from those of a client or a server.
+func removeInstanceHeaders(header http.Header) {
+	for _, name := range []string{HeaderHop, headerFingerprints, headerCrashes, headerOutcome} {
+		header.Del(name)
+	}
+}
+
 // hopMargin is subtracted from a request's deadline for its dispatcher, to leave time for returning the answer to the
 // instance that received the request.
 const hopMargin = 10 * time.Millisecond
@@ -244,10 +251,12 @@
 	now := time.Now()
 	req := &clientRequest{isHop: true}
 	if err := req.decodeHop(now, r.Header.Get(HeaderHop)); err != nil {
+		limitUnread(w, r, "bad_hop")
 		http.Error(w, "hop: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	if f.view.Load() == nil {
+		limitUnread(w, r, "no_configuration")
 		writeHopResult(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
