--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -398,7 +398,9 @@
 }
 
 // restarted reports whether the known leader is an earlier incarnation of this instance. No other instance knows as soon that it has ended.
-func (e *Elector) restarted() bool { return e.leader.Identity.Instance == e.self.Instance && e.term == 0 }
+func (e *Elector) restarted() bool {
+	return e.leader.Identity.Instance == e.self.Instance && e.term == 0
+}
 
 // completeReadWithoutLeader records the result of a read in an era in which no leader was elected yet. old is the leader's
 // record of an earlier era that the store has kept. The known leader, whose record the store may have lost, stays known.
