--- a/internal/verifier/cluster_test.go
+++ b/internal/verifier/cluster_test.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -43,9 +44,9 @@
 	seeded bool
 	// grace is the grace period of the entries; 0 leaves that of the example.
 	grace time.Duration
-	// memoryMB is the memory of the entries, whose settings then also bound descriptors to crowdDescriptors; 0 leaves those of the
-	// example.
-	memoryMB int
+	// memoryMB is the memory of the entries, whose settings then also bound descriptors, to crowdDescriptors unless descriptors is set; 0
+	// leaves those of the example.
+	memoryMB, descriptors int
 	// uneven gives the servers of a service different speeds, and makes every other one name its load.
 	uneven bool
 	// settings are lines that are added to the settings of the entries.
@@ -112,19 +113,20 @@
 
 // cluster is a set of processes: a store, a collector of executions, backend servers and entries.
 type cluster struct {
-	t         *testing.T
-	dir       string
-	number    int
-	seeded    bool // the settings name seeds
-	grace     time.Duration
-	memoryMB  int // see clusterSize
-	settings  string
-	store     *process
-	collector *process
-	servers   []*server // first those with keys
-	entries   []*entry  // entry number n is entries[n-1]
-	admin     *inspector.Client
-	bundle    *bundler.Bundle
+	t      *testing.T
+	dir    string
+	number int
+	seeded bool // the settings name seeds
+	grace  time.Duration
+	// memoryMB and descriptors are those of clusterSize.
+	memoryMB, descriptors int
+	settings              string
+	store                 *process
+	collector             *process
+	servers               []*server // first those with keys
+	entries               []*entry  // entry number n is entries[n-1]
+	admin                 *inspector.Client
+	bundle                *bundler.Bundle
 	// bundlePaths are the files of all versions of the bundle.
 	bundlePaths []string
 	loadCount   int // loads started so far; the run ID of the newest one ends with it
@@ -133,7 +135,7 @@
 // newCluster starts all processes, publishes the example bundle and waits until every entry is ready and every key has an
 // owner. keyedServerFlags are added to the command line of the keyed servers.
 func newCluster(t *testing.T, size clusterSize, keyedServerFlags ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, memoryMB: size.memoryMB, settings: size.settings, admin: inspector.NewClient(adminTimeout)}
+	c := &cluster{t: t, dir: t.TempDir(), number: int(clusterCount.Add(1)), seeded: size.seeded, grace: size.grace, memoryMB: size.memoryMB, descriptors: cmp.Or(size.descriptors, crowdDescriptors), settings: size.settings, admin: inspector.NewClient(adminTimeout)}
 	t.Cleanup(c.admin.Close)
 	c.store = startStandin(t, "store", "standin", "store")
 	c.collector = startStandin(t, "collector", "standin", "collector")
@@ -194,7 +196,7 @@
 		text = strings.Replace(text, "grace_period_s=8", fmt.Sprintf("grace_period_s=%.0f", c.grace.Seconds()), 1)
 	}
 	if c.memoryMB > 0 {
-		text = strings.Replace(text, "memory_mb=256", fmt.Sprintf("memory_mb=%d\nself.limits.max_fds=%d", c.memoryMB, crowdDescriptors), 1)
+		text = strings.Replace(text, "memory_mb=256", fmt.Sprintf("memory_mb=%d\nself.limits.max_fds=%d", c.memoryMB, c.descriptors), 1)
 	}
 	e.settingsPath = filepath.Join(c.dir, e.name+".conf")
 	must(c.t, os.WriteFile(e.settingsPath, []byte(text), 0o600))
--- a/internal/verifier/crowd_test.go
+++ b/internal/verifier/crowd_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	crowdBodyBytes   = 4 << 20
 	crowdConnections = 2000 // clients that send no whole request, or a small one
 	crowdHeaderLines = 56   // of a thousand bytes
+	crowdRequests    = 20   // whole requests of one client
+	crowdTrickled    = 5    // bytes that a client sends, one a second
+	idInBody         = "in-a-body"
 	// crowdWriteTimeout is how long a client of a crowd waits until the instance reads on.
 	crowdWriteTimeout = 5 * time.Second
 )
@@ -48,6 +52,21 @@
 	return nil
 }
 
+// zeroes are shared by all clients, which only send them.
+var zeroes = make([]byte, 1<<20)
+
+// writeZeroes writes so many zero bytes, in pieces.
+func writeZeroes(conn net.Conn, count int) error {
+	for count > 0 {
+		n := min(count, len(zeroes))
+		if err := writeAll(conn, zeroes[:n]); err != nil {
+			return err
+		}
+		count -= n
+	}
+	return nil
+}
+
 // crowdHeader returns the start of a request of the route template_pull, with further header lines.
 func crowdHeader(method, id string, lines ...string) []byte {
 	return fmt.Appendf(nil, "%s /frames/x HTTP/1.1\r\nHost: shelf.shashat.example\r\n%s: %s\r\n%s\r\n\r\n", method,
@@ -58,7 +77,10 @@
 func announced(length, sent int, lines ...string) crowdClient {
 	lines = append(lines, "Content-Length: "+strconv.Itoa(length))
 	return func(conn net.Conn) error {
-		return writeAll(conn, crowdHeader(http.MethodPost, "announced", lines...), make([]byte, sent))
+		if err := writeAll(conn, crowdHeader(http.MethodPost, "announced", lines...)); err != nil {
+			return err
+		}
+		return writeZeroes(conn, sent)
 	}
 }
 
@@ -121,7 +143,10 @@
 	const length = 15 << 20
 	header := fmt.Appendf(nil, "POST /twirp/wasabibank.herald.Herald/Report HTTP/1.1\r\nHost: h\r\n"+
 		"Content-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", length)
-	return writeAll(conn, header, make([]byte, length-1))
+	if err := writeAll(conn, header); err != nil {
+		return err
+	}
+	return writeZeroes(conn, length-1)
 }
 
 // shortOfEnd is how many bytes of a body are missing.
@@ -130,34 +155,125 @@
 // hopLine is a header of a request that another instance forwards.
 const hopLine = "Wasabibank-Hop: template_shelf - muscat_a template_pull 1 true - 300 4000 0 0 - 0"
 
-// crowdTests are the crowds, by what their clients send.
-var crowdTests = map[string]struct {
+// crowd is a number of clients that do the same on connections to one port of an instance.
+type crowd struct {
 	port    string
 	clients int
 	act     crowdClient
-}{
-	"whole":                 {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes)},
-	"short of the end":      {clientPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd)},
-	"large chunks":          {clientPort, crowdBodies, chunked(1<<20, crowdBodyBytes-shortOfEnd)},
-	"tiny chunks":           {clientPort, crowdBodies, chunked(16, crowdBodyBytes-shortOfEnd)},
-	"over, announced":       {clientPort, crowdBodies, announced(1<<30, 2*crowdBodyBytes)},
-	"over, not announced":   {clientPort, crowdBodies, chunked(1<<16, 2*crowdBodyBytes)},
-	"trickled headers":      {clientPort, crowdConnections, trickledHeader},
-	"left open":             {clientPort, crowdConnections, leftOpen("")},
-	"left open, used":       {clientPort, crowdConnections, leftOpen(otherRequest)},
-	"peer port, bodies":     {peerPort, crowdBodies, announced(crowdBodyBytes, crowdBodyBytes-shortOfEnd, hopLine)},
-	"peer port, messages":   {peerPort, crowdBodies, message},
-	"peer port, left open":  {peerPort, crowdConnections, leftOpen(otherRequest)},
-	"admin port, left open": {adminPort, crowdConnections, leftOpen(otherRequest)},
-	"ready port, left open": {readyPort, crowdConnections, leftOpen(otherRequest)},
-	"slow readers":          {clientPort, crowdBodies, slowReader},
-	"slow readers, one byte": {clientPort, crowdBodies, func(conn net.Conn) error {
-		if err := slowReader(conn); err != nil {
+}
+
+// newCrowds returns the crowds by what their clients send: bodies of so many bytes, or no whole request.
+func newCrowds(bodyClients, connections, bodyBytes int) map[string]crowd {
+	return map[string]crowd{
+		"whole":                 {clientPort, bodyClients, announced(bodyBytes, bodyBytes)},
+		"short of the end":      {clientPort, bodyClients, announced(bodyBytes, bodyBytes-shortOfEnd)},
+		"large chunks":          {clientPort, bodyClients, chunked(1<<20, bodyBytes-shortOfEnd)},
+		"tiny chunks":           {clientPort, bodyClients, chunked(16, bodyBytes-shortOfEnd)},
+		"over, announced":       {clientPort, bodyClients, announced(1<<30, 2*bodyBytes)},
+		"over, not announced":   {clientPort, bodyClients, chunked(1<<16, 2*bodyBytes)},
+		"trickled headers":      {clientPort, connections, trickledHeader},
+		"left open":             {clientPort, connections, leftOpen("")},
+		"left open, used":       {clientPort, connections, leftOpen(otherRequest)},
+		"peer port, bodies":     {peerPort, bodyClients, announced(bodyBytes, bodyBytes-shortOfEnd, hopLine)},
+		"peer port, messages":   {peerPort, bodyClients, message},
+		"peer port, left open":  {peerPort, connections, leftOpen(otherRequest)},
+		"admin port, left open": {adminPort, connections, leftOpen(otherRequest)},
+		"ready port, left open": {readyPort, connections, leftOpen(otherRequest)},
+		"slow readers":          {clientPort, bodyClients, slowReader},
+		"slow readers, one byte": {clientPort, bodyClients, func(conn net.Conn) error {
+			if err := slowReader(conn); err != nil {
+				return err
+			}
+			_, err := conn.Read(make([]byte, 1))
+			return err
+		}},
+		"small beside unfinished": {clientPort, bodyClients, inTurn(smallRequests, announced(bodyBytes, bodyBytes-shortOfEnd))},
+		"small beside chunks":     {clientPort, bodyClients, inTurn(smallRequests, chunked(1<<16, bodyBytes-shortOfEnd))},
+		"stops and continues":     {clientPort, bodyClients, inTurn(continued(announced(bodyBytes, 1<<16)), continued(chunked(1<<16, bodyBytes/4)))},
+		"one byte a second": {clientPort, connections, inTurn(
+			aByteASecond("GET /frames/x HTTP/1.1\r\nHost: shelf.shashat.example\r\nX-Trickled: "),
+			aByteASecond(string(crowdHeader(http.MethodPost, "trickled", "Content-Length: "+strconv.Itoa(bodyBytes)))),
+			aByteASecond(string(crowdHeader(http.MethodPost, "trickled", "Transfer-Encoding: chunked"))+"ffff\r\n"),
+			aByteASecond(""))},
+		"pipelined behind unfinished": {clientPort, bodyClients, pipelined(bodyBytes)},
+	}
+}
+
+// inTurn is a client that does what the next one of several does.
+func inTurn(clients ...crowdClient) crowdClient {
+	var count atomic.Int32
+	return func(conn net.Conn) error { return clients[int(count.Add(1))%len(clients)](conn) }
+}
+
+// smallRequests is a client that sends small requests one after the other.
+func smallRequests(conn net.Conn) error {
+	for n := range crowdRequests {
+		id := fmt.Sprintf("small-%d", n)
+		if err := writeAll(conn, crowdHeader(http.MethodPost, id, "Content-Length: 1000"), zeroes[:1000]); err != nil {
 			return err
 		}
-		_, err := conn.Read(make([]byte, 1))
-		return err
-	}},
+		if err := conn.SetReadDeadline(time.Now().Add(crowdWriteTimeout)); err != nil {
+			return err
+		}
+		if _, err := conn.Read(make([]byte, 4096)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// continued is a client that stops after what start sends, and continues with a little just before it would be dropped.
+func continued(start crowdClient) crowdClient {
+	const (
+		stop  = 450 * time.Millisecond // bodies are dropped after 0.5 s without progress
+		count = 10
+	)
+	return func(conn net.Conn) error {
+		if err := start(conn); err != nil {
+			return err
+		}
+		for range count {
+			time.Sleep(stop)
+			if err := writeAll(conn, []byte("4000\r\n"), zeroes[:16<<10], []byte("\r\n")); err != nil { // any bytes, or a chunk
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// aByteASecond is a client that sends a start, and then one byte a second.
+func aByteASecond(start string) crowdClient {
+	return func(conn net.Conn) error {
+		if err := writeAll(conn, []byte(start)); err != nil {
+			return err
+		}
+		for range crowdTrickled {
+			if err := writeAll(conn, []byte{'x'}); err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+		}
+		return nil
+	}
+}
+
+// pipelined is a client that sends whole requests, an unfinished one, and what would be further requests after it.
+func pipelined(bodyBytes int) crowdClient {
+	small := crowdHeader(http.MethodGet, "pipelined", "X-Small: 1")
+	inBody := bytes.Repeat(crowdHeader(http.MethodGet, idInBody, "X-Small: 1"), 1000)
+	return func(conn net.Conn) error {
+		unfinished := crowdHeader(http.MethodPost, "unfinished", "Content-Length: "+strconv.Itoa(bodyBytes))
+		if err := writeAll(conn, bytes.Repeat(small, crowdRequests), unfinished); err != nil {
+			return err
+		}
+		for range bodyBytes / 2 / len(inBody) {
+			if err := writeAll(conn, inBody); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 }
 
 // slowReader is a client that asks for a large answer and does not read it.
@@ -172,42 +288,58 @@
 // that don't end, with headers, with connections, or with answers that they don't read. All clients stay connected until an ordinary
 // request has been answered.
 func TestCrowdsStayWithinTheMachine(t *testing.T) {
-	for name, test := range crowdTests {
+	for name, test := range newCrowds(crowdBodies, crowdConnections, crowdBodyBytes) {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			c := newCrowdCluster(t, clusterSize{entries: 1, keyedServers: 1, unkeyedServers: 1, memoryMB: crowdMemoryMB}, "4MiB")
-			e := c.entries[0]
-			watch := watchDescriptors(e)
-			var crowd sync.WaitGroup
-			var mu sync.Mutex
-			var open []net.Conn
-			for range test.clients {
-				crowd.Go(func() {
-					conn, err := net.DialTimeout("tcp", net.JoinHostPort(e.ip, test.port), crowdWriteTimeout)
-					if err != nil {
-						return
-					}
-					mu.Lock()
-					open = append(open, conn)
-					mu.Unlock()
-					_ = test.act(conn) // the instance may end the connection
-				})
-			}
-			crowd.Wait()
-			await(t, "an ordinary request is answered", e.answersOrdinaryRequest)
-			descriptors := watch()
-			for _, conn := range open {
-				_ = conn.Close() // may be closed
-			}
-			peak := e.peakMemoryMB(t)
-			t.Logf("peak of memory %d MiB, of descriptors %d", peak, descriptors)
-			is.True(!e.process.hasExited())
-			is.True(peak <= crowdMemoryMB)
-			is.True(descriptors <= crowdDescriptors)
+			c := newCrowdCluster(t, clusterSize{entries: 1, keyedServers: 1, unkeyedServers: 1, memoryMB: crowdMemoryMB}, "body_bytes: 4MiB")
+			c.meetCrowd(test, crowdMemoryMB, crowdDescriptors)
 		})
 	}
 }
 
+// meetCrowd connects a crowd to each entry and requires that all keep within memory and descriptors, and answer an ordinary request.
+func (c *cluster) meetCrowd(test crowd, memoryMB, maxDescriptors int) {
+	c.t.Helper()
+	is := is.New(c.t)
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	var usages []func() usage
+	for _, e := range c.entries {
+		usages = append(usages, watchUsage(e))
+	}
+	for range test.clients {
+		for _, e := range c.entries {
+			clients.Go(func() {
+				conn, err := net.DialTimeout("tcp", net.JoinHostPort(e.ip, test.port), crowdWriteTimeout)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				open = append(open, conn)
+				mu.Unlock()
+				_ = test.act(conn) // the instance may end the connection
+			})
+		}
+	}
+	clients.Wait()
+	for _, e := range c.entries {
+		await(c.t, "an ordinary request is answered", e.answersOrdinaryRequest)
+	}
+	for n, e := range c.entries {
+		used := usages[n]()
+		peak := e.peakMemoryMB(c.t)
+		c.t.Logf("%s: peak of memory %d MiB, with received bytes %d MiB, of descriptors %d", e.name, peak, used.memoryMB, used.descriptors)
+		is.True(!e.process.hasExited())
+		is.True(peak <= memoryMB)
+		is.True(used.memoryMB <= memoryMB)
+		is.True(used.descriptors <= maxDescriptors)
+	}
+	for _, conn := range open {
+		_ = conn.Close() // may be closed
+	}
+	is.Equal(c.countExecutions()[idInBody], 0) // it was no request
+}
+
 // TestLargeBodiesFitTheMachine guards against bodies of legal size that are not served in calm, that end an instance when a few arrive
 // at once, or that can't pass between instances.
 func TestLargeBodiesFitTheMachine(t *testing.T) {
@@ -224,7 +356,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c := newCrowdCluster(t, clusterSize{entries: 2, keyedServers: 1, unkeyedServers: 1, memoryMB: test.memoryMB}, "64MiB")
+			c := newCrowdCluster(t, clusterSize{entries: 2, keyedServers: 1, unkeyedServers: 1, memoryMB: test.memoryMB}, "body_bytes: 64MiB")
 			for _, e := range c.entries { // one of them is the dispatcher, the other one forwards
 				statuses := make([]int, test.clients)
 				var clients sync.WaitGroup
@@ -253,11 +385,12 @@
 	}
 }
 
-// newCrowdCluster starts a cluster whose configuration has a limit on bodies, and times that a busy machine keeps.
-func newCrowdCluster(t *testing.T, size clusterSize, bodyBytes string) *cluster {
+// newCrowdCluster starts a cluster whose configuration has a limit on bodies, perhaps further limits in place of the example's, and times
+// that a busy machine keeps.
+func newCrowdCluster(t *testing.T, size clusterSize, bodyBytes string, limits ...string) *cluster {
 	t.Helper()
 	c := newCluster(t, size)
-	c.publishBundle([]string{"body_bytes: 8MiB", "body_bytes: " + bodyBytes, "timeout: 2s", "timeout: 20s", "timeout: 4s", "timeout: 20s"})
+	c.publishBundle(append([]string{"body_bytes: 8MiB", bodyBytes, " timeout: 2s", " timeout: 20s", " timeout: 4s", " timeout: 20s"}, limits...))
 	c.awaitAgreement(c.entries...)
 	return c
 }
@@ -314,27 +447,64 @@
 	return kilobytes >> 10
 }
 
-// watchDescriptors counts the open descriptors of the entry's process until the function that it returns is called, which returns the
-// largest number.
-func watchDescriptors(e *entry) (stop func() int) {
-	dir := filepath.Join("/proc", strconv.Itoa(e.process.cmd.Process.Pid), "fd")
-	done, most := make(chan struct{}), make(chan int)
+// usage is the largest use of the machine by a process.
+type usage struct {
+	descriptors int
+	memoryMB    int // resident, and received by the system for it but not read
+}
+
+// watchUsage observes the entry's process until the function that it returns is called.
+func watchUsage(e *entry) (stop func() usage) {
+	dir := filepath.Join("/proc", strconv.Itoa(e.process.cmd.Process.Pid))
+	done, most := make(chan struct{}), make(chan usage)
 	go func() {
-		largest := 0
+		var largest usage
 		for {
-			if entries, err := os.ReadDir(dir); err == nil { // else it has exited, which the test notices
-				largest = max(largest, len(entries))
+			if entries, err := os.ReadDir(filepath.Join(dir, "fd")); err == nil { // else it has exited, which the test notices
+				largest.descriptors = max(largest.descriptors, len(entries))
+			}
+			if statm, err := os.ReadFile(filepath.Join(dir, "statm")); err == nil {
+				var total, resident int
+				if _, err := fmt.Sscan(string(statm), &total, &resident); err == nil {
+					largest.memoryMB = max(largest.memoryMB, (resident*os.Getpagesize()+e.receivedBytes())>>20)
+				}
 			}
 			select {
 			case <-done:
 				most <- largest
 				return
-			case <-time.After(pollInterval):
+			case <-time.After(5 * pollInterval):
 			}
 		}
 	}()
-	return func() int {
+	return func() usage {
 		close(done)
 		return <-most
 	}
 }
+
+// receivedBytes returns how many bytes the system has received on the entry's address that were not read.
+func (e *entry) receivedBytes() int {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	ip := net.ParseIP(e.ip).To4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
+	total := 0
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line) // number, local address, remote address, state, queues
+		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] == listenState {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[4], ":")
+		bytes, err := strconv.ParseInt(received, 16, 64)
+		if err == nil {
+			total += int(bytes)
+		}
+	}
+	return total
+}
+
+// listenState is the state of a listening socket in /proc/net/tcp, whose queue is counted in connections.
+const listenState = "0A"
