--- a/internal/verifier/crowd_test.go
+++ b/internal/verifier/crowd_test.go
@@ -325,14 +325,17 @@
 	for _, e := range c.entries {
 		await(c.t, "an ordinary request is answered", e.answersOrdinaryRequest)
 	}
+	var peaks []int
+	var used []usage
+	for n, e := range c.entries {
+		peaks, used = append(peaks, e.peakMemoryMB(c.t)), append(used, usages[n]())
+		c.t.Logf("%s: peak of memory %d MiB, with received bytes %d MiB, of descriptors %d", e.name, peaks[n], used[n].memoryMB, used[n].descriptors)
+	}
 	for n, e := range c.entries {
-		used := usages[n]()
-		peak := e.peakMemoryMB(c.t)
-		c.t.Logf("%s: peak of memory %d MiB, with received bytes %d MiB, of descriptors %d", e.name, peak, used.memoryMB, used.descriptors)
 		is.True(!e.process.hasExited())
-		is.True(peak <= memoryMB)
-		is.True(used.memoryMB <= memoryMB)
-		is.True(used.descriptors <= maxDescriptors)
+		is.True(peaks[n] <= memoryMB)
+		is.True(used[n].memoryMB <= memoryMB)
+		is.True(used[n].descriptors <= maxDescriptors)
 	}
 	for _, conn := range open {
 		_ = conn.Close() // may be closed
