Clients' connections follow the configuration's timeouts and header size; receive buffers are small until a large body is read

Cause: a header had 10 s, an idle connection 60 s and a header 64 KiB whatever the configuration said, as net/http's fields are fixed at the start. 400 connections with unread bytes took some 106 MiB in receive buffers beside the process on a machine of 144 MB. Change: the drainer replaces the server's deadlines by those of the configuration in force, answers late headers with 408 and larger ones with 431, and gives a connection 16 KiB of receive buffer; 32 connections with large bodies have a 1,024th of the memory. Ruled out: a new http.Server at each change (open connections keep the old values); one size of buffers (slow on long paths, or large).

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	answering   atomic.Bool  // a request is in progress, or the client may not have received its answer
 	bodyRead    atomic.Bool  // the body of the last request was read completely
 	headerBytes atomic.Int64 // of the header that is being read
+	largeBuffer atomic.Bool  // its receive buffer is large
 
 	mu             sync.Mutex
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
@@ -32,22 +34,29 @@
 	closing        bool          // the read deadline is pastDeadline
 	readingEnded   bool          // endReading was called
 	closed         bool          // Close was called
-	serverDeadline time.Time     // read deadline that the server has set
+	serverDeadline time.Time     // read deadline that applies unless the connection is closing
+	clock          clock         // used if Limits has Timeouts
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.keepForArrived() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && (c.keepForArrived() || c.extend(time.Now())) {
 		n, err = c.Conn.Read(p)
 	}
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.headerIsLate() {
+			err = c.refuseHeader(time.Now(), http.StatusRequestTimeout)
+		}
 		return n, err
 	}
 	if deadlineErr := c.markBusy(); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
-	if limitErr := c.countHeader(n); limitErr != nil {
+	if deadlineErr := c.beginHeader(time.Now()); deadlineErr != nil && err == nil {
+		err = deadlineErr
+	}
+	if limitErr := c.countHeader(time.Now(), n); limitErr != nil {
 		return 0, limitErr
 	}
 	return n, err
@@ -57,6 +66,9 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if timeouts, ok := c.timeouts(); ok && !c.clock.observeDeadline(time.Now(), t) {
+		t = c.clock.deadline(timeouts, c.minIdle)
+	}
 	c.serverDeadline = t
 	if c.closing {
 		return nil
@@ -74,6 +86,7 @@
 		c.linger()
 	}
 	c.endHeader()
+	c.releaseReceiveBuffer()
 	c.drainer.remove(c)
 	return c.Conn.Close()
 }
@@ -119,6 +132,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince, c.minIdle = now, minIdleTime
+	c.clock.enter(now, awaiting)
 }
 
 // closeIfIdle makes the server close the connection if it has been idle for at least minIdle.
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -29,12 +29,15 @@
 // Drainer is the listener of one server and tracks the server's connections. Use New; it is safe for concurrent use.
 type Drainer struct {
 	listener net.Listener
+	server   *http.Server
 	draining atomic.Bool // CloseIdle or Drain was called
 	ended    atomic.Bool // FinishAnswers has returned
 	// lingering is the number of connections that wait for their clients to receive an answer.
 	lingering   atomic.Int32
 	limits      Limits
 	headerBytes atomic.Int64 // of all headers that are being read
+	// largeBuffers is the number of connections with a large receive buffer.
+	largeBuffers atomic.Int32
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -46,7 +49,7 @@
 // New returns a Drainer for the connections that listener accepts. It wraps the handler of server, which must not be nil,
 // and sets its ConnState and ConnContext hooks; Serve must be called with the Drainer.
 func New(listener net.Listener, server *http.Server) *Drainer {
-	d := &Drainer{listener: listener, conns: map[*conn]bool{}}
+	d := &Drainer{listener: listener, server: server, conns: map[*conn]bool{}}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.Handler = handler{server.Handler}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -65,9 +68,9 @@
 			return nil, err
 		}
 		now := time.Now()
-		c := &conn{Conn: inner, drainer: d, idleSince: now, minIdle: firstRequestTimeout}
+		c := &conn{Conn: inner, drainer: d, idleSince: now, minIdle: firstRequestTimeout, clock: clock{start: now}}
 		if d.admit(now, c) {
-			d.limitReceiveBuffer(inner)
+			c.limitReceiveBuffer()
 			return c, nil
 		}
 		d.refused()
--- a/internal/drainer/limits.go
+++ b/internal/drainer/limits.go
@@ -1,11 +1,8 @@
 package drainer
 
 import (
-	"net"
-	"os"
+	"net/http"
 	"time"
-
-	"k8s.io/klog/v2"
 )
 
 const (
@@ -13,20 +10,36 @@
 	headerAllowance = 4 << 10
 	// closingConnections is how many connections may be open beyond the limit while idle ones are closed for them.
 	closingConnections = 32
+	// serverTimeout stands for the timeouts of the server whose deadlines the connection replaces.
+	serverTimeout = time.Hour
 )
 
 // Limits bound what the connections of one server take. The zero Limits bound nothing.
 type Limits struct {
 	Connections int   // open at the same time
 	HeaderBytes int64 // of all headers that are being read
-	// ReceiveBuffer is the size in bytes of each connection's receive buffer; with 0 the system lets it grow.
+	// ReceiveBuffer is the size in bytes of the receive buffers of connections of which a large body is being read, maxLargeBuffers at the
+	// same time. Others have smallReceiveBuffer. With 0 the system lets them grow.
 	ReceiveBuffer int
+	// HeaderLimit, if not nil, returns the size in bytes that a header may have at the moment. A larger one is answered with 431 once at
+	// most readAhead bytes more have been read.
+	HeaderLimit func() int
+	// Timeouts, if not nil, returns the timeouts that are in force, in place of the server's ReadHeaderTimeout and IdleTimeout. Its
+	// ReadTimeout must be 0.
+	Timeouts func() Timeouts
+	// OnHeaderRefused is called for each header that is refused because of HeaderLimit (431) or Timeouts (408).
+	OnHeaderRefused func(status int)
 	// OnRefuse is called for each connection that is closed to stay within the limits.
 	OnRefuse func()
 }
 
 // SetLimits sets the limits. It must be called before Serve.
-func (d *Drainer) SetLimits(l Limits) { d.limits = l }
+func (d *Drainer) SetLimits(l Limits) {
+	d.limits = l
+	if l.Timeouts != nil { // clock recognises the phases by deadlines that are not zero
+		d.server.ReadHeaderTimeout, d.server.IdleTimeout = serverTimeout, serverTimeout
+	}
+}
 
 // admit adds a connection that was accepted at now, and reports whether it may stay open. At the limit it closes the connection that has
 // been idle for the longest time; without an idle one, the new connection has to go.
@@ -42,18 +55,6 @@
 	return true
 }
 
-// limitReceiveBuffer sets the size of a connection's receive buffer. A buffer that the system has grown while a body was read would keep
-// megabytes of its rest when the reading has to wait.
-func (d *Drainer) limitReceiveBuffer(inner net.Conn) {
-	buffered, ok := inner.(interface{ SetReadBuffer(bytes int) error })
-	if !ok || d.limits.ReceiveBuffer <= 0 {
-		return
-	}
-	if err := buffered.SetReadBuffer(d.limits.ReceiveBuffer); err != nil {
-		klog.InfoS("receive buffer can't be set", "error", err)
-	}
-}
-
 // closeLongestIdle closes the connection that has been idle for the longest time, and reports whether there is one. The caller holds mu.
 func (d *Drainer) closeLongestIdle(now time.Time) bool {
 	var longest *conn
@@ -95,18 +96,22 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
 }
 
-// countHeader counts n bytes of a header that were read. The error, after which the server closes the connection without an answer, says
-// that the headers of all connections take too much and this one is long.
-func (c *conn) countHeader(n int) error {
-	if c.answering.Load() || c.drainer.limits.HeaderBytes <= 0 {
+// countHeader counts n bytes of a header that were read at now. The error, after which the server closes the connection without an answer,
+// says that this header is too large, or that it is long and the headers of all connections take too much.
+func (c *conn) countHeader(now time.Time, n int) error {
+	if c.answering.Load() {
 		return nil
 	}
 	own, all := c.headerBytes.Add(int64(n)), c.drainer.headerBytes.Add(int64(n))
-	if own <= headerAllowance || all <= c.drainer.limits.HeaderBytes {
+	limits := &c.drainer.limits
+	if limits.HeaderLimit != nil && own > int64(limits.HeaderLimit())+readAhead {
+		return c.refuseHeader(now, http.StatusRequestHeaderFieldsTooLarge)
+	}
+	if limits.HeaderBytes <= 0 || own <= headerAllowance || all <= limits.HeaderBytes {
 		return nil
 	}
 	c.drainer.refused()
-	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
+	return c.readError()
 }
 
 // endHeader ends the counting of the bytes of a header, because it is complete or the connection is closed.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -127,6 +127,8 @@
 	reasonCrashesServers = "crashes_servers"
 	// reasonBodyStalled says that the body of a request did not arrive in time.
 	reasonBodyStalled = "body_stalled"
+	// ReasonHeaderTooLarge says that the header of a request is larger than the configuration allows.
+	ReasonHeaderTooLarge = "header_too_large"
 	// reasonServerEnded says that the server has ended while it executed the request.
 	reasonServerEnded = "server_ended"
 )
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -91,7 +91,7 @@
 		}
 	}
 	if headerBytes(r) > v.Table.Limits().HeaderBytes {
-		return nil, refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
+		return nil, refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: ReasonHeaderTooLarge}
 	}
 	req.deadline = req.deadline.Add(-answerMargin)
 	req.service = f.splitter.Pick(route)
--- a/internal/loadtester/sender.go
+++ b/internal/loadtester/sender.go
@@ -59,7 +59,8 @@
 	answerGrace = time.Second
 	// connectTimeout bounds the time to connect to an entry; a live one accepts within one round trip.
 	connectTimeout = 2 * time.Second
-	idleTimeout    = 30 * time.Second
+	// idleTimeout is how long an idle connection may be reused: less than four fifths of the idle timeouts of the example bundles (20 s).
+	idleTimeout = 10 * time.Second
 	// maxIdlePerEntry limits the idle connections to one entry.
 	maxIdlePerEntry = 256
 )
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -52,8 +52,7 @@
 	return t.version
 }
 
-// Limits returns the limits on what a client may send. IdleTimeout holds within a body; package runner has a fixed value for idle
-// connections, and one in place of HeaderTimeout.
+// Limits returns the limits on what a client may send. IdleTimeout holds within a body, and between two requests.
 func (t *Table) Limits() bundler.Limits { return t.limits }
 
 // Service returns the service with a name.
--- a/internal/meter/reasons.go
+++ b/internal/meter/reasons.go
@@ -9,7 +9,7 @@
 var refusalReasons = [...]string{
 	reasonOther,
 	"no_configuration", "no_route", "no_service", "no_server", "bad_time_left", "bad_key", "bad_body", "body_too_large",
-	"header_too_large", "body_stalled", "no_memory", "exceeds_memory",
+	"header_too_large", "header_stalled", "body_stalled", "no_memory", "exceeds_memory",
 	"owner_lost", "keys_moving", "keys_moved", "keys_not_here", "dispatcher_changed", "queue_full", "no_turn_in_time", "too_little_time",
 	"time_up_in_queue",
 	"time_up", "client_left", "server_gone", "server_rejected", "crashes_servers", "no_path", "no_free_connection", "no_connection", "not_sent", "no_front",
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/wasabibank/wasabibank/internal/recorder"
 	"github.com/wasabibank/wasabibank/internal/resolver"
 	"github.com/wasabibank/wasabibank/internal/throttler"
+	"github.com/wasabibank/wasabibank/pkg/bundler"
 	"github.com/wasabibank/wasabibank/platform"
 )
 
@@ -39,14 +40,20 @@
 	// call and the pauses of package controller (batchDelay, relayWait, relayMargin), which sum up to 1.25 s. The delay is longer
 	// while the relay of a domain reaches neither the store nor most other instances.
 	drainMargin = 1300 * time.Millisecond
-	// headerTimeout bounds the time to read the header of a request; the platform's clients send it within 3 s.
+	// headerTimeout bounds the time to read the header of a request, for clients unless the configuration does.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long idle connections are kept. Clients reuse theirs for a shorter time, so that no request is lost
-	// on a connection that this instance closes.
+	// headerMargin is added to the configuration's timeout of a header, which clients measure on their side: the time for a lost segment
+	// and its retransmission.
+	headerMargin = 500 * time.Millisecond
+	// idleTimeout is how long idle connections are kept, for clients unless the configuration has a value. Clients reuse theirs for a
+	// shorter time, so that no request is lost on a connection that this instance closes.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the header of a client's request. A request from another instance has headers in addition and may
-	// have twice as many bytes.
-	maxHeaderBytes = 64 << 10
+	// defaultHeaderBytes bounds the header of a client's request while there is no configuration.
+	defaultHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a client's request whatever the configuration says. A bundle has at most the same.
+	maxHeaderBytes = 1 << 20
+	// peerHeaderBytes is how many bytes a request from another instance may have beyond the limit for clients, for further headers.
+	peerHeaderBytes = 64 << 10
 	// adminPort is the port of counters, status and timeline, as given in deploy/system.toml.
 	adminPort = "9464"
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of the memory that the instance may use. Near
@@ -67,11 +74,13 @@
 	peerDescriptorRatio   = 0.25
 	// maxOtherConnections bounds the connections for readiness checks, and those for the admin API.
 	maxOtherConnections = 64
-	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take. 64 bodies that wait for
-	// memory then leave 64 twice as large buffers full, as the system counts them: an eighth of the memory.
+	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take while a large body is
+	// being read. The 32 buffers that package drainer allows, twice as large as the system counts them, are a sixteenth of the memory.
 	receiveFraction = 1024
 	// messageTimeout bounds the time for the body of a message from another instance.
 	messageTimeout = 10 * time.Second
+	// reasonHeaderStalled says that the header of a request did not arrive in time.
+	reasonHeaderStalled = "header_stalled"
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
 	millicoresPerMbps = 16
 )
@@ -156,12 +165,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	serveErrors := make(chan error, 4) // one for each server
-	clients := &http.Server{
-		Handler: r.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	serveErrors := make(chan error, 4)                                            // one for each server
+	clients := &http.Server{Handler: r.forwarder, MaxHeaderBytes: maxHeaderBytes} // its timeouts are in clientLimits
 	peers := &http.Server{
-		Handler: r.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+		Handler: r.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + peerHeaderBytes,
 	}
 	ready := &http.Server{Handler: r.readyHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	admin := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -180,9 +187,9 @@
 		drainers[server] = connections
 		switch server {
 		case clients:
-			connections.SetLimits(r.connectionLimits(clientDescriptorRatio))
+			connections.SetLimits(r.clientLimits())
 		case peers:
-			connections.SetLimits(r.connectionLimits(peerDescriptorRatio))
+			connections.SetLimits(r.peerLimits())
 		default:
 			connections.SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.countRefusedConnection})
 		}
@@ -208,6 +215,59 @@
 	return r.shutdown.LogWritten()
 }
 
+// clientLimits returns the limits on the connections of clients. Those of the configuration apply as soon as it is in force.
+func (r *Runner) clientLimits() drainer.Limits {
+	limits := r.connectionLimits(clientDescriptorRatio)
+	limits.HeaderLimit = r.clientHeaderBytes
+	limits.Timeouts = r.clientTimeouts
+	limits.OnHeaderRefused = func(status int) {
+		r.meter.Count(meter.RequestsReceived)
+		r.meter.Count(meter.RequestsNotRun)
+		if status == http.StatusRequestTimeout {
+			r.meter.CountRefusal(reasonHeaderStalled)
+			return
+		}
+		r.meter.CountRefusal(forwarder.ReasonHeaderTooLarge)
+	}
+	return limits
+}
+
+// peerLimits returns the limits on the connections of other instances, whose configuration may be another one.
+func (r *Runner) peerLimits() drainer.Limits {
+	limits := r.connectionLimits(peerDescriptorRatio)
+	limits.HeaderLimit = func() int { return max(defaultHeaderBytes, r.clientHeaderBytes()) + peerHeaderBytes }
+	return limits
+}
+
+// configuredLimits returns the limits on clients' requests of the configuration in force; without one they are zero.
+func (r *Runner) configuredLimits() bundler.Limits {
+	if v := r.forwarder.View(); v != nil && v.Table != nil {
+		return v.Table.Limits()
+	}
+	return bundler.Limits{}
+}
+
+// clientHeaderBytes returns the size in bytes that the header of a client's request may have.
+func (r *Runner) clientHeaderBytes() int {
+	if configured := r.configuredLimits().HeaderBytes; configured > 0 {
+		return min(configured, maxHeaderBytes)
+	}
+	return defaultHeaderBytes
+}
+
+// clientTimeouts returns the timeouts between two requests of a client.
+func (r *Runner) clientTimeouts() drainer.Timeouts {
+	configured := r.configuredLimits()
+	timeouts := drainer.Timeouts{Header: headerTimeout, Idle: idleTimeout}
+	if configured.HeaderTimeout > 0 {
+		timeouts.Header = configured.HeaderTimeout + headerMargin
+	}
+	if configured.IdleTimeout > 0 {
+		timeouts.Idle = configured.IdleTimeout
+	}
+	return timeouts
+}
+
 // connectionLimits returns the limits on the connections of clients, or of other instances, which may take a part of the descriptors.
 func (r *Runner) connectionLimits(descriptorRatio float64) drainer.Limits {
 	memory := connectionMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
