--- a/internal/drainer/handler.go
+++ b/internal/drainer/handler.go
@@ -1,27 +1,10 @@
 package drainer
 
 import (
-	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
-// trackedBody is the body of a request. It records whether the body was read completely.
-type trackedBody struct {
-	io.ReadCloser
-	complete *atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b trackedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.complete.Store(true)
-	}
-	return n, err
-}
-
 // unreadTimeout bounds the time for the rest of a body that the handler has not read: the server reads it before it answers.
 const unreadTimeout = time.Second
 
@@ -42,8 +25,9 @@
 	c.bodyRead.Store(r.Body == nil || r.Body == http.NoBody)
 	tracked := *r // the server recognises its own type of body
 	if !c.bodyRead.Load() {
-		tracked.Body = trackedBody{ReadCloser: r.Body, complete: &c.bodyRead}
+		tracked.Body = &trackedBody{ReadCloser: r.Body, conn: c, announced: r.ContentLength}
 	}
+	defer c.releaseReceiveBuffer() // the rest of a refused body is not needed
 	h.Handler.ServeHTTP(w, &tracked)
 	if !c.bodyRead.Load() {
 		c.limitUnread(time.Now().Add(unreadTimeout))
