Ranges leave slow servers sooner; with a slow store only if requests gain by it

Cause: the leader's mean service time of a server was that of the last 40 answers. A server that turns 12 times slower ends 2 or 3 requests a second, so that it kept most of its capacity until it recovered. And moves were refused only while a call to the store was pending for more than 150 ms: with calls of 250 ms, most moves went on, also those that gain nothing.

Change: a mean service time reflects those of the last 3 s, between 5 and 40 of them. balancer.Conditions.ChooseMoves decides by the duration of the leader's calls to the store, from elector.CallTime, which replaces StoreHealthy. TestStoreHealthyNeedsRecentAnswer is replaced by TestCallTimeShowsSlowStore, which has its cases with exact durations and that of the last answered call.

--- a/internal/controller/capacity_test.go
+++ b/internal/controller/capacity_test.go
@@ -36,3 +36,34 @@
 	report("slow", 100*time.Millisecond)
 	is.True(math.Abs(ratio()-1) < 1e-9)
 }
+
+// TestMeanServiceTimeFollowsFewMeasurements guards against a server that turns slow and keeps its capacity until 40 of its few
+// requests have ended, and against one that loses it by a single long request.
+func TestMeanServiceTimeFollowsFewMeasurements(t *testing.T) {
+	tests := map[string]struct {
+		perSecond   int // after 10 s with ten service times of 200 ms a second
+		seconds     int
+		took        time.Duration
+		least, most float64 // mean in seconds
+	}{
+		"12 times slower for 4 s": {perSecond: 2, seconds: 4, took: 1500 * time.Millisecond, least: 0.6, most: 1.5},
+		"as fast as before":       {perSecond: 2, seconds: 4, took: 200 * time.Millisecond, least: 0.2, most: 0.2},
+		"one long request":        {perSecond: 1, seconds: 1, took: 1500 * time.Millisecond, least: 0.2, most: 0.26},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s serviceTime
+			now := time.Unix(1000, 0)
+			add := func(seconds, count int, took time.Duration) {
+				for range seconds {
+					now = now.Add(time.Second)
+					s.add(now, forwarder.AnswerStats{Count: count, TotalServiceTime: time.Duration(count) * took})
+				}
+			}
+			add(10, 10, 200*time.Millisecond)
+			add(test.seconds, test.perSecond, test.took)
+			t.Logf("mean %.3f s", s.meanServiceSeconds)
+			is.New(t).True(s.meanServiceSeconds >= test.least-1e-9 && s.meanServiceSeconds <= test.most+1e-9)
+		})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,8 +49,6 @@
 	releaseTimeout = 3 * time.Second
 	// balanceInterval is the time between two checks of the servers' load.
 	balanceInterval = 250 * time.Millisecond
-	// serversPerMove is the number of a service's servers for each of its ranges that may be ungranted at the same time.
-	serversPerMove = 4
 	// minLeadershipDuration is how long a leader leads before it yields to a larger machine, whose capacity is at least
 	// yieldCapacityRatio times its own.
 	minLeadershipDuration = 3 * time.Second
@@ -213,10 +211,12 @@
 // membersVersion is the version of the list of members: a leader's term, and a number that it assigns.
 type membersVersion struct{ term, number uint64 }
 
-// serviceTime is the mean service time that was measured at a server, and the number of answers that it reflects.
+// serviceTime is the mean service time that was measured at a server, and the number of service times that it reflects.
 type serviceTime struct {
 	meanServiceSeconds float64
 	answers            float64
+	recent             float64   // number of service times, which lose weight over serviceTimeWindow
+	at                 time.Time // of the latest ones
 }
 
 // New returns a Controller.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -174,10 +175,7 @@
 		}
 		c.askHolders(now)
 		c.requestPlan(now)
-		// A released range waits until the store has its next owner, so none is moved while the store is slow.
-		if c.elector.StoreHealthy(now, busyCallTime) {
-			c.balanceLoad(now)
-		}
+		c.balanceLoad(now)
 	}
 	c.publishChanges(now)
 }
@@ -291,15 +289,14 @@
 			continue // a release might not be answered in time, or would not arrive
 		}
 		assignable := l.granter.AssignableServers(now, service)
-		maxMoves := max(1, len(assignable)/serversPerMove) - l.granter.UngrantedRanges(service)
-		if maxMoves <= 0 {
-			continue
+		conditions := balancer.Conditions{
+			CallTime: c.elector.CallTime(now), ServiceTime: l.meanServiceTime(assignable), Ungranted: l.granter.UngrantedRanges(service),
 		}
-		for _, m := range balancer.ChooseMoves(load, l.granter.Placements(now, service), c.capacities(now, assignable), maxMoves) {
+		for _, m := range conditions.ChooseMoves(load, l.granter.Placements(now, service), c.capacities(now, assignable)) {
 			started := l.granter.StartMove(now, service, m.Range, m.To)
 			c.options.Meter.Count(meter.MovesStarted) // also if an order for the range is in flight, so that it does not start
 			klog.InfoS("range move chosen", "service", service, "range", m.Range.String(), "from", m.From, "to", m.To,
-				"started", started, "requests", int(load.Total()))
+				"started", started, "requests", int(load.Total()), "store", conditions.CallTime)
 		}
 	}
 }
@@ -327,24 +324,33 @@
 			s = &serviceTime{}
 			l.serviceTimes[server] = s
 		}
-		s.add(a)
+		s.add(now, a)
 		if a.PausedFor > 0 {
 			l.pausedUntil[server] = now.Add(a.PausedFor)
 		}
 	}
 }
 
-// maxServiceTimeAnswers limits the number of answers that a server's mean service time reflects.
-const maxServiceTimeAnswers = 40
+const (
+	// maxServiceTimeAnswers limits the number of service times that a server's mean service time reflects.
+	maxServiceTimeAnswers = 40
+	// A mean service time reflects those of about the last serviceTimeWindow, but at least minServiceTimeAnswers of them. A server
+	// that has become 12 times slower ends 2 or 3 requests a second, so that 40 of them would take longer than most of such faults.
+	serviceTimeWindow     = 3000 * time.Millisecond
+	minServiceTimeAnswers = 5
+)
 
-// add adds answers to the mean.
-func (s *serviceTime) add(a forwarder.AnswerStats) {
+// add adds service times to the mean.
+func (s *serviceTime) add(now time.Time, a forwarder.AnswerStats) {
 	if a.Count == 0 {
 		return
 	}
 	count := float64(a.Count)
 	s.answers = min(s.answers+count, maxServiceTimeAnswers)
-	s.meanServiceSeconds += (a.TotalServiceTime.Seconds()/count - s.meanServiceSeconds) * min(1, count/s.answers)
+	s.recent = s.recent*math.Exp(-max(0, now.Sub(s.at).Seconds())/serviceTimeWindow.Seconds()) + count
+	s.at = now
+	reflected := min(s.answers, max(s.recent, minServiceTimeAnswers))
+	s.meanServiceSeconds += (a.TotalServiceTime.Seconds()/count - s.meanServiceSeconds) * min(1, count/reflected)
 }
 
 // priorAnswers is the number of answers with the mean service time of all servers that are added to a server's own, so
@@ -358,17 +364,22 @@
 // minLimitedCapacity is the least capacity of a server that names a limit or is cold, in slots.
 const minLimitedCapacity = 0.01
 
-// capacities returns the relative capacity of each server: its slots, weighted by its speed, or the slots that its limit
-// lets it use, or that it may use while it is cold.
-func (c *Controller) capacities(now time.Time, servers []string) map[string]float64 {
+// meanServiceTime returns the mean of the mean service times of servers, or 0 if none was reported.
+func (l *leaderState) meanServiceTime(servers []string) time.Duration {
 	total, count := 0.0, 0.0
 	for _, id := range servers {
-		if s := c.leaderState.serviceTimes[id]; s != nil {
+		if s := l.serviceTimes[id]; s != nil {
 			total += s.meanServiceSeconds
 			count++
 		}
 	}
-	mean := total / max(count, 1)
+	return time.Duration(total / max(count, 1) * float64(time.Second))
+}
+
+// capacities returns the relative capacity of each server: its slots, weighted by its speed, or the slots that its limit
+// lets it use, or that it may use while it is cold.
+func (c *Controller) capacities(now time.Time, servers []string) map[string]float64 {
+	mean := c.leaderState.meanServiceTime(servers).Seconds()
 	capacities := map[string]float64{}
 	for _, id := range servers {
 		registration, _ := c.catalog.LastKnown(id)
--- a/internal/controller/restore_simulation_test.go
+++ b/internal/controller/restore_simulation_test.go
@@ -389,7 +389,7 @@
 	for _, order := range g.Tick(s.now) {
 		s.deliver(n, order)
 	}
-	if s.now.Sub(s.lastMove) > simMoveInterval && s.now.Before(s.moveUntil) && n.elector.StoreHealthy(s.now, 2*simStep) {
+	if s.now.Sub(s.lastMove) > simMoveInterval && s.now.Before(s.moveUntil) && n.elector.CallTime(s.now) <= 2*simStep {
 		s.lastMove = s.now
 		s.moveRandomRange(g)
 	}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	// busyCallTime is the duration of a leader's call to the store from which on no ranges are moved to balance load.
-	busyCallTime = 150 * time.Millisecond
 	// reappearTimeout is how long the registrations that expired while the store was unreachable may take to
 	// reappear afterwards.
 	reappearTimeout = 1800 * time.Millisecond
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -98,11 +98,12 @@
 	lastLed    uint64 // the last term in which this instance led
 
 	callPending    bool
-	pendingCall    Call      // valid while callPending
-	pendingSince   time.Time // when the pending call was sent
-	pendingEra     uint64    // era of the store when it was sent
-	nextCallAt     time.Time // earliest time of the next call
-	leaseExpiry    time.Time // of this instance's leader lease
+	pendingCall    Call          // valid while callPending
+	pendingSince   time.Time     // when the pending call was sent
+	lastCallTime   time.Duration // of the last call that was answered
+	pendingEra     uint64        // era of the store when it was sent
+	nextCallAt     time.Time     // earliest time of the next call
+	leaseExpiry    time.Time     // of this instance's leader lease
 	renewAt        time.Time
 	requestedPlan  uint64 // sequence number of the plan that has to be stored
 	storedPlan     uint64 // highest sequence number of a plan of this term known to be stored
@@ -188,10 +189,18 @@
 	return max(e.storedPlan, e.unansweredPlan, pending)
 }
 
-// StoreHealthy reports whether the last answer of the store to this leader is at most RenewInterval plus maxCallTime old,
-// and the pending call, if any, has taken no longer than maxCallTime.
-func (e *Elector) StoreHealthy(now time.Time, maxCallTime time.Duration) bool {
-	return e.PendingCallTime(now) <= maxCallTime && now.Sub(e.storeAnsweredAt) <= e.settings.RenewInterval+maxCallTime
+// CallTime returns how long this leader's calls to the store take: the greatest of the duration of the last call that was answered,
+// that of the pending call so far, and the time by which an answer is overdue.
+func (e *Elector) CallTime(now time.Time) time.Duration {
+	return max(e.lastCallTime, e.PendingCallTime(now), now.Sub(e.storeAnsweredAt)-e.settings.RenewInterval)
+}
+
+// observeAnswer records that the store answered the pending call.
+func (e *Elector) observeAnswer(now time.Time) {
+	if e.callPending {
+		e.lastCallTime = now.Sub(e.pendingSince)
+	}
+	e.callPending, e.storeAnsweredAt = false, now
 }
 
 // SetEligible sets whether this instance knows enough to lead. It is eligible by default.
@@ -361,7 +370,7 @@
 // CompleteRead records the result of a ReadLeader: the era of the store, the next offset of the topic, the leader's record,
 // whose Term is 0 if there is none, and the sequence number of the stored plan of the leader's term, or 0.
 func (e *Elector) CompleteRead(now time.Time, era uint64, nextOffset int64, leader Leader, storedPlan uint64) {
-	e.callPending, e.storeAnsweredAt = false, now
+	e.observeAnswer(now)
 	e.nextCallAt = now
 	e.ObserveEra(now, era)
 	if era < e.era {
@@ -439,7 +448,7 @@
 // record. If the store came back from an older copy since the append was sent, the record counts for nothing: it is lost,
 // or the condition of the append held by coincidence.
 func (e *Elector) AppendAcknowledged(now, sent time.Time, call Call, era uint64, offset int64) {
-	e.callPending, e.storeAnsweredAt = false, now
+	e.observeAnswer(now)
 	e.nextCallAt = now
 	e.ObserveEra(now, era)
 	if era != e.pendingEra || era != e.era {
@@ -467,12 +476,14 @@
 // refused an append because the topic does not end at the append's Offset. If both are false, the call got no answer and
 // may have taken effect; else era is that of the answer.
 func (e *Elector) CallFailed(now time.Time, call Call, era uint64, refused, conflict bool) {
+	if conflict {
+		e.observeAnswer(now)
+	}
 	e.callPending = false
 	if refused || conflict {
 		e.ObserveEra(now, era)
 	}
 	if conflict {
-		e.storeAnsweredAt = now
 		e.synced = false
 		e.nextCallAt = now
 		return
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -291,20 +291,24 @@
 	}
 }
 
-// TestStoreHealthyNeedsRecentAnswer guards against moves that begin while the store is slow: their keys would not be served
-// until the plan is stored.
-func TestStoreHealthyNeedsRecentAnswer(t *testing.T) {
+// TestCallTimeShowsSlowStore guards against moves that begin while the store is slow: their keys would not be served until the plan is
+// stored. It has the cases of the earlier check for a recent answer, and the duration of the last call.
+func TestCallTimeShowsSlowStore(t *testing.T) {
 	is := is.New(t)
 	const slow = 100 * time.Millisecond
 	e := newLeader()
-	is.True(e.StoreHealthy(at(settings.RenewInterval), slow))
-	is.True(!e.StoreHealthy(at(settings.RenewInterval+slow+1), slow))
+	is.True(e.CallTime(at(settings.RenewInterval)) <= slow)
+	is.Equal(e.CallTime(at(settings.RenewInterval+slow+1)), slow+1) // the answer is overdue
 	call := e.Tick(at(settings.RenewInterval))
-	is.True(e.StoreHealthy(at(settings.RenewInterval+slow), slow))
+	is.Equal(e.CallTime(at(settings.RenewInterval+slow)), slow)
 	e.AppendAcknowledged(at(settings.RenewInterval+slow), at(settings.RenewInterval), call, 0, 1)
+	is.Equal(e.CallTime(at(settings.RenewInterval+slow)), slow) // the last call
 	e.RequestPlan(9)
-	_ = e.Tick(at(2 * settings.RenewInterval))
-	is.True(!e.StoreHealthy(at(2*settings.RenewInterval+slow+1), slow)) // the pending call has taken too long
+	call = e.Tick(at(2 * settings.RenewInterval))
+	is.True(call != nil)
+	is.Equal(e.CallTime(at(2*settings.RenewInterval+slow+1)), slow+1) // the pending call
+	e.CallFailed(at(2*settings.RenewInterval+2*slow), call, 0, true, true)
+	is.Equal(e.CallTime(at(2*settings.RenewInterval+2*slow)), 2*slow) // an answer that refuses the call
 }
 
 // TestIneligibleInstanceDoesNotTakeOver guards against a leader that can grant no ranges because it has read neither the
