A previous leader passes on until when its leases last

Cause: a new leader counted orders of the previous one as unanswered until 4.2 s after its own first grant, and leases of servers that don't answer from the time at which the previous leader said that it had stopped.

Change: the answer to Publish has, if the new leader asks for its term, the times left of the leases of each range: of answered grants, and of grants without an answer, orders in flight included. What the previous leader inherited is part of both. The new leader uses them where they cover the whole range, also after its first grants were accepted. The granter keeps the leases of earlier leaders apart from its own (inheritedExpiry). Election names the term that was replaced, and answers about another term, of another incarnation, or while owners are uncertain don't count; invalid ones are counted (invalid_leases).

Ruled out: sending the leases unasked with each publication, which has up to 10,000 ranges; and counting an order in flight from the answer without its timeout, as it may still be sent.

Measured, go test ./internal/granter ./internal/controller ./internal/elector passes.

TestReleasedRangePublishesWhenItCanBeGranted reads pendingExpiry, which unansweredExpiry is now a part of. Scheduled events of the simulation that are messages outlast clearFaults, as late grants do.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -145,6 +145,7 @@
 	peers           peers
 	orders          platform.OrderClient
 	leaderState     *leaderState         // nil while this instance does not lead
+	endedTerm       leaderTerm           // the last term of this instance that has ended
 	lastUnreachable map[string]time.Time // when reading a topic last failed or recovered
 	sources         atomic.Pointer[sources]
 	cache           recordCache
@@ -187,6 +188,7 @@
 	// predecessor is the previous leader, while it may still send orders; predecessorState is its state as a member, and
 	// nextPredecessorPublish when it is told again that it was replaced.
 	predecessor            elector.Identity
+	predecessorTerm        uint64 // 0 if it is not known
 	predecessorState       *memberState
 	nextPredecessorPublish time.Time
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -34,7 +34,7 @@
 		c.becomeLeader(now, election)
 	case c.elector.Term() == 0 && c.leaderState != nil:
 		klog.InfoS("leadership lost", "term", c.owners.Version().Term)
-		c.leaderState = nil
+		c.endedTerm, c.leaderState = c.leaderState.leaderTerm, nil
 		c.lastReport = time.Time{} // report to the new leader at once
 	}
 }
@@ -49,6 +49,7 @@
 		leaderTerm: newLeaderTerm(now, c.grantSettings, term, election, plan), since: now,
 		members: map[string]*memberState{}, membersVersion: 1, loads: map[string]*balancer.Load{},
 		serviceTimes: map[string]*serviceTime{}, lastBalance: now, plans: map[uint64][]byte{}, predecessor: predecessor,
+		predecessorTerm:     election.PredecessorTerm,
 		affectedDispatchers: map[string]bool{}, pausedUntil: map[string]time.Time{},
 	}
 	l := c.leaderState
@@ -233,12 +234,10 @@
 			c.post(func(now time.Time) {
 				klog.InfoS("release ended", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
 					"outcome", outcome.String(), "handover", handover != "", "error", err)
-				if c.leaderState == l {
-					if outcome == granter.Accepted {
-						l.forgetInquiry(o.Server)
-					}
-					l.granter.CompleteRelease(now, o, outcome, handover)
+				if c.leaderState == l && outcome == granter.Accepted {
+					l.forgetInquiry(o.Server)
 				}
+				l.granter.CompleteRelease(now, o, outcome, handover) // also after the term, see leasesOf
 			})
 		}()
 	}
@@ -263,6 +262,7 @@
 		klog.InfoS("grant failed", "server", o.Server, "range", o.Range.String(), "fence", o.Fence,
 			"outcome", outcome.String(), "error", err)
 	}
+	l.granter.CompleteGrant(now, o, outcome) // also after the term, see leasesOf
 	if c.leaderState != l {
 		return
 	}
@@ -272,7 +272,6 @@
 	if outcome == granter.Accepted {
 		l.forgetInquiry(o.Server)
 	}
-	l.granter.CompleteGrant(now, o, outcome)
 }
 
 // balanceLoad collects the load that this instance has measured, and starts the moves that the balancer chooses. An instance that is
--- a/internal/controller/odd_messages_test.go
+++ b/internal/controller/odd_messages_test.go
@@ -114,7 +114,9 @@
 			}
 		}
 		if reply := new(herald.PublishReply); proto.Unmarshal(data, reply) == nil {
-			leading.leaderState.handlePublishReply(now, reply)
+			leading.handlePublishReply(now, reply)
+			leases, _ := decodeLeases(reply.GetLeases())
+			leading.leaderState.granter.PredecessorStopped(now, leases)
 		}
 		if request := new(herald.FetchRequest); proto.Unmarshal(data, request) == nil {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -267,7 +267,9 @@
 			c.applyLimits(request.GetLimits())
 			c.applyCrashRecords(request.GetCrashRecords())
 		}
-		return &herald.PublishReply{Member: c.encodeSelf(), Leading: c.leaderState != nil}
+		return &herald.PublishReply{
+			Member: c.encodeSelf(), Leading: c.leaderState != nil, Leases: c.leasesOf(now, request.GetLeasesOfTerm()),
+		}
 	})
 }
 
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabibank/wasabibank/internal/elector"
 	"github.com/wasabibank/wasabibank/internal/herald"
+	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
 )
 
@@ -77,14 +78,15 @@
 	owners, members := c.changesFor(now, m.ownerMapVersion, m.membersVersion)
 	leaving := c.leavingFor(m.leavingVersion)
 	crashes := c.crashRecordsFor(m.crashesVersion)
-	if owners == nil && members == nil && leaving == nil && crashes == nil {
+	leasesOfTerm := l.leasesToAskFor(m.member.Instance)
+	if owners == nil && members == nil && leaving == nil && crashes == nil && leasesOfTerm == 0 {
 		return
 	}
 	m.publishing, m.publishAgain = true, false
 	limits := c.limitsFor(m.limitsVersion) // they alone can wait for the next report
 	request := &herald.PublishRequest{
 		Lead: c.knownLeader(), Owners: owners, Members: members, Leaving: leaving, Limits: limits,
-		CrashRecords: crashes,
+		CrashRecords: crashes, LeasesOfTerm: leasesOfTerm,
 	}
 	peer := c.peers.get(m.member.Address)
 	go func() {
@@ -100,7 +102,7 @@
 				klog.InfoS("publishing changes to instance failed", "instance", m.member.Instance, "error", err)
 				return // the answer to its next report contains the changes
 			}
-			l.handlePublishReply(now, reply)
+			c.handlePublishReply(now, reply)
 			if owners != nil {
 				m.ownerMapVersion = partitioner.Version{Term: owners.GetTerm(), Sequence: owners.GetSequence()}
 			}
@@ -125,13 +127,15 @@
 
 // handlePublishReply checks whether the previous leader has stopped: once it answers that it no longer leads, or a new
 // incarnation of it answers, it sends no more orders.
-func (l *leaderState) handlePublishReply(now time.Time, reply *herald.PublishReply) {
+func (c *Controller) handlePublishReply(now time.Time, reply *herald.PublishReply) {
+	l := c.leaderState
 	member := reply.GetMember()
 	fromPredecessor := member.GetInstance() == l.predecessor.Instance
 	if fromPredecessor && (!reply.GetLeading() || member.GetIncarnation() != l.predecessor.Incarnation) {
-		klog.InfoS("previous leader has stopped", "instance", l.predecessor.Instance)
+		inherited := l.granter.PredecessorStopped(now, c.passedLeases(reply))
+		c.options.Meter.Add(meter.LeasesInherited, inherited)
+		klog.InfoS("previous leader has stopped", "instance", l.predecessor.Instance, "leases_inherited", inherited)
 		l.predecessor = elector.Identity{}
-		l.granter.PredecessorStopped(now)
 	}
 }
 
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -426,8 +426,12 @@
 	if continued || predecessor.Instance == e.self.Instance {
 		predecessor = Identity{}
 	}
+	predecessorTerm := uint64(0)
+	if predecessor.Instance != "" && predecessor == e.replaced.Identity {
+		predecessorTerm = e.replaced.Term
+	}
 	e.election = &Election{
-		Predecessor: predecessor, Continued: continued, Certain: e.certain,
+		Predecessor: predecessor, PredecessorTerm: predecessorTerm, Continued: continued, Certain: e.certain,
 		UncertainUntil: e.eraSeenAt.Add(e.settings.LeaseDuration),
 	}
 	e.term, e.lastLed = record.Term, record.Term
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -183,6 +183,7 @@
 	election, elected := e.NewlyElected()
 	is.True(elected)
 	is.Equal(election.Predecessor, other)
+	is.Equal(election.PredecessorTerm, otherLeader.Term)
 }
 
 // TestInvalidatedLeaseReturnsWithNextAppend guards against a leader lease that never becomes valid again, and against one
--- a/internal/elector/term.go
+++ b/internal/elector/term.go
@@ -45,6 +45,8 @@
 	// Predecessor is the previous leader, if it may still send orders; it is empty if that was an earlier incarnation of this
 	// instance, which has certainly stopped.
 	Predecessor Identity
+	// PredecessorTerm is the term of Predecessor that this one follows, without another term between; 0 if it is not known.
+	PredecessorTerm uint64
 	// Continued says that this instance led until now and goes on with a new term.
 	Continued bool
 	// Certain says that the stored plan or, if Continued, the state of this instance has all changes of owners. Otherwise a
--- a/internal/granter/ended_test.go
+++ b/internal/granter/ended_test.go
@@ -81,7 +81,7 @@
 }
 
 // runEnding simulates 40 s with endings and faults, and then 30 s without.
-func runEnding(seed int64, flaw endingFlaw) *endingSimulation {
+func runEnding(seed int64, flaw endingFlaw, newSimulation func(int64, int, flaws) *simulation) *endingSimulation {
 	e := &endingSimulation{
 		simulation: newSimulation(seed, 5, flaws{}), random: rand.New(rand.NewSource(seed)), flaw: flaw, ended: map[string]int64{},
 	}
@@ -106,9 +106,12 @@
 // servers at any time, several times, late and while a later incarnation lives. Servers' clocks run 2 % slow.
 func TestEndedServersLeaveOneOwner(t *testing.T) {
 	for seed := range int64(seeds) {
-		if e := runEnding(seed, noEndingFlaw); e.violation != "" || e.unservedKeys() > 0 {
+		if e := runEnding(seed, noEndingFlaw, newSimulation); e.violation != "" || e.unservedKeys() > 0 {
 			t.Fatalf("seed %d: %s; %d keys unserved at the end", seed, e.violation, e.unservedKeys())
 		}
+		if e := runEnding(seed, noEndingFlaw, newPassingSimulation); e.violation != "" || e.unservedKeys() > 0 {
+			t.Fatalf("seed %d, leases passed on: %s; %d keys unserved at the end", seed, e.violation, e.unservedKeys())
+		}
 	}
 }
 
@@ -120,7 +123,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(flawSeeds) {
-				if runEnding(seed, flaw).violation != "" {
+				if runEnding(seed, flaw, newSimulation).violation != "" {
 					return
 				}
 			}
--- a/internal/granter/fault_table_test.go
+++ b/internal/granter/fault_table_test.go
@@ -95,7 +95,7 @@
 }
 
 // killLeader ends the current leader, and its leader lease with it.
-func (sim *simulation) killLeader() { sim.leader().leaseExpiry = sim.now }
+func (sim *simulation) killLeader() { sim.leader().leaseExpiry, sim.leader().killed = sim.now, true }
 
 // suspendLeader suspends the leader for 6 s, while another one is elected after 1 s. The suspended leader then goes on,
 // unaware that it was replaced.
@@ -137,8 +137,9 @@
 // clearFaults ends all faults, and elects a leader if the current one has no leader lease. The faults that it leaves out end
 // within observationTime; late grants are still applied.
 func (sim *simulation) clearFaults() {
-	sim.storeUnreachableUntil, sim.storeRefusesUntil, sim.storeLosesAnswersUntil, sim.registrationsHidden, sim.scheduled =
-		sim.now, sim.now, sim.now, false, nil
+	sim.storeUnreachableUntil, sim.storeRefusesUntil, sim.storeLosesAnswersUntil, sim.registrationsHidden =
+		sim.now, sim.now, sim.now, false
+	sim.scheduled = slices.DeleteFunc(sim.scheduled, func(e scheduledEvent) bool { return e.fault })
 	for _, s := range sim.servers {
 		if !s.up {
 			s.up, s.highestFences = true, map[int]uint64{}
@@ -169,6 +170,7 @@
 type faultPair struct {
 	first, second string
 	gap           time.Duration
+	passesLeases  bool // leaders pass the leases that they know of to the next one, and orders take time
 }
 
 // faultPairs returns all pairs of faults for the step with the given index. The gaps alternate, so that each pair has
@@ -187,6 +189,9 @@
 // simulate runs a step, injects the two faults and returns the simulation at the end of the observation time.
 func (pair faultPair) simulate(runStep func(*simulation), f flaws) *simulation {
 	sim := newSimulation(1, 4, f)
+	if pair.passesLeases {
+		sim = newPassingSimulation(1, 4, f)
+	}
 	runStep(sim)
 	faults[pair.first](sim)
 	sim.run(pair.gap, 0)
@@ -202,11 +207,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for _, pair := range faultPairs(i) {
-				sim := pair.simulate(grantSteps[name], flaws{})
-				if sim.violation != "" {
-					t.Errorf("%+v: %s", pair, sim.violation)
-				} else if !sim.recoverFromFaults() {
-					t.Errorf("%+v: %s; %d keys unserved", pair, sim.violation, sim.unservedKeys())
+				for _, pair.passesLeases = range []bool{false, true} {
+					sim := pair.simulate(grantSteps[name], flaws{})
+					if sim.violation != "" {
+						t.Errorf("%+v: %s", pair, sim.violation)
+					} else if !sim.recoverFromFaults() {
+						t.Errorf("%+v: %s; %d keys unserved", pair, sim.violation, sim.unservedKeys())
+					}
 				}
 			}
 		})
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -8,7 +8,7 @@
 //   - A range is granted to another server only after its previous owner has answered a release, or after every lease that
 //     the previous owner may have has expired.
 //   - These leases include those of grants that got no answer, and those of grants by an earlier leader whose leader lease
-//     has not expired.
+//     has not expired. The previous leader may say until when these last; see PredecessorStopped.
 //   - A release ends the leases at once only if the server has certainly accepted the newest grant. Otherwise it may still apply an
 //     earlier one afterwards.
 //   - The store records who may own a range before the grant is sent, with the server's incarnation.
@@ -96,13 +96,19 @@
 	nextOrderAt      time.Time // when the next order is due
 	leaseExpiry      time.Time // when the leases of answered grants are known to have expired
 	unansweredExpiry time.Time // when the leases of unanswered grants are known to have expired
-	inherited        bool      // granted by an earlier leader and not yet by this one; the server serves it without a pause
-	failing          bool      // the latest order failed, a grant or a release
-	failingSince     time.Time // when the first of consecutive failed grants failed; only valid if a grant set failing
-	acceptedSince    time.Time // when the first of consecutive accepted grants was accepted; only valid if granted and not failing
-	released         bool      // the server has answered the release, but may still apply a grant that it has not answered
-	unconfirmed      bool      // the answer to the latest grant may have been one to an earlier order; see Grant.Confirmed
-	confirmFailed    bool      // during a release: the grant that was to confirm the lease has not been accepted
+	// inheritedExpiry is when the leases of grants by earlier leaders are known to have expired. Once the server has accepted a
+	// grant of this leader, that is of grants which it had received before and may still apply.
+	inheritedExpiry time.Time
+	// inheritedUnanswered is when the leases of those grants by earlier leaders are known to have expired that were not answered;
+	// zero if the previous leader has not said so.
+	inheritedUnanswered time.Time
+	inherited           bool      // granted by an earlier leader and not yet by this one; the server serves it without a pause
+	failing             bool      // the latest order failed, a grant or a release
+	failingSince        time.Time // when the first of consecutive failed grants failed; only valid if a grant set failing
+	acceptedSince       time.Time // when the first of consecutive accepted grants was accepted; only valid if granted and not failing
+	released            bool      // the server has answered the release, but may still apply a grant that it has not answered
+	unconfirmed         bool      // the answer to the latest grant may have been one to an earlier order; see Grant.Confirmed
+	confirmFailed       bool      // during a release: the grant that was to confirm the lease has not been accepted
 }
 
 // previousOwner is the server that has just released a range. The plan in the store names it until the plan with the next
@@ -114,12 +120,11 @@
 }
 
 // latestExpiry returns when all leases that have been granted for the range are known to have expired.
-func (o *ownership) latestExpiry() time.Time {
-	if o.unansweredExpiry.After(o.leaseExpiry) {
-		return o.unansweredExpiry
-	}
-	return o.leaseExpiry
-}
+func (o *ownership) latestExpiry() time.Time { return later(o.leaseExpiry, o.pendingExpiry()) }
+
+// pendingExpiry returns when the leases are known to have expired of grants that the server may still apply after it has answered
+// a release: those without an answer, and those of earlier leaders.
+func (o *ownership) pendingExpiry() time.Time { return later(o.unansweredExpiry, o.inheritedExpiry) }
 
 // Granter is the leader's state of all ranges and servers. Use New to create one. It is not safe for concurrent use.
 type Granter struct {
@@ -156,8 +161,8 @@
 			continue
 		}
 		g.addRange(&ownership{
-			Assignment: a, state: granting, fence: g.nextFence(), inherited: true, leaseExpiry: predecessorExpiry,
-			nextOrderAt: now,
+			Assignment: a, state: granting, fence: g.nextFence(), inherited: true,
+			inheritedExpiry: predecessorExpiry, nextOrderAt: now,
 		})
 	}
 	return g
@@ -170,7 +175,7 @@
 	g.uncertainUntil = until
 	g.planSequence++
 	for _, o := range g.ranges {
-		o.leaseExpiry, o.inherited = until, false
+		o.leaseExpiry, o.inheritedExpiry, o.inherited = until, time.Time{}, false
 		if o.state != free {
 			o.state, o.planSequence = planned, g.planSequence
 		}
@@ -230,14 +235,3 @@
 // sortedRanges returns the ranges sorted by id, so that the same events always result in the same orders. The caller must not
 // change the slice; ranges that are added or removed later do not show in it.
 func (g *Granter) sortedRanges() []*ownership { return g.sorted }
-
-// PredecessorStopped records that no earlier leader sends orders from now on. Orders that were sent before may still arrive,
-// so the leases of earlier leaders are waited for as if they had been granted now.
-func (g *Granter) PredecessorStopped(now time.Time) {
-	expiry := now.Add(g.settings.MaxLeaseLifetime())
-	for _, o := range g.ranges {
-		if o.inherited && expiry.Before(o.leaseExpiry) {
-			o.leaseExpiry = expiry
-		}
-	}
-}
--- a/internal/granter/moves.go
+++ b/internal/granter/moves.go
@@ -12,7 +12,7 @@
 // grant may be valid.
 func (g *Granter) StartMove(now time.Time, service string, r partitioner.Range, nextOwner string) bool {
 	for _, o := range g.ranges {
-		if g.frozen || o.Service != service || !o.stable() || o.Server == nextOwner || now.Before(o.unansweredExpiry) {
+		if g.frozen || o.Service != service || !o.stable() || o.Server == nextOwner || now.Before(o.pendingExpiry()) {
 			continue
 		}
 		if o.Range.First <= r.First && r.Last <= o.Range.Last {
@@ -65,7 +65,7 @@
 		}
 		if o.Service == service && server != "" {
 			list = append(list, Placement{
-				Range: o.Range, Server: server, Movable: o.stable() && !now.Before(o.unansweredExpiry),
+				Range: o.Range, Server: server, Movable: o.stable() && !now.Before(o.pendingExpiry()),
 			})
 		}
 	}
--- a/internal/granter/servers.go
+++ b/internal/granter/servers.go
@@ -70,6 +70,10 @@
 	if o.state != granted && o.state != granting {
 		return
 	}
+	if o.inherited {
+		// Leases of earlier leaders' grants are waited for unless the new incarnation answers a release.
+		o.leaseExpiry, o.inheritedExpiry = later(o.leaseExpiry, o.inheritedExpiry), time.Time{}
+	}
 	o.state, o.inherited, o.handover = granting, false, ""
 	o.fence = g.nextFence()
 	o.nextOrderAt = now
--- a/internal/granter/simulation_test.go
+++ b/internal/granter/simulation_test.go
@@ -40,6 +40,8 @@
 	reusesFences               bool // renews a lease with the fence of the previous grant
 	unansweredPlanIsNotStored  bool // treats an unanswered plan as not stored
 	anyAnswerConfirms          bool // treats each accepted grant as confirmed
+	ignoresOrdersInFlight      bool // the leases that a leader passes on leave out orders in flight
+	ignoresInheritedLeases     bool // the leases that a leader passes on leave out those that it has inherited
 }
 
 // fakeLeader is a granter that may send orders until its leader lease expires.
@@ -53,7 +55,9 @@
 	maybeStoredSequence uint64 // newest plan that was sent to the store and may be in it
 	unreachableServer   string // id of a server that it can't reach
 	unreachableUntil    time.Time
-	suspendedUntil      time.Time // until then it does nothing
+	suspendedUntil      time.Time   // until then it does nothing
+	predecessor         *fakeLeader // may still be asked for its leases; only with passingRandom
+	killed              bool
 }
 
 func (l *fakeLeader) cannotReach(now time.Time, server string) bool {
@@ -64,6 +68,7 @@
 type simulation struct {
 	random                 *rand.Rand
 	confirmationRandom     *rand.Rand // for confirmed grants before releases, so that these leave the other events as they are
+	passingRandom          *rand.Rand // for leases that leaders pass on and orders in flight; nil if there are none
 	flaws                  flaws
 	now                    time.Time
 	servers                []*fakeServer
@@ -84,13 +89,14 @@
 
 // scheduledEvent is an event that is due at a given time.
 type scheduledEvent struct {
-	at  time.Time
-	run func(*simulation)
+	at    time.Time
+	run   func(*simulation)
+	fault bool // ends with the faults; otherwise it is a message on its way
 }
 
-// schedule runs an event after delay.
+// schedule runs an event of a fault after delay.
 func (sim *simulation) schedule(delay time.Duration, run func(*simulation)) {
-	sim.scheduled = append(sim.scheduled, scheduledEvent{at: sim.now.Add(delay), run: run})
+	sim.scheduled = append(sim.scheduled, scheduledEvent{at: sim.now.Add(delay), run: run, fault: true})
 }
 
 // runScheduled runs the events that are due.
@@ -138,6 +144,9 @@
 	predecessorExpiry = predecessorExpiry.Add(settings.MaxLeaseLifetime())
 	l := &fakeLeader{term: sim.term, leaseExpiry: sim.now.Add(leaderLease), lastKnown: map[string]int64{}}
 	l.granter = New(settings, sim.now, sim.term, slices.Clone(sim.plan), predecessorExpiry)
+	if sim.passingRandom != nil {
+		l.predecessor = sim.leader()
+	}
 	sim.leaders = append(sim.leaders, l)
 	sim.setServers(l)
 	sim.published = (*partitioner.Map)(nil).With(partitioner.Version{}, l.granter.Segments(sim.now))
@@ -295,6 +304,7 @@
 	if sim.now.Before(l.suspendedUntil) {
 		return
 	}
+	sim.askForLeases(l)
 	if !l.replaced && !sim.now.Before(sim.storeUnreachableUntil) {
 		l.leaseExpiry = sim.now.Add(leaderLease)
 		sim.storePlan(l, faultPercent)
@@ -310,6 +320,10 @@
 	for _, order := range orders {
 		switch o := order.(type) {
 		case Grant:
+			if sim.passingRandom != nil && sim.passingRandom.Intn(3) == 0 {
+				sim.delayGrant(l, o, faultPercent)
+				continue
+			}
 			outcome := sim.deliverGrant(l, o, faultPercent)
 			if outcome == Fenced && l.replaced {
 				l.leaseExpiry = sim.now // the elector ends the leader lease until an append is acknowledged
--- a/internal/granter/term_test.go
+++ b/internal/granter/term_test.go
@@ -150,7 +150,7 @@
 		}
 	}
 	is.Equal(inherited.state, releasing)
-	pause := inherited.unansweredExpiry.Sub(sim.now)
+	pause := inherited.pendingExpiry().Sub(sim.now)
 	is.True(pause > 3*time.Second)
 	for _, s := range g.ChangedSegments(sim.now) {
 		if s.Range == inherited.Range {
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -79,7 +79,7 @@
 // needsConfirmation reports whether a range that is being released needs a confirmed grant before the release. After a grant
 // without an answer the range has to wait for the end of the lease anyway.
 func (o *ownership) needsConfirmation(now time.Time) bool {
-	return o.unconfirmed && !o.confirmFailed && !now.Before(o.unansweredExpiry)
+	return o.unconfirmed && !o.confirmFailed && !now.Before(o.pendingExpiry())
 }
 
 // advanceRange makes the state changes of o that depend only on the time, the known servers and the stored plan.
@@ -91,7 +91,7 @@
 		case slices.Contains(g.unreachable, o.Service):
 		case o.failing && expired:
 			g.markFree(o, "")
-		case o.failing && !o.orderInFlight && o.unansweredExpiry.After(o.leaseExpiry) &&
+		case o.failing && !o.orderInFlight && o.unansweredExpiry.After(later(o.leaseExpiry, o.inheritedExpiry)) &&
 			now.Sub(o.failingSince) >= g.settings.LeaseDuration:
 			// No more grants are sent: each further one without an answer would delay the time at which the keys can be
 			// granted to another server.
@@ -131,7 +131,7 @@
 	switch {
 	case known && s.State == cataloger.Ready:
 		return false
-	case !now.Before(o.unansweredExpiry) || known && s.State == cataloger.Gone:
+	case !now.Before(o.pendingExpiry()) || known && s.State == cataloger.Gone:
 		return true
 	case known:
 		return false
@@ -236,6 +236,7 @@
 		b.acceptedSince = later(a.acceptedSince, b.acceptedSince)
 		b.leaseExpiry, b.unansweredExpiry =
 			later(a.leaseExpiry, b.leaseExpiry), later(a.unansweredExpiry, b.unansweredExpiry)
+		b.inheritedExpiry = later(a.inheritedExpiry, b.inheritedExpiry)
 		if a.nextOrderAt.Before(b.nextOrderAt) {
 			b.nextOrderAt = a.nextOrderAt
 		}
@@ -319,7 +320,10 @@
 		o.unansweredExpiry = later(o.unansweredExpiry, expiry)
 	case o.inherited:
 		// From now on the server refuses orders of an earlier leader, except those that it has received already.
-		o.leaseExpiry, o.unansweredExpiry = expiry, expiry
+		o.leaseExpiry, o.inheritedExpiry = expiry, expiry
+		if !o.inheritedUnanswered.IsZero() && o.inheritedUnanswered.Before(expiry) {
+			o.inheritedExpiry = o.inheritedUnanswered
+		}
 	default:
 		o.leaseExpiry = later(o.leaseExpiry, expiry)
 	}
@@ -344,10 +348,10 @@
 		o.unansweredExpiry = later(o.unansweredExpiry, o.leaseExpiry)
 	}
 	// The server has ended its lease, but may still apply a grant that it has not answered. No further release is sent:
-	// Tick frees the range at unansweredExpiry.
+	// Tick frees the range at pendingExpiry.
 	o.leaseExpiry = time.Time{}
-	o.nextOrderAt = o.unansweredExpiry.Add(g.settings.MaxLeaseLifetime())
-	if !now.Before(o.unansweredExpiry) {
+	o.nextOrderAt = o.pendingExpiry().Add(g.settings.MaxLeaseLifetime())
+	if !now.Before(o.pendingExpiry()) {
 		releasedBy := previousOwner{server: o.Server, incarnation: g.servers[o.Server].Incarnation, releasedAt: now}
 		if !g.incarnationStored(o) {
 			releasedBy = previousOwner{} // no plan in the store names the incarnation to which the range would return
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -54,6 +54,8 @@
 	HoldersOther
 	HoldersUnknown
 	HoldersEnded
+	LeasesInherited
+	InvalidLeases
 	EvacuationsBegun
 	EvacuationsEnded
 
@@ -149,6 +151,8 @@
 	HoldersOther:        {"holders_other", "Answers to such health checks by another backend server that is registered there."},
 	HoldersUnknown:      {"holders_unknown", "Such health checks without an answer, or answered in the name of no known backend server."},
 	HoldersEnded:        {"holders_ended", "Backend servers whose keys were freed because another one holds their address."},
+	LeasesInherited:     {"leases_inherited", "Key ranges for which the previous leader said until when its leases last."},
+	InvalidLeases:       {"invalid_leases", "Answers of a previous leader whose leases are invalid; they were ignored."},
 	EvacuationsBegun:    {"evacuations_begun", "Evacuations of a failure domain that began after this instance's start."},
 	EvacuationsEnded:    {"evacuations_ended", "Evacuations of a failure domain that ended after this instance's start."},
 }
