Count a crash whose server still accepts one connection

The kernel closes the sockets of a process that ends one after the other, and its listener may be the last. Such a crash was not counted.

Change: if a connection is accepted and ended within 20 ms, another one is opened, three at most. A server that leaves the connection open is alive, as before; this is known 20 ms later than before.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -24,6 +24,8 @@
 const (
 	// endedProbeTimeout bounds the connection by which an instance finds out whether a server has ended.
 	endedProbeTimeout = 100 * time.Millisecond
+	// maxEndedDials bounds the connections that are opened one after the other as long as the server accepts and ends them.
+	maxEndedDials = 3
 	// maxEndedProbes bounds the other servers to which an instance connects then to find out whether it has lost its paths instead.
 	maxEndedProbes = 3
 	// endedRetention is how long a server that has ended is remembered.
@@ -265,17 +267,34 @@
 }
 
 // refusesConnections reports whether no process accepts connections at an address. An address that does not answer may be cut
-// off, so that does not count.
+// off, so that does not count. The kernel may close the connections of a process that ends a millisecond before its listener, so
+// that a connection is still accepted, and ended at once; then the next one shows whether the listener is gone too.
 func (f *Forwarder) refusesConnections(ctx context.Context, address string) bool {
-	return errors.Is(f.accepts(ctx, address), syscall.ECONNREFUSED)
+	for range maxEndedDials {
+		conn, err := f.dialToProbe(ctx, address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		open := staysOpen(conn)
+		_ = conn.Close()
+		if open {
+			return false
+		}
+	}
+	return false
 }
 
 // accepts opens a connection to an address and closes it. The error says why that failed.
 func (f *Forwarder) accepts(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
-	conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
+	conn, err := f.dialToProbe(ctx, address)
 	if err != nil {
 		return err
 	}
 	return conn.Close()
 }
+
+// dialToProbe opens a connection to an address, also if ctx has ended.
+func (f *Forwarder) dialToProbe(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
+	return dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
+}
--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -29,6 +29,9 @@
 	t       *testing.T
 	servers []cataloger.Server
 	latency time.Duration
+	// listenerDelay is how long after its connections a server that crashes closes its listener. Zero means that it closes the
+	// listener first.
+	listenerDelay time.Duration
 
 	mu       sync.Mutex
 	crashed  int // servers that have crashed
@@ -84,12 +87,12 @@
 			s.crashed++
 			s.poisoned++
 			s.mu.Unlock()
-			_ = server.listener.Close()
-			server.mu.Lock()
-			for _, c := range server.conns {
-				_ = c.Close()
+			if s.listenerDelay > 0 {
+				server.closeConns()
+				time.Sleep(s.listenerDelay)
 			}
-			server.mu.Unlock()
+			_ = server.listener.Close()
+			server.closeConns()
 			return
 		}
 		time.Sleep(s.latency)
@@ -97,6 +100,15 @@
 	}
 }
 
+// closeConns closes all accepted connections.
+func (s *crashingServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 func (s *crashingServers) crashes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,6 +251,20 @@
 	}
 }
 
+// TestCrashCountsWhileListenerIsOpen guards against a request that is never barred because the connections of servers that crash
+// under it end slightly before their listeners, and a server that still accepts a connection is taken to be alive.
+func TestCrashCountsWhileListenerIsOpen(t *testing.T) {
+	is := is.New(t)
+	servers := startCrashingServers(t, 12, 0)
+	servers.listenerDelay = 2 * time.Millisecond
+	f := newCrashingForwarder(t, servers)
+	for range 8 {
+		sendFrom(f, "10.0.0.1", "POST", "/once/poison")
+	}
+	is.Equal(servers.crashes(), 3)
+	is.Equal(f.meter.Get(meter.ServersEnded), int64(3))
+}
+
 // TestOtherClientsAreServed guards against clients that are barred from a popular page because it crashes servers for one client.
 func TestOtherClientsAreServed(t *testing.T) {
 	is := is.New(t)
--- a/internal/forwarder/paths.go
+++ b/internal/forwarder/paths.go
@@ -239,17 +239,22 @@
 		return contactFailed
 	}
 	defer conn.Close()
-	if err := conn.SetReadDeadline(time.Now().Add(pathProbeLinger)); err != nil {
-		return contactUnknown
-	}
-	_, err = conn.Read(make([]byte, 1))
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if staysOpen(conn) {
 		return contactMade
 	}
 	return contactClosed
 }
 
+// staysOpen reports whether the other side leaves a new connection open for pathProbeLinger.
+func staysOpen(conn net.Conn) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(pathProbeLinger)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // LostServices returns the services to whose servers this instance has lost its path.
 func (f *Forwarder) LostServices(now time.Time) []detector.LostService {
 	f.paths.mu.Lock()
