Hold back suspects after a start until other instances have been heard

Change: an instance that has just started, or was suspended, holds back requests under which it has itself seen a server end until it has heard from a leader (a new leader: for 1 s, in which the others report), and for 2 s at most. Other requests go on. The decision is quarantiner.Catchup; no message is added.

Ruled out: to ask others before anything is sent (delays each start, and without a leader by a time-out) and to refuse suspects (an innocent request that ran beside a crash would be refused). A leader that has just started itself may answer before it has heard from others; this is not covered.

TestSuspectIsHeldBackAfterStart fails without the call in dispatch.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -297,6 +297,7 @@
 	defer c.stop()
 	unlink := context.AfterFunc(ctx, c.stop)
 	defer unlink()
+	c.options.Forwarder.BeginCatchup(time.Now()) // the Forwarder's times are of time.Now, not of timekeeper
 	c.options.Forwarder.OnLeaving(func(server string, incarnation int64) {
 		c.post(func(now time.Time) { c.serverLeaves(now, server, incarnation) })
 	})
@@ -363,6 +364,7 @@
 		c.lastContact = now
 	}
 	c.options.Forwarder.ShareLimits(time.Now(), now.Sub(c.lastContact))
+	c.stepCatchup(now)
 	c.spreadCrashRecords(now)
 	c.askSeeds(now)
 	c.sendReport(now)
--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -32,6 +32,15 @@
 	c.unspread[f] = true
 }
 
+// stepCatchup tells the Forwarder whether this instance has heard since its start of the crashes that others have noticed.
+func (c *Controller) stepCatchup(now time.Time) {
+	var leading time.Duration
+	if c.leaderState != nil {
+		leading = max(1, now.Sub(c.leaderState.since))
+	}
+	c.options.Forwarder.StepCatchup(time.Now(), now.Sub(c.lastContact), leading)
+}
+
 // spreadCrashRecords passes on what this instance has learned to a few others if it has no contact to a leader.
 func (c *Controller) spreadCrashRecords(now time.Time) {
 	if len(c.unspread) == 0 {
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -28,6 +28,8 @@
 	maxEndedDials = 3
 	// maxEndedProbes bounds the other servers to which an instance connects then to find out whether it has lost its paths instead.
 	maxEndedProbes = 3
+	// catchupInterval is the time between two looks whether a suspect still has to be held back.
+	catchupInterval = 20 * time.Millisecond
 	// endedRetention is how long a server that has ended is remembered.
 	endedRetention = 30 * time.Second
 )
@@ -58,6 +60,41 @@
 		reasonCrashesServers, b.Crashes, now.Sub(b.Since).Round(time.Millisecond))}, true
 }
 
+// BeginCatchup records that this instance starts, so that crashes which other instances have noticed are unknown to it.
+// StepCatchup must be called from then on.
+func (f *Forwarder) BeginCatchup(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catchup.Begin(now)
+}
+
+// StepCatchup records how long ago a leader told this instance what it lacks, and for how long it has led itself, or 0 if it does
+// not.
+func (f *Forwarder) StepCatchup(now time.Time, silence, leading time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catchup.Step(now, silence, leading)
+}
+
+// awaitCatchup holds back a suspect while this instance may not know all crashes under it.
+func (f *Forwarder) awaitCatchup(ctx context.Context, req *clientRequest) {
+	for now := time.Now(); now.Before(req.deadline) && f.mustHoldBack(now, req); now = time.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(catchupInterval, req.deadline.Sub(now))):
+		}
+	}
+}
+
+// mustHoldBack reports whether a request is a suspect, and other instances may know more about it.
+func (f *Forwarder) mustHoldBack(now time.Time, req *clientRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, suspect := f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
+	return suspect && f.catchup.Active(now)
+}
+
 // verdictStands reports whether a request that has waited for a slot is still treated as when its wait began: copies of it may
 // have crashed servers meanwhile.
 func (f *Forwarder) verdictStands(now time.Time, req *clientRequest) bool {
--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -265,6 +265,44 @@
 	is.Equal(f.meter.Get(meter.ServersEnded), int64(3))
 }
 
+// TestSuspectIsHeldBackAfterStart guards against an instance that has just started and sends a request to more servers although others
+// know that it crashes them, and against requests that are held back once the instance has heard from a leader.
+func TestSuspectIsHeldBackAfterStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		known int // crashes of which the leader tells
+		want  int // crashes of servers here
+		code  int
+	}{
+		"others know of crashes": {known: 3, want: 1, code: http.StatusServiceUnavailable},
+		"others know of nothing": {want: 2, code: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			servers := startCrashingServers(t, 12, 0)
+			f := newCrashingForwarder(t, servers)
+			f.BeginCatchup(time.Now())
+			sendFrom(f, "10.0.0.1", "POST", "/once/poison")
+			is.Equal(servers.crashes(), 1)
+			answer := make(chan *httptest.ResponseRecorder, 1)
+			go func() { answer <- sendFrom(f, "10.0.0.1", "POST", "/once/poison") }()
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(servers.crashes(), 1)                                           // it waits
+			is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK) // others don't
+			now := time.Now()
+			record := quarantiner.Record{
+				Fingerprint: f.QuarantinedRequests()[0], Crashes: map[quarantiner.Crash]quarantiner.Sighting{},
+			}
+			for n := range test.known {
+				record.Crashes[quarantiner.Crash{Server: "elsewhere", Incarnation: int64(n)}] = quarantiner.Sighting{At: now, Alone: true}
+			}
+			f.MergeQuarantine(now, record)
+			f.StepCatchup(now, 0, 0)
+			is.Equal((<-answer).Code, test.code)
+			is.Equal(servers.crashes(), test.want)
+		})
+	}
+}
+
 // TestOtherClientsAreServed guards against clients that are barred from a popular page because it crashes servers for one client.
 func TestOtherClientsAreServed(t *testing.T) {
 	is := is.New(t)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -30,6 +30,7 @@
 	var server string
 	req.held = 0
 	for {
+		f.awaitCatchup(ctx, req)
 		r, barred := f.refuseBarred(time.Now(), req)
 		if barred {
 			return r
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,7 @@
 	pauses           map[string]pause                // by server id
 	endedServers     map[quarantiner.Crash]time.Time // when it was noticed that a server had ended while it executed requests
 	quarantine       quarantiner.Quarantine
+	catchup          quarantiner.Catchup
 	limits           throttler.Limits
 	limitShare       float64 // part of the limits that this instance uses
 	cold             coldServers
--- a/internal/quarantiner/simulation_test.go
+++ b/internal/quarantiner/simulation_test.go
@@ -23,6 +23,10 @@
 	// simNotice is how long after the third crash the request may be sent without bounds, and simRepeats how often after that.
 	simNotice  = 3 * time.Second
 	simRepeats = 3
+	// simJoinTime is the longest time until a restarted instance first hears from a leader, and simStartSends how many requests it may
+	// send until simNotice after its start: one, and those that are sent before that crash.
+	simJoinTime   = 1500 * time.Millisecond
+	simStartSends = 2
 	// simPoisonRate and simInnocentRate are the numbers of requests a second.
 	simPoisonRate, simInnocentRate = 15.0, 60.0
 	// simInnocents is the number of different innocent requests, which come again and again.
@@ -35,6 +39,7 @@
 	noRequestPath bool // requests do not carry what is known about them
 	noSpreading   bool // instances without contact to a leader tell no others
 	noIsolation   bool // suspects share servers
+	noCatchup     bool // instances that have just started send suspects
 }
 
 type simInstance struct {
@@ -47,6 +52,9 @@
 	frozenUntil time.Time
 	cutUntil    time.Time // from other instances
 	excused     time.Time // until then its requests do not count
+	catchup     Catchup
+	startedAt   time.Time // zero if it was not restarted
+	joinsAt     time.Time // when it first hears from a leader
 }
 
 type simServer struct {
@@ -76,11 +84,12 @@
 	leaderless time.Time
 	crashes    []time.Time
 	repeats    int
-	barred     int // refusals of innocent requests
+	startSends map[time.Time]int // by the start of the instance
+	barred     int               // refusals of innocent requests
 }
 
 func newSimulation(seed uint64, instances, dispatchers int, flaws simFlaws) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, uint64(instances))), flaws: flaws, changes: map[Fingerprint]uint64{}}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, uint64(instances))), flaws: flaws, changes: map[Fingerprint]uint64{}, startSends: map[time.Time]int{}}
 	for range instances {
 		s.instances = append(s.instances, newSimInstance(time.Unix(1_000_000, 0)))
 	}
@@ -105,6 +114,11 @@
 		s.drawFault(now)
 		s.report(now)
 		s.spread(now)
+		for _, e := range s.instances {
+			if e.works(now) {
+				e.catchup.Step(now, now.Sub(e.lastContact), 0)
+			}
+		}
 		for _, server := range s.servers {
 			s.serve(now, server)
 		}
@@ -127,7 +141,10 @@
 	switch s.random.IntN(4) {
 	case 0: // restarted
 		*e = *newSimInstance(now)
-		e.frozenUntil, e.excused = now.Add(time.Second), now.Add(4*time.Second)
+		e.frozenUntil, e.excused = now.Add(time.Second), now.Add(time.Second+simNotice)
+		e.startedAt = e.frozenUntil
+		e.joinsAt = e.frozenUntil.Add(time.Duration(s.random.Int64N(int64(simJoinTime))))
+		e.catchup.Begin(e.frozenUntil)
 	case 1:
 		e.frozenUntil, e.excused = now.Add(length), now.Add(length+3*time.Second)
 	case 2:
@@ -153,7 +170,7 @@
 		return
 	}
 	for _, e := range s.instances {
-		if !e.works(now) || now.Before(e.cutUntil) || now.Before(e.nextReport) && len(e.changed) == 0 {
+		if !e.works(now) || now.Before(e.cutUntil) || now.Before(e.joinsAt) || now.Before(e.nextReport) && len(e.changed) == 0 {
 			continue
 		}
 		e.lastContact = now
@@ -228,6 +245,9 @@
 			}
 		}
 	}
+	if r.suspect && !s.flaws.noCatchup && dispatcher.catchup.Active(now) {
+		return // it is held back, and its client gives up
+	}
 	r.tries++
 	r.endsAt = now.Add(simServiceTime)
 	if r.poison {
@@ -235,6 +255,9 @@
 		if len(s.crashes) >= 3 && now.After(s.crashes[2].Add(simNotice)) && !now.Before(dispatcher.excused) && !now.Before(origin.excused) {
 			s.repeats++
 		}
+		if len(s.crashes) >= 3 && !dispatcher.startedAt.IsZero() && now.Before(dispatcher.joinsAt) && now.Before(dispatcher.startedAt.Add(catchupTimeout)) {
+			s.startSends[dispatcher.startedAt]++
+		}
 	}
 	server.running = append(server.running, r)
 }
@@ -345,6 +368,40 @@
 	}
 }
 
+// maxStartSends returns how often a restarted instance sent the request that crashes servers before it heard from a leader, at most.
+func (s *simulation) maxStartSends() int {
+	most := 0
+	for _, sends := range s.startSends {
+		most = max(most, sends)
+	}
+	return most
+}
+
+// TestStartInSimulation guards against instances that send a request that crashes servers to three of them after each restart.
+func TestStartInSimulation(t *testing.T) {
+	tests := map[string]struct {
+		flaws simFlaws
+		want  bool // whether each start leads to simStartSends at most
+	}{
+		"as built":                       {want: true},
+		"a start holds back no suspects": {flaws: simFlaws{noCatchup: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			most := 0
+			for seed := range uint64(200) {
+				s := newSimulation(seed, 4, 4, test.flaws)
+				s.run()
+				most = max(most, s.maxStartSends())
+			}
+			t.Log(most)
+			is.Equal(most <= simStartSends, test.want)
+		})
+	}
+}
+
 // TestCrashSimulationFindsFlaws shows that the checks of the simulation fail without each mechanism.
 func TestCrashSimulationFindsFlaws(t *testing.T) {
 	for name, test := range map[string]struct {
