Hold back suspects for 4 s at most after a start

Two instances start 0.8 s after the leader was suspended for 3 s; they held back the request for 2 s, heard of nobody, and sent it to two servers each, 0.2 s before the leader answered.

Change: the bound of Catchup is 4 s. It covers the election of a new leader (2.5 s) and the second in which others report to it.

Ruled out: no bound at all; a suspect would wait until its deadline as long as there is no leader.

TestCatchup has the new bound.

--- a/internal/quarantiner/catchup.go
+++ b/internal/quarantiner/catchup.go
@@ -4,8 +4,9 @@
 
 const (
 	// catchupTimeout bounds the time for which an instance that hears of no leader holds back suspects: then other instances may
-	// be out of reach for long.
-	catchupTimeout = 2 * time.Second
+	// be out of reach for long. It covers the election of a new leader (2.5 s) and leaderCatchup; with 2 s, instances that started
+	// while the leader was suspended for 3 s sent the request to two servers each.
+	catchupTimeout = 4 * time.Second
 	// suspensionThreshold is the gap between two steps after which an instance counts as having been suspended.
 	suspensionThreshold = 600 * time.Millisecond
 	// leaderCatchup is how long after its election a new leader may lack crashes that other instances have noticed. These report
