Reset the connection of a cancelled exchange

The connection was closed, which still lets these bytes arrive, followed by the end of the connection. The dispatcher gets a whole request, and sends it to a server before it learns of the end.

Change: an exchange whose context has ended resets its connection. An exchange that fails for another reason is closed as before.

Ruled out: a check at the dispatcher before it sends the request on. The end of the connection may arrive later than the last byte.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -88,6 +88,13 @@
 	return setUserTimeout(c.raw, timeout)
 }
 
+// resetOnClose makes Close discard bytes that were not sent, and reset the connection.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.counting.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 // sentBytes returns how many bytes the kernel has accepted for sending on this connection.
 func (c *conn) sentBytes() int64 { return c.counting.written.Load() }
 
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -46,7 +46,7 @@
 	pool       *Pool
 	conn       *conn
 	sentBefore int64       // bytes sent on conn before this request
-	unwatch    func() bool // stops watching the context; false if the context has ended already
+	unwatch    func() bool // stops watching the context; false if the context has ended already; its first result counts
 	writeDone  chan error  // gets the result of the background write; nil if there is none or its result was received
 	body       *StreamedBody
 	reusable   bool
@@ -224,12 +224,15 @@
 	return ErrMaybeSent{cause: err}
 }
 
-// closeConn closes the connection after the background write has ended.
+// closeConn closes the connection after the background write has ended. If the context of Do has ended, it resets the connection:
+// after a close, bytes of the request that wait in the send buffer would still be sent, and the other side would execute a
+// request that nobody waits for.
 func (e *exchange) closeConn() {
-	if e.unwatch != nil {
-		e.unwatch()
-	}
+	cancelled := e.unwatch != nil && !e.unwatch()
 	_ = e.abortWrite()
+	if cancelled {
+		e.conn.resetOnClose()
+	}
 	e.pool.discardInUse(e.conn)
 }
 
