--- a/internal/forwarder/crashes_test.go
+++ b/internal/forwarder/crashes_test.go
@@ -29,6 +29,9 @@
 	t       *testing.T
 	servers []cataloger.Server
 	latency time.Duration
+	// listenerDelay is how long after its connections a server that crashes closes its listener. Zero means that it closes the
+	// listener first.
+	listenerDelay time.Duration
 
 	mu       sync.Mutex
 	crashed  int // servers that have crashed
@@ -84,12 +87,12 @@
 			s.crashed++
 			s.poisoned++
 			s.mu.Unlock()
-			_ = server.listener.Close()
-			server.mu.Lock()
-			for _, c := range server.conns {
-				_ = c.Close()
+			if s.listenerDelay > 0 {
+				server.closeConns()
+				time.Sleep(s.listenerDelay)
 			}
-			server.mu.Unlock()
+			_ = server.listener.Close()
+			server.closeConns()
 			return
 		}
 		time.Sleep(s.latency)
@@ -97,6 +100,15 @@
 	}
 }
 
+// closeConns closes all accepted connections.
+func (s *crashingServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 func (s *crashingServers) crashes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,6 +251,58 @@
 	}
 }
 
+// TestCrashCountsWhileListenerIsOpen guards against a request that is never barred because the connections of servers that crash
+// under it end slightly before their listeners, and a server that still accepts a connection is taken to be alive.
+func TestCrashCountsWhileListenerIsOpen(t *testing.T) {
+	is := is.New(t)
+	servers := startCrashingServers(t, 12, 0)
+	servers.listenerDelay = 2 * time.Millisecond
+	f := newCrashingForwarder(t, servers)
+	for range 8 {
+		sendFrom(f, "10.0.0.1", "POST", "/once/poison")
+	}
+	is.Equal(servers.crashes(), 3)
+	is.Equal(f.meter.Get(meter.ServersEnded), int64(3))
+}
+
+// TestSuspectIsHeldBackAfterStart guards against an instance that has just started and sends a request to more servers although others
+// know that it crashes them, and against requests that are held back once the instance has heard from a leader.
+func TestSuspectIsHeldBackAfterStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		known int // crashes of which the leader tells
+		want  int // crashes of servers here
+		code  int
+	}{
+		"others know of crashes": {known: 3, want: 1, code: http.StatusServiceUnavailable},
+		"others know of nothing": {want: 2, code: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			servers := startCrashingServers(t, 12, 0)
+			f := newCrashingForwarder(t, servers)
+			f.BeginCatchup(time.Now())
+			sendFrom(f, "10.0.0.1", "POST", "/once/poison")
+			is.Equal(servers.crashes(), 1)
+			answer := make(chan *httptest.ResponseRecorder, 1)
+			go func() { answer <- sendFrom(f, "10.0.0.1", "POST", "/once/poison") }()
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(servers.crashes(), 1)                                           // it waits
+			is.Equal(sendFrom(f, "10.0.0.1", "POST", "/once/x").Code, http.StatusOK) // others don't
+			now := time.Now()
+			record := quarantiner.Record{
+				Fingerprint: f.QuarantinedRequests()[0], Crashes: map[quarantiner.Crash]quarantiner.Sighting{},
+			}
+			for n := range test.known {
+				record.Crashes[quarantiner.Crash{Server: "elsewhere", Incarnation: int64(n)}] = quarantiner.Sighting{At: now, Alone: true}
+			}
+			f.MergeQuarantine(now, record)
+			f.StepCatchup(now, 0, 0)
+			is.Equal((<-answer).Code, test.code)
+			is.Equal(servers.crashes(), test.want)
+		})
+	}
+}
+
 // TestOtherClientsAreServed guards against clients that are barred from a popular page because it crashes servers for one client.
 func TestOtherClientsAreServed(t *testing.T) {
 	is := is.New(t)
