A release waits only for orders without an answer, not for the latest renewal

Cause: a server that was gone while orders of the previous leader could still reach it was sent its release without a grant that confirms the lease, since the range had to wait anyway. The release then counted the latest renewal as perhaps not applied, and the range waited 4.2 s from that renewal: longer than for the orders of the previous leader.

Change: the lease is confirmed whenever the lease of the renewal would last longer than those of orders without an answer. Renewals for servers that are not registered need no confirmation of their own any more.

Ruled out: confirming each renewal, which takes a new connection.

Measured: TestReleaseAfterRenewalWaitsOnlyForOrdersWithoutAnswer fails on the code before (still waiting after 4.2 s plus two steps) and passes; go test ./internal/granter passes.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -431,3 +431,28 @@
 	is.Equal(ranges, 2)
 	is.Equal(movable, 0)
 }
+
+// TestReleaseAfterRenewalWaitsOnlyForOrdersWithoutAnswer guards against keys that wait for a lease of an answered renewal, because their
+// server was gone before the orders of the previous leader had ended, so that no grant confirmed the lease before the release.
+func TestReleaseAfterRenewalWaitsOnlyForOrdersWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	plan := []Assignment{{Service: service, Range: partitioner.Range{Last: partitioner.MaxKey}, Server: "s0"}}
+	g := New(testSettings, epoch, 2, plan, epoch.Add(time.Minute))
+	servers := []cataloger.Server{{ID: "s0", Service: service}, {ID: "s1", Service: service}}
+	g.SetServers(epoch, []string{service}, servers)
+	for now := epoch; g.Segments(now)[0].Server == "s0"; now = now.Add(timeStep) {
+		is.True(now.Before(epoch.Add(testSettings.MaxLeaseLifetime() + 2*timeStep)))
+		if now.Sub(epoch) == 3*time.Second { // the latest renewal was at 2.4 s
+			servers[0].State = cataloger.Gone
+			g.SetServers(now, []string{service}, servers)
+		}
+		for _, order := range g.Tick(now) {
+			switch o := order.(type) {
+			case Grant:
+				g.CompleteGrant(now, o, Accepted)
+			case Release:
+				g.CompleteRelease(now, o, Accepted, "")
+			}
+		}
+	}
+}
--- a/internal/granter/transitions.go
+++ b/internal/granter/transitions.go
@@ -36,7 +36,7 @@
 				orders = append(orders, g.grantOrder(now, o))
 			}
 		case releasing:
-			if o.needsConfirmation(now) {
+			if o.needsConfirmation() {
 				if !g.incarnationStored(o) {
 					continue
 				}
@@ -60,12 +60,9 @@
 	}
 	o.orderInFlight = true
 	o.nextOrderAt = now.Add(g.settings.RenewInterval)
-	_, registered := g.servers[o.Server]
 	order := Grant{
 		ID: o.id, Server: o.Server, Incarnation: o.Incarnation, Range: o.Range, Fence: o.fence,
-		LeaseDuration: g.settings.LeaseDuration,
-		// A server that is not registered may soon have to release the range, which an unconfirmed renewal would delay.
-		Confirmed: o.state != granted || o.failing || !registered,
+		LeaseDuration: g.settings.LeaseDuration, Confirmed: o.state != granted || o.failing,
 	}
 	if order.Incarnation == 0 {
 		order.Incarnation = g.servers[o.Server].Incarnation
@@ -76,10 +73,10 @@
 	return order
 }
 
-// needsConfirmation reports whether a range that is being released needs a confirmed grant before the release. After a grant
-// without an answer the range has to wait for the end of the lease anyway.
-func (o *ownership) needsConfirmation(now time.Time) bool {
-	return o.unconfirmed && !o.confirmFailed && !now.Before(o.pendingExpiry())
+// needsConfirmation reports whether a range that is being released needs a confirmed grant before the release: without it, the range
+// waits for the end of its lease, which is later than that of grants without an answer.
+func (o *ownership) needsConfirmation() bool {
+	return o.unconfirmed && !o.confirmFailed && o.pendingExpiry().Before(o.leaseExpiry)
 }
 
 // advanceRange makes the state changes of o that depend only on the time, the known servers and the stored plan.
