Leases that are passed on cover a leader before the previous one, which a test shows

Cause: a new leader took the previous one's answer that it had stopped for the end of all orders. A leader before that one, which is cut off and has not noticed that it was replaced, may go on granting to a server that the two later ones don't reach.

Code is unchanged, as leases that are passed on include inherited ones.

Ruled out: waiting for a leader lease (20 s) whenever the previous leader passes on nothing, which would delay keys of lost servers after each restart of a leader.

Measured: the test passes, and fails if the answer has no leases.

--- a/internal/granter/leases_test.go
+++ b/internal/granter/leases_test.go
@@ -219,3 +219,23 @@
 	t.Logf("keys times seconds without an owner: %.1f, with leases passed on %.1f", unserved[false], unserved[true])
 	is.New(t).True(unserved[true] < unserved[false]/5)
 }
+
+// TestQuickLeaderChangesWaitForTheFirstLeader guards against a second owner of keys when a leader that stopped soon after its election
+// did not reach a server to which the leader before it, which has not noticed that it was replaced, still sends grants.
+func TestQuickLeaderChangesWaitForTheFirstLeader(t *testing.T) {
+	for seed := range int64(seeds) {
+		sim := newPassingSimulation(seed, 5, flaws{})
+		sim.run(settleTime, 0)
+		cutOff := sim.servers[seed%5].registration.ID
+		for range 2 {
+			sim.elect()
+			sim.leader().unreachableServer, sim.leader().unreachableUntil = cutOff, sim.now.Add(2*leaderLease)
+			sim.leaders[1].predecessor = nil // nobody tells the first leader
+			sim.run(300*time.Millisecond, 0)
+		}
+		sim.run(2*leaderLease, 0)
+		if sim.violation != "" {
+			t.Fatalf("seed %d: %s", seed, sim.violation)
+		}
+	}
+}
