--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -24,8 +24,12 @@
 const (
 	// endedProbeTimeout bounds the connection by which an instance finds out whether a server has ended.
 	endedProbeTimeout = 100 * time.Millisecond
+	// maxEndedDials bounds the connections that are opened one after the other as long as the server accepts and ends them.
+	maxEndedDials = 3
 	// maxEndedProbes bounds the other servers to which an instance connects then to find out whether it has lost its paths instead.
 	maxEndedProbes = 3
+	// catchupInterval is the time between two looks whether a suspect still has to be held back.
+	catchupInterval = 20 * time.Millisecond
 	// endedRetention is how long a server that has ended is remembered.
 	endedRetention = 30 * time.Second
 )
@@ -56,6 +60,41 @@
 		reasonCrashesServers, b.Crashes, now.Sub(b.Since).Round(time.Millisecond))}, true
 }
 
+// BeginCatchup records that this instance starts, so that crashes which other instances have noticed are unknown to it.
+// StepCatchup must be called from then on.
+func (f *Forwarder) BeginCatchup(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catchup.Begin(now)
+}
+
+// StepCatchup records how long ago a leader told this instance what it lacks, and for how long it has led itself, or 0 if it does
+// not.
+func (f *Forwarder) StepCatchup(now time.Time, silence, leading time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catchup.Step(now, silence, leading)
+}
+
+// awaitCatchup holds back a suspect while this instance may not know all crashes under it.
+func (f *Forwarder) awaitCatchup(ctx context.Context, req *clientRequest) {
+	for now := time.Now(); now.Before(req.deadline) && f.mustHoldBack(now, req); now = time.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(catchupInterval, req.deadline.Sub(now))):
+		}
+	}
+}
+
+// mustHoldBack reports whether a request is a suspect, and other instances may know more about it.
+func (f *Forwarder) mustHoldBack(now time.Time, req *clientRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, suspect := f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
+	return suspect && f.catchup.Active(now)
+}
+
 // verdictStands reports whether a request that has waited for a slot is still treated as when its wait began: copies of it may
 // have crashed servers meanwhile.
 func (f *Forwarder) verdictStands(now time.Time, req *clientRequest) bool {
@@ -265,17 +304,34 @@
 }
 
 // refusesConnections reports whether no process accepts connections at an address. An address that does not answer may be cut
-// off, so that does not count.
+// off, so that does not count. The kernel may close the connections of a process that ends a millisecond before its listener, so
+// that a connection is still accepted, and ended at once; then the next one shows whether the listener is gone too.
 func (f *Forwarder) refusesConnections(ctx context.Context, address string) bool {
-	return errors.Is(f.accepts(ctx, address), syscall.ECONNREFUSED)
+	for range maxEndedDials {
+		conn, err := f.dialToProbe(ctx, address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		open := staysOpen(conn)
+		_ = conn.Close()
+		if open {
+			return false
+		}
+	}
+	return false
 }
 
 // accepts opens a connection to an address and closes it. The error says why that failed.
 func (f *Forwarder) accepts(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
-	conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
+	conn, err := f.dialToProbe(ctx, address)
 	if err != nil {
 		return err
 	}
 	return conn.Close()
 }
+
+// dialToProbe opens a connection to an address, also if ctx has ended.
+func (f *Forwarder) dialToProbe(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: endedProbeTimeout, LocalAddr: exchanger.LocalAddr(f.sourceIP)}
+	return dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
+}
