Only an answered report ends the catch-up with crashes after a start

Cause: stepCatchup took lastContact for the time at which a leader told this instance what it lacks. lastContact is also set by a publication, which has only what the leader's previous one to an instance of this name lacked; that may have been an earlier incarnation. So in a cluster where the leader publishes before the first report of a restarted instance, that instance sent suspects at once. It is also the arrival time of an answer, which may have been given before a suspension, and the initial value is the time of New on another clock.

Change: the time at which the last answered report was sent counts, of time.Now as the Forwarder's times.

Ruled out: records in the publication that are complete for a new incarnation. The leader does not know the incarnation before it reports.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -123,6 +123,7 @@
 	quarantineReports changeReports[quarantiner.Fingerprint]
 	unspread          map[quarantiner.Fingerprint]bool // what was learned and may have to be passed on without a leader
 	lastContact       time.Time                        // when a leader last answered this instance, or this instance led
+	answeredReport    time.Time                        // when the last report was sent that a leader has answered; of time.Now
 	viewOutdated      bool                             // the view has to be rebuilt
 	ownersOutdated    bool                             // the view has an old owner map, and nothing else in it has changed
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -103,6 +103,7 @@
 				return
 			}
 			if reply.GetLeading() {
+				c.answeredReport = sent
 				c.leavingServers.reportAnswered()
 				c.limitReports.reportAnswered()
 				c.quarantineReports.reportAnswered()
--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -34,11 +34,21 @@
 
 // stepCatchup tells the Forwarder whether this instance has heard since its start of the crashes that others have noticed.
 func (c *Controller) stepCatchup(now time.Time) {
-	var leading time.Duration
-	if c.leaderState != nil {
-		leading = max(1, now.Sub(c.leaderState.since))
+	forwarderNow := time.Now()
+	c.options.Forwarder.StepCatchup(forwarderNow, c.reportSilence(forwarderNow), c.leadingTime(now))
+}
+
+// reportSilence returns how long ago the last report was sent that a leader has answered. Only such an answer has all that this
+// instance lacks: a publication has what the leader's previous one lacked, which may have gone to an earlier incarnation. The answer
+// may be older than its arrival if this instance was suspended meanwhile. now is a time of time.Now.
+func (c *Controller) reportSilence(now time.Time) time.Duration { return now.Sub(c.answeredReport) }
+
+// leadingTime returns for how long this instance has led, or 0 if it does not.
+func (c *Controller) leadingTime(now time.Time) time.Duration {
+	if c.leaderState == nil {
+		return 0
 	}
-	c.options.Forwarder.StepCatchup(time.Now(), now.Sub(c.lastContact), leading)
+	return max(1, now.Sub(c.leaderState.since))
 }
 
 // spreadCrashRecords passes on what this instance has learned to a few others if it has no contact to a leader.
