Close a connection that is full of failed ids without a reset

Cause: since cancelled exchanges reset their connection, closeConn takes a second call of unwatch for a context that has ended. After 64 failed requests with ids, Response.Close has called it before, so the connection was reset although all its exchanges were complete.

Change: Response.Close discards such a connection itself. Nothing is left to abort: the write and the context's watch have ended.

Ruled out: a field with the first result of unwatch, which all calls would have to set.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -271,7 +271,7 @@
 		e.conn.failedIDs = append(e.conn.failedIDs, e.id)
 	}
 	if len(e.conn.failedIDs) >= maxFailedIDs {
-		e.closeConn()
+		e.pool.discardInUse(e.conn) // not closeConn: the context has not ended, but unwatch was called before
 		return
 	}
 	e.pool.put(e.conn, now)
--- a/internal/exchanger/late_copy_test.go
+++ b/internal/exchanger/late_copy_test.go
@@ -100,3 +100,23 @@
 	}
 	is.Equal(p.Open(), 0)
 }
+
+// TestFullConnectionIsClosedWithoutReset guards against the reset of a connection whose exchanges were all complete, which servers log as
+// an error of the client.
+func TestFullConnectionIsClosedWithoutReset(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	p := New(Options{Address: startScriptedServer(t, func(c net.Conn, in *bufio.Reader, _ *atomic.Int64) {
+		var err error
+		for err == nil {
+			if _, err = http.ReadRequest(in); err == nil {
+				_, err = io.WriteString(c, "HTTP/1.1 503 \r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+		ended <- err
+	}).address})
+	for i := range maxFailedIDs {
+		exchangeFor(t, p, fmt.Sprint(i), "503")
+	}
+	is.Equal(<-ended, io.EOF)
+}
