An empty line before a request does not start the timeout of its header

Cause: the drainer takes the first byte after an answer for the start of a header. Some clients send an empty line after the body of a POST, which RFC 9112 asks servers to ignore. net/http waits for the next request then; the drainer answered 408 and closed the connection after the header's timeout (3.5 s in the deployments), although the client was idle within the idle timeout (15 s).

Change: bytes that are only line ends leave the connection idle. The idle timeout still counts from the last answer.

Ruled out: dropping the line ends in Read, which net/http does itself, for POST only.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -53,7 +53,7 @@
 	if deadlineErr := c.markBusy(); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
-	if deadlineErr := c.beginHeader(time.Now()); deadlineErr != nil && err == nil {
+	if deadlineErr := c.beginHeader(time.Now(), p[:n]); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
 	if limitErr := c.countHeader(time.Now(), n); limitErr != nil {
--- a/internal/drainer/requests.go
+++ b/internal/drainer/requests.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -85,8 +86,12 @@
 	return c.drainer.limits.Timeouts(), true
 }
 
-// beginHeader records that bytes were read at now, which may be the first ones of a header.
-func (c *conn) beginHeader(now time.Time) error {
+// beginHeader records that bytes were read at now, which may be the first ones of a header. An empty line before it does not count: some
+// clients send one after a body, and the server waits for the next request then.
+func (c *conn) beginHeader(now time.Time, read []byte) error {
+	if len(bytes.Trim(read, "\r\n")) == 0 {
+		return nil
+	}
 	timeouts, ok := c.timeouts()
 	if !ok {
 		return nil
--- a/internal/drainer/requests_test.go
+++ b/internal/drainer/requests_test.go
@@ -172,3 +172,35 @@
 	}
 	is.Equal(d.largeBuffers.Load(), int32(0))
 }
+
+// TestEmptyLineBeginsNoHeader guards against the end of a connection that is idle for less than the idle timeout, because its client sent
+// an empty line after the body of a request, as old ones do. The server ignores that.
+func TestEmptyLineBeginsNoHeader(t *testing.T) {
+	tests := map[string]struct {
+		sent string // before the pause
+		want int
+	}{
+		"empty line":          {sent: "\r\n", want: 200},
+		"start of a request":  {sent: "PO", want: 408},
+		"empty line and more": {sent: "\r\nP", want: 408},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{
+				Timeouts: func() Timeouts { return Timeouts{Idle: time.Minute, Header: 200 * time.Millisecond} },
+			})
+			const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+			c := dial(t, d)
+			_, err := io.WriteString(c.conn, request)
+			is.NoErr(err)
+			is.Equal(c.readStatus(), 200)
+			_, err = io.WriteString(c.conn, test.sent)
+			is.NoErr(err)
+			time.Sleep(500 * time.Millisecond)
+			_, err = io.WriteString(c.conn, strings.TrimPrefix(request, strings.TrimPrefix(test.sent, "\r\n")))
+			is.NoErr(err)
+			is.Equal(c.readStatus(), test.want)
+		})
+	}
+}
