The timeout of a grant counts from the decision to send it

Cause: the goroutine that sends a grant took the time itself. If the process is suspended before it runs, and a Publish was answered before the suspension, the grant is sent after it, with a timeout of its own. The leases that the answer has passed on cover an order in flight only for 0.5 s (its timeout) and the lease after it. A server that the next leader does not reach would accept the grant, also when its keys have been granted to another server.

Change: the time is taken before the goroutine starts. A grant that is late is not sent.

Ruled out: a longer time for orders in flight in Granter.Leases. A suspension has no bound.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -213,14 +213,7 @@
 			l.granter.CompleteGrant(now, o, granter.NotSent) // the plan does not name this incarnation
 			return
 		}
-		address := s.Address
-		go func() {
-			sent := time.Now()
-			outcome, err := c.orders.Grant(c.context, sent, address, o)
-			c.options.Meter.Observe(meter.GrantTime, time.Since(sent))
-			c.options.Forwarder.ObserveGrant(time.Now(), o.Server, outcome == granter.Unanswered, err)
-			c.post(func(now time.Time) { c.completeGrant(now, l, o, outcome, err) })
-		}()
+		go c.sendGrant(time.Now(), l, s.Address, o)
 	case granter.Release:
 		c.options.Meter.Count(meter.ReleasesSent)
 		address := c.serverAddress(o.Server)
@@ -241,6 +234,16 @@
 	}
 }
 
+// sendGrant sends a grant that was due at now, a time of time.Now, and posts its outcome. The time of its end counts from then, also if
+// this process was suspended before it could send the grant: the leases that this leader passes on cover no later grant.
+func (c *Controller) sendGrant(now time.Time, l *leaderState, address string, o granter.Grant) {
+	outcome, err := c.orders.Grant(c.context, now, address, o)
+	end := time.Now()
+	c.options.Meter.Observe(meter.GrantTime, end.Sub(now))
+	c.options.Forwarder.ObserveGrant(end, o.Server, outcome == granter.Unanswered, err)
+	c.post(func(now time.Time) { c.completeGrant(now, l, o, outcome, err) })
+}
+
 // serverAddress returns the address of a server, or its last known address if it is no longer registered.
 func (c *Controller) serverAddress(server string) string {
 	if s, ok := c.catalog.LastKnown(server); ok {
--- a/internal/controller/leases_test.go
+++ b/internal/controller/leases_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/wasabibank/wasabibank/internal/herald"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/partitioner"
+	"github.com/wasabibank/wasabibank/platform"
 )
 
 // TestPreviousLeaderPassesItsLeases guards against keys that wait for leases which the previous leader knows to have ended, and against
@@ -96,3 +99,22 @@
 		})
 	}
 }
+
+// TestGrantIsNotSentLate guards against a grant that is sent after the leases that its leader has passed on have ended, because the
+// process was suspended between the decision and the sending.
+func TestGrantIsNotSentLate(t *testing.T) {
+	for name, test := range map[string]struct {
+		late time.Duration
+		want int64
+	}{"in time": {want: 1}, "suspended": {late: platform.GrantTimeout}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, now := newLeaderOfTwo(t)
+			orders := c.leaderState.granter.Tick(now.Add(c.grantSettings.RenewInterval))
+			var received atomic.Int64
+			address := startTestServer(t, func(http.ResponseWriter, *http.Request) { received.Add(1) })
+			c.sendGrant(time.Now().Add(-test.late), c.leaderState, address, orders[0].(granter.Grant))
+			is.Equal(received.Load(), test.want)
+		})
+	}
+}
