--- a/internal/drainer/buffers.go
+++ b/internal/drainer/buffers.go
@@ -8,8 +8,9 @@
 
 const (
 	// smallReceiveBuffer is the size in bytes of the receive buffer of a connection of which no large body is being read: what a client may
-	// have sent to an instance that does not read yet. It holds a usual header.
-	smallReceiveBuffer = 16 << 10
+	// have sent to an instance that does not read yet. It holds a usual header. With 16 KiB,
+	// bodies on loopback arrived at 4 MB/s after an enlargement, as the window stayed below a segment of 64 KiB; with 32 KiB at over 1 GB/s.
+	smallReceiveBuffer = 32 << 10
 	// maxLargeBuffers bounds how many connections have a larger one at the same time. With buffers of a 1,024th of the memory, which the
 	// system doubles, they take a 16th of it.
 	maxLargeBuffers = 32
