--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"os"
@@ -53,8 +54,10 @@
 	if deadlineErr := c.markBusy(); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
-	if deadlineErr := c.beginHeader(time.Now()); deadlineErr != nil && err == nil {
-		err = deadlineErr
+	if len(bytes.TrimLeft(p[:n], "\r\n")) > 0 { // some clients send an empty line after a body
+		if deadlineErr := c.beginHeader(time.Now()); deadlineErr != nil && err == nil {
+			err = deadlineErr
+		}
 	}
 	if limitErr := c.countHeader(time.Now(), n); limitErr != nil {
 		return 0, limitErr
--- a/internal/drainer/requests_test.go
+++ b/internal/drainer/requests_test.go
@@ -69,7 +69,13 @@
 	time.Sleep(400 * time.Millisecond)
 	waiting.sendRequest() // its idle timeout has become longer while it was idle
 	is.Equal(waiting.readStatus(), 200)
-	_, err := io.WriteString(unfinished.conn, "GET / HTTP/1.1\r\nHo")
+	_, err := io.WriteString(waiting.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n\r\n") // an empty line too much
+	is.NoErr(err)
+	is.Equal(waiting.readStatus(), 200)
+	time.Sleep(400 * time.Millisecond)
+	waiting.sendRequest()
+	is.Equal(waiting.readStatus(), 200)
+	_, err = io.WriteString(unfinished.conn, "GET / HTTP/1.1\r\nHo")
 	is.NoErr(err)
 	is.Equal(unfinished.readStatus(), 408)
 	is.Equal(unfinished.readStatus(), 0) // nothing follows
