--- a/internal/granter/leases.go
+++ b/internal/granter/leases.go
@@ -17,7 +17,7 @@
 	Unanswered time.Duration // leases of grants without an answer, which the server may still apply, and of all that are in flight
 }
 
-// Leases returns the leases of all ranges, for the next leader. This leader must have stopped to send orders. One that is in flight
+// Leases returns the leases of all ranges, for the next leader. This leader must have stopped sending orders. One that is in flight
 // may reach its server until orderTimeout from now. ok is false if another leader may have granted ranges meanwhile, see Freeze.
 func (g *Granter) Leases(now time.Time, orderTimeout time.Duration) (leases []RangeLease, ok bool) {
 	if g.frozen {
