--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -3,8 +3,8 @@
 // and the plans are in one topic of the store, whose next offset is the condition of each append.
 //
 // A leader may send orders until its leader lease expires, a fixed time after it sent the last append that the store
-// acknowledged. A new leader waits for the leader lease of the previous leader to expire only before it frees the ranges
-// of backend servers that it can't reach.
+// acknowledged. A new leader waits for the leader leases of earlier leaders to expire only before it frees the ranges
+// of backend servers that it can't reach; see Leader.Sole.
 //
 // The store may come back from an older copy of itself, which begins a new era: the newest records are lost, perhaps also
 // those of a leader that still acts, and their offsets are given out again. A term has the era as its leading part, so that
