--- a/internal/forwarder/cold.go
+++ b/internal/forwarder/cold.go
@@ -51,6 +51,23 @@
 	return f.cold.warmups.ColdUntil(server, incarnation)
 }
 
+// ColdRate returns how many requests a second all instances together send to a server that says that it is cold, and false if it
+// does not say so.
+func (f *Forwarder) ColdRate(now time.Time, server string) (float64, bool) {
+	v := f.view.Load()
+	if v == nil {
+		return 0, false
+	}
+	s, _ := v.Server(server)
+	tolerated, limited := warmupRate(v, s.Service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !limited || !now.Before(f.cold.warmups.StatedUntil(s.ID, s.Incarnation)) {
+		return 0, false
+	}
+	return f.cold.rule.Dispatcher(tolerated).Rate, true
+}
+
 // warmupRate returns how many requests a second a cold server of a service tolerates, and false if it tolerates any number.
 func warmupRate(v *resolver.View, service string) (float64, bool) {
 	if v == nil || v.Table == nil {
@@ -172,7 +189,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.view.Load()
-	if v == nil || now.Sub(f.cold.lastLook) < coldCheckInterval {
+	if v == nil || f.cold.warmups.Empty() || now.Sub(f.cold.lastLook) < coldCheckInterval {
 		return
 	}
 	f.cold.lastLook = now
@@ -304,6 +321,7 @@
 		return true
 	}
 	start := time.Now()
+	defer func() { req.held = time.Since(start) }()
 	held := false
 	for {
 		now := time.Now()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -26,6 +26,7 @@
 // dispatch queues the request for its pool, which this instance dispatches, and sends it to a server.
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
 	var server string
+	req.held = 0
 	for {
 		r, barred := f.refuseBarred(time.Now(), req)
 		if barred {
@@ -173,14 +174,14 @@
 
 // releaseSlot frees the slot, and updates the statistics of the queue and of the server's load from the result.
 func (f *Forwarder) releaseSlot(now, start time.Time, req *clientRequest, server string, r result) {
-	took := now.Sub(start)
+	took := now.Sub(start) - req.held
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queues[req.pool]
 	if q == nil {
 		return
 	}
-	given := req.deadline.Sub(start)
+	given := req.deadline.Sub(start) - req.held
 	outcome := queueOutcome(r, took, given)
 	switch outcome {
 	case queuer.Answered:
@@ -208,7 +209,7 @@
 		return queuer.Rejected
 	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
 		return queuer.Inconclusive
-	case r.outcome == moved:
+	case r.outcome == moved, r.reason == reasonCold:
 		return queuer.Inconclusive
 	case r.timedOut, r.status == http.StatusGatewayTimeout && given-took <= max(timeUpMargin, given/timeUpFraction):
 		return queuer.TimedOut
@@ -242,7 +243,7 @@
 	}
 	if !f.awaitColdTurn(ctx, req, server) {
 		connection.Release(time.Now())
-		return result{outcome: unreached, server: serverID, reason: "cold_server", retryAfter: minRetryAfter}
+		return result{outcome: unreached, server: serverID, reason: reasonCold, retryAfter: minRetryAfter}
 	}
 	// A request that is not idempotent is not cancelled when its client leaves, so that the server can complete it.
 	sendCtx := ctx
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -42,6 +42,7 @@
 	pool             resolver.ServerPool // chosen for the current attempt
 	ownerMapVersion  partitioner.Version // version of the owner map by which pool was chosen
 	newOwner         string              // owner of the key that a dispatcher named, by the map of ownerMapVersion
+	held             time.Duration       // in the present attempt, after it got a slot, because its server may be cold
 	avoidServer      string              // server that failed or rejected this request, or could not be reached
 	triedDispatchers []string            // instances that had no path to a server of pool
 	withoutPath      []string            // the same for all pools, with repetitions; for the log
@@ -125,6 +126,8 @@
 	// reasonNoServer says that a service has no server pool, or a pool no server. In the first case prepareRetry tries no
 	// other pool.
 	reasonNoServer = "no_server"
+	// reasonCold says that a request had a slot of a server that is cold, but could not be sent soon without sending it too many.
+	reasonCold = "cold_server"
 	// reasonEvacuated says that all servers of a service are in evacuated failure domains.
 	reasonEvacuated = "evacuated"
 	// reasonClientLeft says that the client left before the answer. releaseSlot then records nothing about the server, and
--- a/internal/forwarder/time_out_test.go
+++ b/internal/forwarder/time_out_test.go
@@ -162,6 +162,7 @@
 		"instance exits":                {result: result{outcome: broken, timedOut: true, reason: reasonShuttingDown}, want: queuer.Inconclusive},
 		"time up before it was sent":    {result: result{outcome: abandoned}, want: queuer.Inconclusive},
 		"no connection to the server":   {result: result{outcome: unreached, reason: reasonNoConnection + ": x"}, want: queuer.Inconclusive},
+		"held because it is cold":       {result: result{outcome: unreached, reason: reasonCold}, want: queuer.Inconclusive},
 		"rejected":                      {result: result{outcome: rejected, status: 503}, want: queuer.Rejected},
 		"rejected with 504 at its time": {result: result{outcome: rejected, status: 504}, took: time.Second, want: queuer.Rejected},
 	}
--- a/internal/throttler/warmups.go
+++ b/internal/throttler/warmups.go
@@ -178,6 +178,17 @@
 	return s.until
 }
 
+// StatedUntil returns until when an incarnation of a server is cold by what it has said itself, or the zero Time.
+func (w *Warmups) StatedUntil(server string, incarnation int64) time.Time {
+	if s := w.servers[server]; s != nil && s.incarnation == incarnation {
+		return s.until
+	}
+	return time.Time{}
+}
+
+// Empty reports whether no server is known.
+func (w *Warmups) Empty() bool { return len(w.servers) == 0 }
+
 // LimitedUntil returns until when a queue must limit the requests to an incarnation of a server, or the zero Time: until it is warm,
 // but not while its answer may come soon, since requests would be refused that need to wait only for that. Sending holds these.
 func (w *Warmups) LimitedUntil(now time.Time, server string, incarnation int64) time.Time {
