--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabibank/wasabibank/internal/cataloger"
 	"github.com/wasabibank/wasabibank/internal/exchanger"
 	"github.com/wasabibank/wasabibank/internal/meter"
 	"github.com/wasabibank/wasabibank/internal/quarantiner"
@@ -26,6 +27,7 @@
 // dispatch queues the request for its pool, which this instance dispatches, and sends it to a server.
 func (f *Forwarder) dispatch(ctx context.Context, req *clientRequest) result {
 	var server string
+	req.held = 0
 	for {
 		r, barred := f.refuseBarred(time.Now(), req)
 		if barred {
@@ -74,6 +76,7 @@
 	}
 	f.limitDeadline(req)
 	_, req.suspect = f.quarantine.Verdict(now, req.fingerprints).(quarantiner.Suspect)
+	f.resumeContact(now)
 	q := f.queueFor(now, req.pool)
 	if req.keyed && notOwner(q.view, req) {
 		f.mu.Unlock()
@@ -183,14 +186,14 @@
 
 // releaseSlot frees the slot, and updates the statistics of the queue and of the server's load from the result.
 func (f *Forwarder) releaseSlot(now, start time.Time, req *clientRequest, server string, r result) {
-	took := now.Sub(start)
+	took := now.Sub(start) - req.held
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queues[req.pool]
 	if q == nil {
 		return
 	}
-	given := req.deadline.Sub(start)
+	given := req.deadline.Sub(start) - req.held
 	outcome := queueOutcome(r, took, given)
 	switch outcome {
 	case queuer.Answered:
@@ -218,7 +221,7 @@
 		return queuer.Rejected
 	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
 		return queuer.Inconclusive
-	case r.outcome == moved:
+	case r.outcome == moved, r.reason == reasonCold:
 		return queuer.Inconclusive
 	case r.timedOut, r.status == http.StatusGatewayTimeout && given-took <= max(timeUpMargin, given/timeUpFraction):
 		return queuer.TimedOut
@@ -229,7 +232,7 @@
 // exchange sends the request to a server and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, now time.Time, req *clientRequest, serverID string) result {
 	server, ok := f.view.Load().Server(serverID)
-	if !ok {
+	if !ok || server.Evacuated && server.State == cataloger.Gone {
 		return result{outcome: unreached, server: serverID, reason: "server_gone"}
 	}
 	if !now.Before(req.deadline) {
@@ -250,15 +253,22 @@
 		}
 		return result{outcome: unreached, server: serverID, reason: reason + ": " + err.Error(), retryAfter: defaultRetryAfter}
 	}
+	if !f.awaitColdTurn(ctx, req, server) {
+		connection.Release(time.Now())
+		return result{outcome: unreached, server: serverID, reason: reasonCold, retryAfter: minRetryAfter}
+	}
 	// A request that is not idempotent is not cancelled when its client leaves, so that the server can complete it.
 	sendCtx := ctx
 	if !req.idempotent {
 		sendCtx = f.lifetime
 	}
 	reused := connection.Reused()
-	response, err := connection.Do(sendCtx, f.serverRequest(req, now, serverID, server.Address), req.deadline, nil)
+	response, err := connection.Do(sendCtx, f.serverRequest(req, time.Now(), serverID, server.Address), req.deadline, nil)
 	if err != nil {
 		f.observeContact(time.Now(), serverID, classifyError(err, reused))
+		if isConnectionLost(err) { // the server may have ended, and start again
+			f.suspectCold(time.Now(), serverID)
+		}
 		return f.exchangeFailure(ctx, req, serverID, err)
 	}
 	f.observeContact(time.Now(), serverID, contactMade)
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -24,11 +24,15 @@
 	BodiesDropped
 	ConnectionsRefused
 	RequestsHeld
+	InvalidWarmups
+	WarmupChecks
+	ColdServersMet
+	ColdRequestsHeld
 )
 
 // Counters of the control plane.
 const (
-	Appends Counter = iota + RequestsHeld + 1
+	Appends Counter = iota + ColdRequestsHeld + 1
 	AppendsFailed
 	StoreReads
 	StoreReadsFailed
@@ -47,8 +51,10 @@
 	HoldersOther
 	HoldersUnknown
 	HoldersEnded
+	EvacuationsBegun
+	EvacuationsEnded
 
-	counterCount = int(HoldersEnded) + 1
+	counterCount = int(EvacuationsEnded) + 1
 )
 
 // Gauge identifies a gauge of a Meter.
@@ -67,8 +73,11 @@
 	LostServices
 	BodyBytes
 	BodiesWaiting
+	ColdServers
+	EvacuatedDomains
+	EvacuatedServers
 
-	gaugeCount = int(BodiesWaiting) + 1
+	gaugeCount = int(EvacuatedServers) + 1
 )
 
 // Timer identifies a timer of a Meter.
@@ -110,6 +119,10 @@
 	BodiesDropped:       {"bodies_dropped", "Bodies and answers that were dropped because they made no progress while others needed their memory."},
 	ConnectionsRefused:  {"connections_refused", "Connections closed to stay within the bounds of connections and of header bytes."},
 	RequestsHeld:        {"requests_held", "Requests that waited although a slot was free, because it was kept for requests of higher priority."},
+	InvalidWarmups:      {"invalid_warmups", "Remaining warm-up times named by a backend server that are missing, not a time, or too long."},
+	WarmupChecks:        {"warmup_checks", "Health checks sent to ask a backend server whether it is cold."},
+	ColdServersMet:      {"cold_servers_met", "Times that a backend server turned cold, as far as this instance knows."},
+	ColdRequestsHeld:    {"cold_requests_held", "Requests that waited again right before they were sent, because their server was cold."},
 	Appends:             {"appends", "Append calls to the platform's store."},
 	AppendsFailed:       {"appends_failed", "Append calls that were not acknowledged; they may have taken effect."},
 	StoreReads:          {"store_reads", "Reads of the store's topics, directly or through another instance."},
@@ -129,20 +142,25 @@
 	HoldersOther:        {"holders_other", "Answers to such health checks by another backend server that is registered there."},
 	HoldersUnknown:      {"holders_unknown", "Such health checks without an answer, or answered in the name of no known backend server."},
 	HoldersEnded:        {"holders_ended", "Backend servers whose keys were freed because another one holds their address."},
+	EvacuationsBegun:    {"evacuations_begun", "Evacuations of a failure domain that began after this instance's start."},
+	EvacuationsEnded:    {"evacuations_ended", "Evacuations of a failure domain that ended after this instance's start."},
 }
 
 var gaugeDescriptions = [gaugeCount]Description{
-	BundleVersion:   {"bundle_version", "Version of the configuration that the instance applies; 0 means none."},
-	Members:         {"members", "Entry instances that this instance knows, including itself."},
-	RequestsRunning: {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
-	RequestsWaiting: {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
-	LimitedServers:  {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
-	BarredRequests:  {"barred_requests", "Requests that this instance refuses because servers crash under them."},
-	LostServers:     {"lost_servers", "Backend servers to which this instance has lost its path."},
-	LostServices:    {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
-	BodyBytes:       {"body_bytes", "Bytes of memory held for the bodies of requests and answers."},
-	BodiesWaiting:   {"bodies_waiting", "Bodies of requests, and answers, that wait for memory."},
-	LogLinesDropped: {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
+	BundleVersion:    {"bundle_version", "Version of the configuration that the instance applies; 0 means none."},
+	Members:          {"members", "Entry instances that this instance knows, including itself."},
+	RequestsRunning:  {"requests_running", "Requests that this instance, as dispatcher, has in progress at backend servers."},
+	RequestsWaiting:  {"requests_waiting", "Requests that wait in the queues of this instance for a slot of a backend server."},
+	LimitedServers:   {"limited_servers", "Backend servers that, as far as this instance knows, name a limit for their requests."},
+	BarredRequests:   {"barred_requests", "Requests that this instance refuses because servers crash under them."},
+	LostServers:      {"lost_servers", "Backend servers to which this instance has lost its path."},
+	LostServices:     {"lost_services", "Services of whose backend servers this instance has lost more than it reaches."},
+	BodyBytes:        {"body_bytes", "Bytes of memory held for the bodies of requests and answers."},
+	BodiesWaiting:    {"bodies_waiting", "Bodies of requests, and answers, that wait for memory."},
+	ColdServers:      {"cold_servers", "Backend servers that, as far as this instance knows, are cold."},
+	EvacuatedDomains: {"evacuated_domains", "Failure domains that are evacuated, as far as this instance knows."},
+	EvacuatedServers: {"evacuated_servers", "Backend servers in evacuated failure domains."},
+	LogLinesDropped:  {"log_lines_dropped", "Log lines dropped because standard output was too slow; a failed write adds 1."},
 }
 
 var timerDescriptions = [timerCount]Description{
