--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -224,7 +224,7 @@
 		return queuer.Rejected
 	case r.outcome == abandoned, r.reason == reasonClientLeft, r.reason == reasonShuttingDown:
 		return queuer.Inconclusive
-	case r.outcome == moved, r.reason == reasonCold:
+	case r.outcome == moved, r.reason == reasonCold, r.lacksMemory:
 		return queuer.Inconclusive
 	case r.timedOut, r.status == http.StatusGatewayTimeout && given-took <= max(timeUpMargin, given/timeUpFraction):
 		return queuer.TimedOut
@@ -302,7 +302,7 @@
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	r := result{
 		outcome: broken, server: serverID, maybeSent: true, connectionLost: isConnectionLost(err),
-		timedOut: timedOut, reason: "no_whole_answer: " + err.Error(),
+		timedOut: timedOut, lacksMemory: isNoMemory(err), reason: "no_whole_answer: " + err.Error(),
 	}
 	if exchanger.IsErrNotSent(err) {
 		r = result{outcome: unreached, server: serverID, timedOut: timedOut, reason: "not_sent: " + err.Error()}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -223,7 +223,7 @@
 	if reason := f.endReason(ctx); reason != "" {
 		return result{outcome: broken, maybeSent: true, dispatcher: dispatcher.Instance, reason: reason}
 	}
-	if time.Now().Before(req.deadline) {
+	if time.Now().Before(req.deadline) && !isNoMemory(err) {
 		f.markUnreachable(time.Now(), dispatcher.Instance)
 	}
 	if exchanger.IsErrNotSent(err) {
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -39,6 +39,12 @@
 	return "no_memory"
 }
 
+// isNoMemory reports whether err is a noMemoryError.
+func isNoMemory(err error) bool {
+	var noMemory noMemoryError
+	return errors.As(err, &noMemory)
+}
+
 // memory gives the memory for the bodies of all requests and answers. It is safe for concurrent use.
 type memory struct {
 	meter *meter.Meter
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -140,6 +140,7 @@
 	toHead          bool                // answer to a HEAD request, which has no body
 	connectionLost  bool                // the server's side ended the connection before the answer was complete
 	timedOut        bool                // the answer was not complete at the deadline
+	lacksMemory     bool                // this instance has no memory for the answer
 	server          string              // that was tried; if moved: the new owner, empty if unknown
 	maybeSent       bool                // whether it may have reached a server
 	retryAfter      time.Duration       // if rejected, how long the server wants no requests, or 0
