--- a/review/tool-2/cluster.go
+++ b/review/tool-2/cluster.go
@@ -72,6 +72,7 @@
 	name, address, settings string
 	command                 *exec.Cmd
 	ended                   chan struct{}
+	stopped                 time.Time // when it got SIGTERM; zero if it did not
 	log                     *os.File
 }
 
@@ -203,7 +204,7 @@
 	}
 	c.end()
 	for _, s := range c.servers {
-		s.close()
+		_ = s.http.Close()
 	}
 	_ = c.store.Close()
 	if os.Getenv("KEEP") == "" {
--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -21,7 +21,7 @@
 type scenario func(c *cluster, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"cut-of-servers": cutOfServers,
+	"rolling-stop": rollingStop,
 }
 
 // errNoScenario says that there is no scenario of that name.
