Keep a request's id and key if its Connection header names them

A client could name the header of its request's id in Connection, which lists headers for one connection only. The id was then removed, and the server answered without one. By the code, on a connection that had been used before such an answer counts as one to another request: the connection to the server is closed, and the server counts as failing, up to its ejection, which ordinary callers share. That consequence was read, not run.

The headers of the id and of the key are meant for the server, so they stay whatever Connection says (RFC 9110, 7.6.1, forbids a client to list such headers). Other listed headers are removed as before.

TestConnectionHeaderKeepsTheID fails on (no id at the server: " != r1") and passes now.

--- a/internal/forwarder/forged_headers_test.go
+++ b/internal/forwarder/forged_headers_test.go
@@ -49,3 +49,24 @@
 		}
 	}
 }
+
+// TestConnectionHeaderKeepsTheID guards against a client that names the header of its request's id in Connection: the server would answer
+// without an id, which counts as a failure of the server on a connection that was used before.
+func TestConnectionHeaderKeepsTheID(t *testing.T) {
+	is := is.New(t)
+	server := startScriptedServer(t, answerOK)
+	f := newForwarder(t, server)
+	r := httptest.NewRequest(http.MethodGet, "/idempotent/x", nil)
+	r.Host = "h"
+	r.Header.Set("X-Id", "r1")
+	r.Header.Set("X-Key", "5")
+	r.Header.Set("X-Other", "o")
+	r.Header.Set("Connection", "X-Id, x-key, X-Other")
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusOK)
+	sent := <-server.headers
+	is.Equal(sent.Get("X-Id"), "r1")
+	is.Equal(sent.Get("X-Key"), "5")
+	is.Equal(sent.Get("X-Other"), "")
+}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -260,7 +260,7 @@
 		writeHopResult(w, declinedResult()) // it has just started; the other instance may use one that has not
 		return
 	}
-	req.setParts(r)
+	req.setParts(r, f.headers)
 	if err := f.readBody(w, r, req, f.hopBodyLimit()); err != nil {
 		limitUnread(w, r, newRefusal(err).reason)
 		f.refuseHop(w, err)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -61,10 +61,16 @@
 	return strings.ToValidUTF8(name[:min(len(name), maxRequestNameBytes)], string(unicode.ReplacementChar))
 }
 
-// setParts sets the parts of a client's request that are forwarded, without the body.
-func (req *clientRequest) setParts(r *http.Request) {
+// setParts sets the parts of a client's request that are forwarded, without the body. The headers that clients send for servers stay even if
+// the client names them in Connection: an answer without the request's id would count as a failure of its server.
+func (req *clientRequest) setParts(r *http.Request, names HeaderNames) {
 	req.method, req.uri, req.host, req.header = r.Method, r.RequestURI, r.Host, r.Header.Clone()
 	exchanger.RemoveHopByHop(req.header)
+	for _, name := range []string{names.RequestID, names.ShardKey} {
+		if value := r.Header.Get(name); value != "" {
+			req.header.Set(name, value)
+		}
+	}
 	delete(req.header, "Content-Length")
 }
 
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -107,7 +107,7 @@
 		req.keyed, req.key = true, uint16(key)
 		f.countKey(req.service, req.key)
 	}
-	req.setParts(r)
+	req.setParts(r, f.headers)
 	removeInstanceHeaders(req.header)
 	if err := f.readBody(w, r, req, v.Table.Limits().BodyBytes); err != nil {
 		if errors.Is(err, errBodyStalled) && f.shuttingDown() {
