Bound what a client's text takes of the log

An id, a host or a path was logged whole. A client that fills the header with a path whose bytes can't be printed makes a line of four times its length, over 100 KB, and up to 2,048 lines may wait to be written: over 200 MB if the log's reader is slow.

A log line has at most 256 bytes of each such text, and waiting lines have at most 2 MiB together; more are dropped and counted as before.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -124,7 +124,7 @@
 	}
 	f.recordCrash(time.Now(), req, server)
 	r.reason = reasonServerEnded + ": " + r.reason
-	klog.InfoS("server ended while it executed a request", "server", server.ID, "born", server.Incarnation, "id", req.id,
+	klog.InfoS("server ended while it executed a request", "server", server.ID, "born", server.Incarnation, "id", loggable(req.id),
 		"request", req.name(), "fingerprints", req.fingerprints)
 	return r
 }
@@ -181,7 +181,7 @@
 	}
 	records, err := quarantiner.DecodeRecords(now, text)
 	if err != nil {
-		klog.InfoS("crashes that another instance knows of can't be decoded", "id", req.id, "error", err)
+		klog.InfoS("crashes that another instance knows of can't be decoded", "id", loggable(req.id), "error", err)
 		return
 	}
 	for _, record := range records {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -326,7 +326,7 @@
 		return
 	}
 	f.meter.Count(meter.InvalidAnswers)
-	klog.InfoS("answer is invalid", "id", req.id, role, name, "error", err)
+	klog.InfoS("answer is invalid", "id", loggable(req.id), role, name, "error", err)
 }
 
 // interpretAnswer returns the result for a complete answer. sameRequest is false if the answer has the id of another
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -317,7 +317,7 @@
 	w.Header().Set(headerOutcome, r.encode())
 	w.WriteHeader(r.status)
 	if err := f.writeBody(w, req, r.body); err != nil { // the other instance reads a short body, and treats the answer as broken
-		klog.InfoS("answer to another instance is incomplete", "id", req.id, "error", err)
+		klog.InfoS("answer to another instance is incomplete", "id", loggable(req.id), "error", err)
 	}
 }
 
--- a/internal/forwarder/progress.go
+++ b/internal/forwarder/progress.go
@@ -77,7 +77,7 @@
 func (f *Forwarder) LogUnanswered(now time.Time) {
 	unanswered := f.inFlight.oldestFirst()
 	for _, p := range unanswered[:min(len(unanswered), maxUnansweredLines)] {
-		klog.InfoS("request is cut by the exit", "id", p.id, "stage", stage(p.stage.Load()).String(), "took", now.Sub(p.start))
+		klog.InfoS("request is cut by the exit", "id", loggable(p.id), "stage", stage(p.stage.Load()).String(), "took", now.Sub(p.start))
 	}
 	klog.InfoS("shutdown ends", "requests_cut", len(unanswered), "hops_cut", f.hops.Load())
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -178,7 +178,7 @@
 	w.WriteHeader(status)
 	err := f.writeBody(w, req, body)
 	v := f.view.Load()
-	klog.InfoS("request", "id", req.id, "route", req.route, "service", req.service, "key", req.key,
+	klog.InfoS("request", "id", loggable(req.id), "route", req.route, "service", req.service, "key", req.key,
 		"outcome", res.outcome.String(), "status", status, "reason", res.reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "server", res.server,
 		"front", res.dispatcher, "without_path", req.withoutPath, "arrivals", req.sends, "fingerprints", req.fingerprints,
 		"config", v.Table.Version(), "owners_term", req.ownerMapVersion.Term, "owners_sequence", req.ownerMapVersion.Sequence,
@@ -203,6 +203,13 @@
 	}
 }
 
+// maxLoggedBytes bounds what a log line contains of a client's text.
+const maxLoggedBytes = 256
+
+// loggable returns the beginning of a client's text for a log line: clients may fill a header with it, and the log takes up to four bytes
+// for one that can't be printed.
+func loggable(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // formatRetryAfter formats d for Retry-After in seconds, which may have a fraction.
 func formatRetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
 
@@ -222,7 +229,7 @@
 	w.Header().Set("Content-Length", "0")
 	limitUnread(w, r, reason)
 	w.WriteHeader(status)
-	klog.InfoS("request", "id", r.Header.Get(f.headers.RequestID), "host", r.Host, "path", r.URL.Path, "outcome", "refused",
+	klog.InfoS("request", "id", loggable(r.Header.Get(f.headers.RequestID)), "host", loggable(r.Host), "path", loggable(r.URL.Path), "outcome", "refused",
 		"status", status, "reason", reason, "shutting_down_for", f.shuttingDownFor(time.Now()), "took", time.Since(start))
 }
 
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -16,6 +16,9 @@
 // maxPendingLines is how many lines may wait to be written; further ones are dropped and counted.
 const maxPendingLines = 2048
 
+// maxPendingBytes is how many bytes these lines may have together, as clients influence the length of a line.
+const maxPendingBytes = 2 << 20
+
 // batchBytes is the size from which a batch of lines is written without adding further lines.
 const batchBytes = 64 << 10
 
@@ -23,6 +26,7 @@
 type AsyncWriter struct {
 	onLine  func(line []byte)
 	lines   chan []byte
+	pending atomic.Int64 // bytes of the lines in the channel
 	dropped atomic.Int64
 	closing sync.Once
 	closed  chan struct{} // closed by Close
@@ -38,16 +42,22 @@
 	return w
 }
 
-// Write implements io.Writer for one line. It drops the line if maxPendingLines lines are waiting, and never returns an error.
+// Write implements io.Writer for one line. It drops the line if maxPendingLines or maxPendingBytes are waiting, and never returns an
+// error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	if w.onLine != nil {
 		w.onLine(line)
 	}
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.pending.Add(size) <= maxPendingBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.pending.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -74,12 +84,12 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.writeBatch(out, line)
+			w.writeBatch(out, w.taken(line))
 		case <-w.closed:
 			for {
 				select {
 				case line := <-w.lines:
-					w.writeBatch(out, line)
+					w.writeBatch(out, w.taken(line))
 				default:
 					return
 				}
@@ -88,12 +98,18 @@
 	}
 }
 
+// taken returns a line that was taken out of the channel.
+func (w *AsyncWriter) taken(line []byte) []byte {
+	w.pending.Add(-int64(len(line)))
+	return line
+}
+
 // writeBatch writes a line together with those that wait, which saves system calls.
 func (w *AsyncWriter) writeBatch(out io.Writer, batch []byte) {
 	for more := true; more && len(batch) < batchBytes; {
 		select {
 		case next := <-w.lines:
-			batch = append(batch, next...)
+			batch = append(batch, w.taken(next)...)
 		default:
 			more = false
 		}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -113,3 +113,23 @@
 	is.NoErr(w.Close(context.Background()))
 	is.Equal(out.String(), "one\ntwo\n")
 }
+
+// TestLongLinesAreBoundedTogether guards against memory that long lines take while the log can't be written.
+func TestLongLinesAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{blocked: make(chan struct{}, 1), unblock: make(chan struct{})}
+	w := New(out, nil)
+	_, err := w.Write([]byte("line\n"))
+	is.NoErr(err)
+	<-out.blocked // from now on no line leaves the buffer
+	const kept, dropped = 32, 3
+	long := strings.Repeat("x", maxPendingBytes/kept-1) + "\n"
+	for range kept + dropped {
+		_, err := w.Write([]byte(long))
+		is.NoErr(err)
+	}
+	is.Equal(w.Dropped(), int64(dropped))
+	close(out.unblock)
+	is.NoErr(w.Close(context.Background()))
+	is.Equal(out.writtenLines, 1+kept)
+}
