Hold memory for the elements of a message between instances

An instance held three times the encoded length of a message for its decoding. A message of many empty elements takes over a hundred times its length: four clients of the peer port that each sent a whole report of 10 MiB, which fits the memory of the bodies, took 414 MiB in an instance of 96 MB. In JSON, which the generated server decodes as well, it was 396 MiB.

The message is read whole, an upper bound of its decoded size is computed from the encoded form (package herald, by the descriptors of the types), and this memory is held before it is decoded; else the message is refused with 503. Instances send no JSON, so it is answered 415. Ruled out: a lower limit on the length, as maps of the owners of 12,000 nodes' servers have megabytes.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -239,13 +240,15 @@
 	deadline.move(now, now.Add(unreadTimeout))
 }
 
-// messageCopies is how many times the length of a message its decoding takes: the reader doubles its buffer, and copies it.
-const messageCopies = 3
+// messageCopies is how many times the length of a message it takes before it is decoded: its bytes, and the copies of the reader, which
+// doubles its buffer.
+const messageCopies = 4
 
-// HoldMessage holds memory for a message from another instance, which has maxBytes at most and must have arrived before timeout. It replaces
-// the body of r. release must be called when the message has been handled. The error says that there is no memory.
+// HoldMessage reads a message from another instance, which has maxBytes at most and must have arrived before timeout, and holds memory for
+// it. decodedBytes returns how many bytes it takes once it is decoded. The body of r is then the message in memory. release must be called
+// when the message has been handled. The error says that there is no memory, or that the message can't be read.
 func (f *Forwarder) HoldMessage(
-	w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration,
+	w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration, decodedBytes func(message []byte) int64,
 ) (release func(), err error) {
 	now := time.Now()
 	length := r.ContentLength
@@ -261,16 +264,25 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Body = &messageBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBytes), hold: h, deadline: deadline}
+	message := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	if _, err = message.ReadFrom(&messageBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBytes), hold: h}); err == nil {
+		h.enter(allocator.Working, nil)
+		err = h.grow(r.Context(), decodedBytes(message.Bytes()), false)
+	}
+	if err != nil {
+		h.close()
+		return nil, err
+	}
+	deadline.clear()
+	r.Body = io.NopCloser(message)
 	return h.close, nil
 }
 
-// messageBody is the body of a message. It records progress, and ends the deadline of the connection once it has been read.
+// messageBody is the body of a message. It records progress.
 type messageBody struct {
 	io.ReadCloser
-	hold     *hold
-	deadline *connDeadline
-	total    int64
+	hold  *hold
+	total int64
 }
 
 // Read implements io.Reader.
@@ -278,9 +290,5 @@
 	n, err := b.ReadCloser.Read(p)
 	b.total += int64(n)
 	b.hold.progress(b.total)
-	if errors.Is(err, io.EOF) {
-		b.hold.enter(allocator.Working, nil)
-		b.deadline.clear()
-	}
 	return n, err
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -88,6 +88,9 @@
 // Runner is one entry instance. Use New and Run.
 type Runner struct {
 	settings   platform.Settings
+	// messageType is the content type of messages from other instances. Messages in JSON, which package herald could decode too, would take
+	// memory that DecodedBytes doesn't know.
+	messageType = "application/protobuf"
 	forwarder  *forwarder.Forwarder
 	controller *controller.Controller
 	meter      *meter.Meter
@@ -393,7 +396,13 @@
 		case request.Header.Get(forwarder.HeaderHop) != "":
 			r.forwarder.ServeHop(w, request)
 		case strings.HasPrefix(request.URL.Path, messages.PathPrefix()):
-			release, err := r.forwarder.HoldMessage(w, request, controller.MaxPeerMessageBytes, messageTimeout)
+			if request.Header.Get("Content-Type") != messageType {
+				w.WriteHeader(http.StatusUnsupportedMediaType)
+				return
+			}
+			method := strings.TrimPrefix(request.URL.Path, messages.PathPrefix())
+			release, err := r.forwarder.HoldMessage(w, request, controller.MaxPeerMessageBytes, messageTimeout,
+				func(message []byte) int64 { return herald.DecodedBytes(method, message) })
 			if err != nil {
 				klog.InfoS("message from an instance refused", "length", request.ContentLength, "error", err)
 				w.Header().Set("Connection", "close")
