Close connections that wait for their clients when others need them

Clients that stop within a request kept the places of others. At the limit of connections an instance closed idle ones only, and refused new ones without such. The writing of an answer without a body (404, 503, a readiness check) had no time limit: clients that sent requests and read no answer kept their connections for as long as they liked. An unfinished header kept its place until its timeout.

At the limit, without an idle connection, the one that has waited for its client for the longest time within a request is closed, 0.5 s at least: for the rest of the header or of the body (408, not executed), or for the client to read the answer. Requests at work are not broken off. A client that continues at the last moment keeps its connection: otherwise the server would take it to have left.

Each closed connection is counted, by whose fault (connections_stalled), and logged with its address and the reason, a line a second for each port at most.

Ruled out: bounds for each client address, which the platform's balancer hides, and shorter timeouts, which clients on slow paths would meet in calm.

--- a/internal/drainer/buffers.go
+++ b/internal/drainer/buffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -64,8 +65,10 @@
 type trackedBody struct {
 	io.ReadCloser
 	conn      *conn
-	announced int64 // length in bytes, or -1
-	read      int64 // bytes
+	announced int64         // length in bytes, or -1
+	read      int64         // bytes
+	mark      int64         // read, when the client made progress last
+	waited    time.Duration // for the client since then
 }
 
 // Read implements io.Reader.
@@ -73,8 +76,15 @@
 	if max(b.announced, b.read) > smallReceiveBuffer {
 		b.conn.enlargeReceiveBuffer()
 	}
+	start := time.Now()
+	b.conn.beginWait(wait{since: start.Add(-b.waited), reason: ReasonBody})
 	n, err := b.ReadCloser.Read(p)
+	b.conn.endWait(err == nil || err == io.EOF)
 	b.read += int64(n)
+	b.waited += time.Since(start)
+	if b.read-b.mark >= progressBytes {
+		b.mark, b.waited = b.read, 0
+	}
 	if err == io.EOF {
 		b.conn.bodyRead.Store(true)
 		b.conn.releaseReceiveBuffer()
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -25,8 +25,8 @@
 	drainer     *Drainer
 	answering   atomic.Bool  // a request is in progress, or the client may not have received its answer
 	bodyRead    atomic.Bool  // the body of the last request was read completely
-	headerBytes atomic.Int64 // of the header that is being read
 	largeBuffer atomic.Bool  // its receive buffer is large
+	headerBytes atomic.Int64 // of the header that is being read
 
 	mu             sync.Mutex
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
@@ -35,6 +35,9 @@
 	readingEnded   bool          // endReading was called
 	closed         bool          // Close was called
 	serverDeadline time.Time     // read deadline that applies unless the connection is closing
+	writeDeadline  time.Time     // that the server or its handler has set; zero if none
+	wait           wait          // for the client, within a request
+	evicted        bool          // evict was called
 	clock          clock         // used if Limits has Timeouts
 }
 
@@ -70,7 +73,7 @@
 		t = c.clock.deadline(timeouts, c.minIdle)
 	}
 	c.serverDeadline = t
-	if c.closing {
+	if c.closing || c.evicted && c.wait.reason != ReasonAnswer {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -79,10 +82,10 @@
 // Close implements net.Conn. It may wait until the client has received the answer.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	closed := c.closed
+	lingers := !c.closed && !c.evicted // another connection waits for the place of an evicted one
 	c.closed = true
 	c.mu.Unlock()
-	if !closed && c.unreceived() {
+	if lingers && c.unreceived() {
 		c.linger()
 	}
 	c.endHeader()
@@ -132,7 +135,7 @@
 	c.answering.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince, c.minIdle = now, minIdleTime
+	c.idleSince, c.minIdle, c.wait = now, minIdleTime, wait{}
 	c.clock.enter(now, awaiting)
 }
 
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -73,7 +73,7 @@
 			c.limitReceiveBuffer()
 			return c, nil
 		}
-		d.refused()
+		d.refused(c, ReasonLimit)
 		_ = inner.Close() // nothing was read from it or written to it
 	}
 }
--- a/internal/drainer/limits.go
+++ b/internal/drainer/limits.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"net"
 	"net/http"
 	"time"
 )
@@ -30,7 +31,26 @@
 	// OnHeaderRefused is called for each header that is refused because of HeaderLimit (431) or Timeouts (408).
 	OnHeaderRefused func(status int)
 	// OnRefuse is called for each connection that is closed to stay within the limits.
-	OnRefuse func()
+	OnRefuse func(Refusal)
+}
+
+// Reason says why a connection is closed to stay within the limits.
+type Reason string
+
+// The reasons of a Refusal.
+const (
+	ReasonLimit        Reason = "limit"         // new, while all others are in use
+	ReasonIdle         Reason = "idle"          // closed for a new one, as are the next three
+	ReasonHeader       Reason = "header"        // the header of its request was not complete
+	ReasonBody         Reason = "body"          // the body of its request was not complete
+	ReasonAnswer       Reason = "answer"        // its client did not read the answer
+	ReasonHeaderMemory Reason = "header_memory" // its header is long, and all headers together take too much memory
+)
+
+// Refusal is a connection that is closed to stay within the limits.
+type Refusal struct {
+	Remote net.Addr
+	Reason Reason
 }
 
 // SetLimits sets the limits. It must be called before Serve.
@@ -42,12 +62,13 @@
 }
 
 // admit adds a connection that was accepted at now, and reports whether it may stay open. At the limit it closes the connection that has
-// been idle for the longest time; without an idle one, the new connection has to go.
+// been idle for the longest time; without an idle one, the one that has waited for its client for the longest time within a request;
+// without such a one, the new connection has to go.
 func (d *Drainer) admit(now time.Time, c *conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if limit := d.limits.Connections; limit > 0 && len(d.conns) >= limit {
-		if len(d.conns) >= limit+closingConnections || !d.closeLongestIdle(now) {
+		if len(d.conns) >= limit+closingConnections || !d.closeLongestIdle(now) && !d.evictLongestWaiting(now) {
 			return false
 		}
 	}
@@ -63,7 +84,7 @@
 			return false
 		}
 		if longest.closeIdle(since) {
-			d.refused()
+			d.refused(longest, ReasonIdle)
 			return true
 		}
 	}
@@ -79,9 +100,10 @@
 	return longest, since
 }
 
-func (d *Drainer) refused() {
+// refused reports that a connection is closed for a reason.
+func (d *Drainer) refused(c *conn, reason Reason) {
 	if d.limits.OnRefuse != nil {
-		d.limits.OnRefuse()
+		d.limits.OnRefuse(Refusal{Remote: c.RemoteAddr(), Reason: reason})
 	}
 }
 
@@ -122,7 +144,7 @@
 	if limits.HeaderBytes <= 0 || own <= headerAllowance || all <= limits.HeaderBytes {
 		return nil
 	}
-	c.drainer.refused()
+	c.drainer.refused(c, ReasonHeaderMemory)
 	return c.readError()
 }
 
--- a/internal/drainer/limits_test.go
+++ b/internal/drainer/limits_test.go
@@ -22,7 +22,7 @@
 		if r.URL.Path == "/busy" {
 			<-release
 		}
-	}, Limits{Connections: limit, OnRefuse: func() { refused.Add(1) }})
+	}, Limits{Connections: limit, OnRefuse: func(Refusal) { refused.Add(1) }})
 	defer close(release)
 	var idle []*client
 	for range limit {
--- a/internal/drainer/requests.go
+++ b/internal/drainer/requests.go
@@ -86,24 +86,27 @@
 	return c.drainer.limits.Timeouts(), true
 }
 
-// beginHeader records that bytes were read at now, which may be the first ones of a header. An empty line before it does not count: some
-// clients send one after a body, and the server waits for the next request then.
+// beginHeader records that bytes were read at now, which may be the first ones of a header. An empty line before it does not start the
+// timeout of the header: some clients send one after a body, and the server waits for the next request then.
 func (c *conn) beginHeader(now time.Time, read []byte) error {
-	if len(bytes.Trim(read, "\r\n")) == 0 {
+	if c.answering.Load() {
 		return nil
 	}
 	timeouts, ok := c.timeouts()
-	if !ok {
-		return nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.clock.phase != awaiting {
+	if c.wait.reason == "" {
+		c.wait = wait{since: now, reason: ReasonHeader}
+	}
+	if len(bytes.Trim(read, "\r\n")) == 0 {
+		return nil
+	}
+	if !ok || c.clock.phase != awaiting {
 		return nil
 	}
 	c.clock.enter(now, readingHeader)
 	c.serverDeadline = c.clock.deadline(timeouts, c.minIdle)
-	if c.closing {
+	if c.closing || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(c.serverDeadline)
@@ -118,7 +121,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.clock.phase == executing {
+	if c.closing || c.evicted || c.clock.phase == executing {
 		return false
 	}
 	deadline := c.clock.deadline(timeouts, c.minIdle)
@@ -137,7 +140,7 @@
 func (c *conn) headerIsLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.phase == readingHeader && !c.closing
+	return (c.clock.phase == readingHeader || c.evicted && c.wait.reason == ReasonHeader) && !c.closing
 }
 
 // refuseHeader answers a header that can't be read to its end. The error ends the connection.
--- a/internal/meter/metrics.go
+++ b/internal/meter/metrics.go
@@ -26,6 +26,7 @@
 	PathProbes
 	BodiesDropped
 	ConnectionsRefused
+	ConnectionsStalled
 	RequestsHeld
 	InvalidWarmups
 	WarmupChecks
@@ -127,6 +128,7 @@
 	PathProbes:          {"path_probes", "Connections that were opened to find out whether there is a path to a backend server."},
 	BodiesDropped:       {"bodies_dropped", "Bodies and answers that were dropped because they made no progress while others needed their memory."},
 	ConnectionsRefused:  {"connections_refused", "Connections closed to stay within the bounds of connections and of header bytes."},
+	ConnectionsStalled:  {"connections_stalled", "Those of connections_refused whose clients did not continue within a request: its header, its body, or reading the answer."},
 	RequestsHeld:        {"requests_held", "Requests that waited although a slot was free, because it was kept for requests of higher priority."},
 	InvalidWarmups:      {"invalid_warmups", "Remaining warm-up times named by a backend server that are missing, not a time, or too long."},
 	WarmupChecks:        {"warmup_checks", "Health checks sent to ask a backend server whether it is cold."},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -74,11 +74,16 @@
 	peerDescriptorRatio   = 0.25
 	// maxOtherConnections bounds the connections for readiness checks, and those for the admin API.
 	maxOtherConnections = 64
+	// refusalInterval is the time between two log lines about connections to one port that were closed to stay within the limits.
+	refusalInterval = time.Second
 	// receiveFraction is the part of the memory, as one in so many, that the receive buffer of a connection may take while a large body is
 	// being read. The 32 buffers that package drainer allows, twice as large as the system counts them, are a sixteenth of the memory.
 	receiveFraction = 1024
 	// messageTimeout bounds the time for the body of a message from another instance.
 	messageTimeout = 10 * time.Second
+	// messageType is the content type of messages from other instances. Messages in JSON, which package herald could decode too, would take
+	// memory that DecodedBytes doesn't know.
+	messageType = "application/protobuf"
 	// reasonHeaderStalled says that the header of a request did not arrive in time.
 	reasonHeaderStalled = "header_stalled"
 	// millicoresPerMbps converts the bandwidth of a machine's link to capacity, for machines whose link is the bottleneck.
@@ -88,9 +93,6 @@
 // Runner is one entry instance. Use New and Run.
 type Runner struct {
 	settings   platform.Settings
-	// messageType is the content type of messages from other instances. Messages in JSON, which package herald could decode too, would take
-	// memory that DecodedBytes doesn't know.
-	messageType = "application/protobuf"
 	forwarder  *forwarder.Forwarder
 	controller *controller.Controller
 	meter      *meter.Meter
@@ -192,9 +194,9 @@
 		case clients:
 			connections.SetLimits(r.clientLimits())
 		case peers:
-			connections.SetLimits(r.peerLimits())
+			connections.SetLimits(r.peerLimits(address))
 		default:
-			connections.SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.countRefusedConnection})
+			connections.SetLimits(drainer.Limits{Connections: maxOtherConnections, OnRefuse: r.observeRefusals(address)})
 		}
 		go func() { serveErrors <- server.Serve(connections) }()
 	}
@@ -220,7 +222,7 @@
 
 // clientLimits returns the limits on the connections of clients. Those of the configuration apply as soon as it is in force.
 func (r *Runner) clientLimits() drainer.Limits {
-	limits := r.connectionLimits(clientDescriptorRatio)
+	limits := r.connectionLimits(r.settings.ClientAddress, clientDescriptorRatio)
 	limits.HeaderLimit = r.clientHeaderBytes
 	limits.Timeouts = r.clientTimeouts
 	limits.OnHeaderRefused = func(status int) {
@@ -236,8 +238,8 @@
 }
 
 // peerLimits returns the limits on the connections of other instances, whose configuration may be another one.
-func (r *Runner) peerLimits() drainer.Limits {
-	limits := r.connectionLimits(peerDescriptorRatio)
+func (r *Runner) peerLimits(address string) drainer.Limits {
+	limits := r.connectionLimits(address, peerDescriptorRatio)
 	limits.HeaderLimit = func() int { return max(defaultHeaderBytes, r.clientHeaderBytes()) + peerHeaderBytes }
 	return limits
 }
@@ -272,7 +274,7 @@
 }
 
 // connectionLimits returns the limits on the connections of clients, or of other instances, which may take a part of the descriptors.
-func (r *Runner) connectionLimits(descriptorRatio float64) drainer.Limits {
+func (r *Runner) connectionLimits(address string, descriptorRatio float64) drainer.Limits {
 	memory := connectionMemoryRatio * float64(r.settings.MemoryMB) * (1 << 20)
 	connections := memory / connectionBytes
 	if descriptors := r.settings.MaxDescriptors; descriptors > 0 {
@@ -280,11 +282,34 @@
 	}
 	return drainer.Limits{
 		Connections: max(1, int(connections)), HeaderBytes: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
-		OnRefuse: r.countRefusedConnection,
+		OnRefuse: r.observeRefusals(address),
 	}
 }
 
-func (r *Runner) countRefusedConnection() { r.meter.Count(meter.ConnectionsRefused) }
+// observeRefusals returns a function that counts the connections to an address that are closed to stay within the limits, and logs them,
+// at most one in refusalInterval.
+func (r *Runner) observeRefusals(address string) func(drainer.Refusal) {
+	var mu sync.Mutex
+	var logged time.Time
+	unlogged := 0
+	return func(refusal drainer.Refusal) {
+		r.meter.Count(meter.ConnectionsRefused)
+		switch refusal.Reason {
+		case drainer.ReasonHeader, drainer.ReasonBody, drainer.ReasonAnswer:
+			r.meter.Count(meter.ConnectionsStalled)
+		}
+		now := time.Now()
+		mu.Lock()
+		defer mu.Unlock()
+		if now.Sub(logged) < refusalInterval {
+			unlogged++
+			return
+		}
+		klog.InfoS("connection closed to stay within the limits", "address", address, "remote", refusal.Remote, "reason", refusal.Reason,
+			"others", unlogged)
+		logged, unlogged = now, 0
+	}
+}
 
 // shutDown announces that this instance is leaving, waits until it gets no new connections, and then for its requests in
 // flight, all within the grace period of the platform. Those that are not answered by then are refused or fail before the exit.
