Count headers with the memory of their lines until their requests end

The bound on the headers of all requests, an eighth of the memory, counted received bytes, and only until the header was complete. A header of many short lines takes far more, for the entries in the maps of the request and of its copies.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -23,10 +23,10 @@
 type conn struct {
 	net.Conn
 	drainer     *Drainer
-	answering   atomic.Bool  // a request is in progress, or the client may not have received its answer
-	bodyRead    atomic.Bool  // the body of the last request was read completely
-	largeBuffer atomic.Bool  // its receive buffer is large
-	headerBytes atomic.Int64 // of the header that is being read
+	answering   atomic.Bool // a request is in progress, or the client may not have received its answer
+	bodyRead    atomic.Bool // the body of the last request was read completely
+	largeBuffer atomic.Bool // its receive buffer is large
+	header      headerUsage // of the request that is being read or in progress
 
 	mu             sync.Mutex
 	idleSince      time.Time     // when the connection became idle; zero while a request is in progress
@@ -59,7 +59,7 @@
 	if deadlineErr := c.beginHeader(time.Now(), p[:n]); deadlineErr != nil && err == nil {
 		err = deadlineErr
 	}
-	if limitErr := c.countHeader(time.Now(), n); limitErr != nil {
+	if limitErr := c.countHeader(time.Now(), p[:n]); limitErr != nil {
 		return 0, limitErr
 	}
 	return n, err
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -33,9 +33,9 @@
 	draining atomic.Bool // CloseIdle or Drain was called
 	ended    atomic.Bool // FinishAnswers has returned
 	// lingering is the number of connections that wait for their clients to receive an answer.
-	lingering   atomic.Int32
-	limits      Limits
-	headerBytes atomic.Int64 // of all headers that are being read
+	lingering    atomic.Int32
+	limits       Limits
+	headerMemory atomic.Int64 // bytes, of the headers of all requests that are being read or in progress
 	// largeBuffers is the number of connections with a large receive buffer.
 	largeBuffers atomic.Int32
 
--- a/internal/drainer/handler.go
+++ b/internal/drainer/handler.go
@@ -22,7 +22,7 @@
 	_ = c.markBusy() // fails only on a closed connection
 	c.answering.Store(true)
 	c.beginRequest()
-	c.endHeader()
+	defer c.endHeader()
 	c.bodyRead.Store(r.Body == nil || r.Body == http.NoBody)
 	tracked := *r // the server recognises its own type of body
 	if !c.bodyRead.Load() {
--- a/internal/drainer/limits.go
+++ b/internal/drainer/limits.go
@@ -1,14 +1,19 @@
 package drainer
 
 import (
+	"bytes"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// headerAllowance is how many bytes of a header a connection may always read; most headers have fewer.
-	headerAllowance = 4 << 10
+	// headerAllowance is the memory in bytes that the header of a connection may always take; most headers take less.
+	headerAllowance = 8 << 10
+	// fieldBytes is the memory in bytes that a header field takes beside its name and value: entries in the map of the request, and in the
+	// copies that are forwarded.
+	fieldBytes = 320
 	// closingConnections is how many connections may be open beyond the limit while idle ones are closed for them.
 	closingConnections = 32
 	// serverTimeout stands for the timeouts of the server whose deadlines the connection replaces.
@@ -17,8 +22,9 @@
 
 // Limits bound what the connections of one server take. The zero Limits bound nothing.
 type Limits struct {
-	Connections int   // open at the same time
-	HeaderBytes int64 // of all headers that are being read
+	Connections int // open at the same time
+	// HeaderMemory bounds the memory in bytes that the headers of all requests take that are being read or in progress.
+	HeaderMemory int64
 	// ReceiveBuffer is the size in bytes of the receive buffers of connections of which a large body is being read, maxLargeBuffers at the
 	// same time. Others have smallReceiveBuffer. With 0 the system lets them grow.
 	ReceiveBuffer int
@@ -130,23 +136,33 @@
 	return true
 }
 
-// countHeader counts n bytes of a header that were read at now. The error, after which the server closes the connection without an answer,
+// headerUsage is what the header of a request takes. The zero headerUsage is that of none.
+type headerUsage struct {
+	bytes  atomic.Int64 // as they were received
+	memory atomic.Int64 // bytes in memory
+}
+
+// countHeader counts bytes of a header that were read at now. The error, after which the server closes the connection without an answer,
 // says that this header is too large, or that it is long and the headers of all connections take too much.
-func (c *conn) countHeader(now time.Time, n int) error {
+func (c *conn) countHeader(now time.Time, read []byte) error {
 	if c.answering.Load() {
 		return nil
 	}
-	own, all := c.headerBytes.Add(int64(n)), c.drainer.headerBytes.Add(int64(n))
+	memory := int64(len(read) + fieldBytes*bytes.Count(read, []byte("\n")))
+	own, all := c.header.memory.Add(memory), c.drainer.headerMemory.Add(memory)
 	limits := &c.drainer.limits
-	if limits.HeaderLimit != nil && own > int64(limits.HeaderLimit())+readAhead {
+	if received := c.header.bytes.Add(int64(len(read))); limits.HeaderLimit != nil && received > int64(limits.HeaderLimit())+readAhead {
 		return c.refuseHeader(now, http.StatusRequestHeaderFieldsTooLarge)
 	}
-	if limits.HeaderBytes <= 0 || own <= headerAllowance || all <= limits.HeaderBytes {
+	if limits.HeaderMemory <= 0 || own <= headerAllowance || all <= limits.HeaderMemory {
 		return nil
 	}
 	c.drainer.refused(c, ReasonHeaderMemory)
 	return c.readError()
 }
 
-// endHeader ends the counting of the bytes of a header, because it is complete or the connection is closed.
-func (c *conn) endHeader() { c.drainer.headerBytes.Add(-c.headerBytes.Swap(0)) }
+// endHeader ends the counting of a header, because its request has ended or the connection is closed.
+func (c *conn) endHeader() {
+	c.header.bytes.Store(0)
+	c.drainer.headerMemory.Add(-c.header.memory.Swap(0))
+}
--- a/internal/drainer/limits_test.go
+++ b/internal/drainer/limits_test.go
@@ -80,7 +80,7 @@
 // connection with a short header.
 func TestHeadersAreLimitedTogether(t *testing.T) {
 	is := is.New(t)
-	d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderBytes: 20 << 10})
+	d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderMemory: 20 << 10})
 	for range 4 {
 		c := dial(t, d)
 		_, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nX-Long: "+strings.Repeat("x", 10<<10))
@@ -94,7 +94,7 @@
 	c := dial(t, d)
 	c.sendRequest()
 	is.Equal(c.readStatus(), 200)
-	is.True(d.headerBytes.Load() <= 20<<10)
+	is.True(d.headerMemory.Load() <= 20<<10)
 }
 
 // TestHeadersThatAreAnsweredAreNotCounted guards against headers that count as unfinished after their requests have been answered, until
@@ -110,17 +110,17 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderBytes: 20 << 10})
+			d := startServer(t, func(http.ResponseWriter, *http.Request) {}, Limits{HeaderMemory: 20 << 10})
 			c := dial(t, d)
 			for range 10 {
 				_, err := io.WriteString(c.conn, test.line+"\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 3<<10)+"\r\n\r\n")
 				is.NoErr(err)
 				is.Equal(c.readStatus(), test.want)
 			}
-			for start := time.Now(); d.headerBytes.Load() > 0 && time.Since(start) < 2*time.Second; {
+			for start := time.Now(); d.headerMemory.Load() > 0 && time.Since(start) < 2*time.Second; {
 				time.Sleep(time.Millisecond)
 			}
-			is.Equal(d.headerBytes.Load(), int64(0))
+			is.Equal(d.headerMemory.Load(), int64(0))
 		})
 	}
 }
--- a/internal/drainer/waits_test.go
+++ b/internal/drainer/waits_test.go
@@ -171,3 +171,23 @@
 	is.NoErr(c.SetReadDeadline(pastDeadline)) // the server ends its read, and waits until it has ended
 	is.Equal(inner.deadline, pastDeadline)
 }
+
+// TestHeaderMemoryCountsFields guards against headers of many short lines, whose memory is many times their length, and against memory that
+// is free as soon as the header has been read: it is in use until the request has been answered.
+func TestHeaderMemoryCountsFields(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{})
+	d := startServer(t, func(http.ResponseWriter, *http.Request) { started <- struct{}{}; <-release }, Limits{HeaderMemory: 1 << 20})
+	c := dial(t, d)
+	const fields = 500
+	_, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", fields)+"\r\n")
+	is.NoErr(err)
+	<-started
+	is.True(d.headerMemory.Load() >= fields*fieldBytes)
+	close(release)
+	is.Equal(c.readStatus(), 200)
+	for start := time.Now(); d.headerMemory.Load() != 0; time.Sleep(time.Millisecond) {
+		is.True(time.Since(start) < 20*time.Second)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -281,7 +281,7 @@
 		connections = min(connections, descriptorRatio*float64(descriptors))
 	}
 	return drainer.Limits{
-		Connections: max(1, int(connections)), HeaderBytes: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
+		Connections: max(1, int(connections)), HeaderMemory: int64(memory), ReceiveBuffer: r.settings.MemoryMB << 20 / receiveFraction,
 		OnRefuse: r.observeRefusals(address),
 	}
 }
